Add design page, build scripts and the adapters of the event loop

Cause: the project starts empty; every later part needs one reactor thread, HTTP on both sides, settings, logs and metrics.

--- /dev/null
+++ b/makefile
@@ -0,0 +1,33 @@
+# Short verbs over CMake. Every verb does its own set-up.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+CMAKE_FLAGS ?=
+
+.PHONY: all deps build run test bench lint format clean
+
+all: build
+
+deps:
+	@scripts/install-deps.sh
+
+build: deps
+	@cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS) > /dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+run: build
+	@BUILD=$(BUILD) KEEP=$(KEEP) scripts/run-demo.sh
+
+test: build
+	@cd $(BUILD) && ctest --output-on-failure -j 4
+
+bench: build
+	@BUILD=$(BUILD) scripts/bench.sh
+
+lint: build
+	@BUILD=$(BUILD) JOBS=$(JOBS) scripts/lint.sh
+
+format:
+	@git ls-files '*.h' '*.cc' | xargs clang-format -i
+
+clean:
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/src/config_ini_reader.h
@@ -0,0 +1,86 @@
+// Reads settings from an INI file and reports every fault, not only the first.
+#ifndef BRAMLEYBANK_SRC_CONFIG_INI_READER_H_
+#define BRAMLEYBANK_SRC_CONFIG_INI_READER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace bramleybank {
+
+/// One fault in a settings file.
+struct SettingError {
+  std::string file;
+  std::string section;
+  std::string key;
+  std::string value;
+  /// What would have been accepted, in words.
+  std::string allowed;
+
+  friend bool operator==(const SettingError&, const SettingError&) = default;
+};
+
+/// @returns one line: file, section, key, value and what is allowed.
+std::string FormatSettingError(const SettingError& error);
+
+/// Reads typed values. Each getter records an error for a wrong value and
+/// returns the default; Finish() adds the keys that no getter asked for.
+class IniReader {
+ public:
+  /// @param file a file that cannot be read or parsed is an error too.
+  explicit IniReader(std::string file);
+
+  std::string String(std::string_view section,
+                     std::string_view key,
+                     std::string_view default_value);
+  /// The key must be present and not empty.
+  std::string RequiredString(std::string_view section, std::string_view key);
+  /// An IPv4 address.
+  std::string Ip(std::string_view section,
+                 std::string_view key,
+                 std::string_view default_value);
+  int64_t Int(std::string_view section,
+              std::string_view key,
+              int64_t default_value,
+              int64_t min,
+              int64_t max);
+  double Double(std::string_view section,
+                std::string_view key,
+                double default_value,
+                double min,
+                double max);
+  bool Bool(std::string_view section, std::string_view key, bool default_value);
+
+  /// Adds an error for a rule between several settings.
+  void AddError(std::string_view section,
+                std::string_view key,
+                std::string_view allowed);
+
+  /// @returns all errors, unknown keys included.
+  std::vector<SettingError> Finish();
+
+ private:
+  using Name = std::pair<std::string, std::string>;
+
+  std::optional<std::string> Find(std::string_view section,
+                                  std::string_view key);
+  void AddValueError(std::string_view section,
+                     std::string_view key,
+                     std::string_view value,
+                     std::string_view allowed);
+
+  std::string m_file;
+  std::map<Name, std::string> m_values;
+  // Names that a getter has asked for, present or not.
+  std::set<Name> m_known;
+  std::vector<SettingError> m_errors;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_CONFIG_INI_READER_H_
--- /dev/null
+++ b/src/hooks.h
@@ -0,0 +1,28 @@
+// Hooks through which decision code gets time and randomness, so that tests
+// can run it with a manual clock and a fixed seed.
+#ifndef BRAMLEYBANK_SRC_HOOKS_H_
+#define BRAMLEYBANK_SRC_HOOKS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+namespace bramleybank {
+
+using Duration = std::chrono::microseconds;
+/// Monotonic time; the origin is arbitrary.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+using ClockHook = std::function<TimePoint()>;
+/// Uniformly distributed 64-bit numbers.
+using RandomHook = std::function<uint64_t()>;
+
+/// @returns the monotonic clock of the operating system.
+inline TimePoint SteadyNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_HOOKS_H_
--- /dev/null
+++ b/src/http_client.cc
@@ -0,0 +1,371 @@
+// HTTP client on curl_multi_socket_action().
+#include "http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cassert>
+#include <charconv>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "event_loop.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr long kMaxIdleConnections = 256;
+
+int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+std::string_view TrimSpace(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() &&
+         (text.back() == '\r' || text.back() == '\n' || text.back() == ' ')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+}  // namespace
+
+struct HttpClient::Impl {
+  struct Transfer {
+    uint64_t id = 0;
+    Impl* owner = nullptr;
+    CURL* easy = nullptr;
+    curl_slist* header_list = nullptr;
+    std::string body;
+    HttpClientCallbacks callbacks;
+    HttpOutcome outcome;
+    bool paused = false;
+    bool headers_reported = false;
+    bool single_attempt = false;
+    // True while libcurl is inside one of this transfer's callbacks.
+    bool in_callback = false;
+    bool cancelled = false;
+  };
+
+  explicit Impl(EventLoop* event_loop) : loop(event_loop) {
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    multi = curl_multi_init();
+    assert(multi != nullptr);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &OnTimer);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+    // HTTP/1.1 pipelining and HTTP/2 would let answers of different requests
+    // share a connection; one request a connection keeps failures apart.
+    curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  }
+
+  ~Impl() {
+    loop->Cancel(timer);
+    for (auto& [id, transfer] : transfers) {
+      curl_multi_remove_handle(multi, transfer->easy);
+      FreeEasy(transfer.get());
+    }
+    curl_multi_cleanup(multi);
+  }
+
+  static int OnSocket(CURL* /*easy*/,
+                      curl_socket_t fd,
+                      int what,
+                      void* data,
+                      void* /*socket_data*/) {
+    auto* self = static_cast<Impl*>(data);
+    if (what == CURL_POLL_REMOVE) {
+      self->loop->Unwatch(fd);
+      return 0;
+    }
+    const bool read = (what & CURL_POLL_IN) != 0;
+    const bool write = (what & CURL_POLL_OUT) != 0;
+    self->loop->Watch(fd, read, write, [self, fd](IoReady ready) {
+      int flags = 0;
+      flags |= ready.readable ? CURL_CSELECT_IN : 0;
+      flags |= ready.writable ? CURL_CSELECT_OUT : 0;
+      self->Act(fd, flags);
+    });
+    return 0;
+  }
+
+  static int OnTimer(CURLM* /*multi*/, long timeout_ms, void* data) {
+    auto* self = static_cast<Impl*>(data);
+    self->loop->Cancel(self->timer);
+    self->timer = TimerHandle();
+    if (timeout_ms >= 0) {
+      self->timer =
+          self->loop->Schedule(std::chrono::milliseconds(timeout_ms),
+                               [self] { self->Act(CURL_SOCKET_TIMEOUT, 0); });
+    }
+    return 0;
+  }
+
+  static size_t OnHeader(char* bytes, size_t size, size_t count, void* data) {
+    auto* transfer = static_cast<Transfer*>(data);
+    const size_t length = size * count;
+    const std::string_view line = TrimSpace({bytes, length});
+    if (line.starts_with("HTTP/")) {
+      // A new status line: forget those of interim answers.
+      transfer->outcome.headers.clear();
+      return length;
+    }
+    if (line.empty()) {
+      return ReportHeaders(transfer) ? length : 0;
+    }
+    const size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+      transfer->outcome.headers.emplace_back(line.substr(0, colon),
+                                             TrimSpace(line.substr(colon + 1)));
+    }
+    return length;
+  }
+
+  static bool ReportHeaders(Transfer* transfer) {
+    long status = 0;
+    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (status < 200) {
+      return true;
+    }
+    transfer->outcome.status = static_cast<int>(status);
+    if (transfer->headers_reported || !transfer->callbacks.on_headers) {
+      return true;
+    }
+    transfer->headers_reported = true;
+    transfer->in_callback = true;
+    transfer->callbacks.on_headers(transfer->outcome.status,
+                                   transfer->outcome.headers);
+    transfer->in_callback = false;
+    return !transfer->cancelled;
+  }
+
+  static size_t OnBody(char* bytes, size_t size, size_t count, void* data) {
+    auto* transfer = static_cast<Transfer*>(data);
+    if (transfer->paused) {
+      return CURL_WRITEFUNC_PAUSE;
+    }
+    const size_t length = size * count;
+    if (!transfer->callbacks.on_data) {
+      transfer->outcome.body.append(bytes, length);
+      return length;
+    }
+    transfer->in_callback = true;
+    transfer->callbacks.on_data({bytes, length});
+    transfer->in_callback = false;
+    // A short count makes libcurl end the transfer.
+    return transfer->cancelled ? 0 : length;
+  }
+
+  void Act(curl_socket_t fd, int flags) {
+    int running = 0;
+    ++depth;
+    curl_multi_socket_action(multi, fd, flags, &running);
+    --depth;
+    FinishEnded();
+  }
+
+  void FinishEnded() {
+    if (depth > 0) {
+      return;
+    }
+    // Cancelled inside a callback: freed here, outside libcurl.
+    for (const uint64_t id : std::exchange(cancelled_ids, {})) {
+      Remove(id);
+    }
+    std::vector<std::pair<uint64_t, CURLcode>> ended;
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(multi, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      Transfer* transfer = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      ended.emplace_back(transfer->id, message->data.result);
+    }
+    for (const auto& [id, result] : ended) {
+      Finish(id, result);
+    }
+  }
+
+  void Finish(uint64_t id, CURLcode result) {
+    const auto it = transfers.find(id);
+    if (it == transfers.end()) {
+      return;
+    }
+    Transfer* transfer = it->second.get();
+    HttpOutcome outcome = std::move(transfer->outcome);
+    long request_size = 0;
+    curl_off_t uploaded = 0;
+    curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE, &request_size);
+    curl_easy_getinfo(transfer->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    outcome.request_bytes_sent =
+        static_cast<uint64_t>(request_size) + static_cast<uint64_t>(uploaded);
+    outcome.complete = result == CURLE_OK;
+    outcome.timed_out = result == CURLE_OPERATION_TIMEDOUT;
+    if (result != CURLE_OK) {
+      outcome.error = curl_easy_strerror(result);
+    }
+    const auto on_done = std::move(transfer->callbacks.on_done);
+    Remove(id);
+    if (on_done) {
+      on_done(outcome);
+    }
+  }
+
+  void Remove(uint64_t id) {
+    const auto it = transfers.find(id);
+    if (it == transfers.end()) {
+      return;
+    }
+    std::unique_ptr<Transfer> transfer = std::move(it->second);
+    transfers.erase(it);
+    curl_multi_remove_handle(multi, transfer->easy);
+    FreeEasy(transfer.get());
+  }
+
+  static void FreeEasy(Transfer* transfer) {
+    curl_easy_cleanup(transfer->easy);
+    curl_slist_free_all(transfer->header_list);
+  }
+
+  Transfer* Find(TransferHandle handle) {
+    const auto it = transfers.find(handle.value());
+    return it == transfers.end() ? nullptr : it->second.get();
+  }
+
+  void SetUp(Transfer* transfer, const HttpClientRequest& request) {
+    CURL* easy = transfer->easy;
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    if (request.connect_timeout.count() > 0) {
+      curl_easy_setopt(
+          easy, CURLOPT_CONNECTTIMEOUT_MS,
+          static_cast<long>(ToMilliseconds(request.connect_timeout)));
+    }
+    if (request.total_timeout.count() > 0) {
+      curl_easy_setopt(
+          easy, CURLOPT_TIMEOUT_MS,
+          static_cast<long>(ToMilliseconds(request.total_timeout)));
+    }
+    if (request.single_attempt) {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    SetBodyAndHeaders(transfer, request);
+  }
+
+  static void SetBodyAndHeaders(Transfer* transfer,
+                                const HttpClientRequest& request) {
+    CURL* easy = transfer->easy;
+    const bool has_body = !request.body.empty() || request.method == "POST" ||
+                          request.method == "PUT";
+    if (request.method == "HEAD") {
+      curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    } else if (has_body) {
+      transfer->body = request.body;
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(transfer->body.size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+    }
+    // Without this libcurl waits up to a second for "100 Continue".
+    curl_slist* list = curl_slist_append(nullptr, "Expect:");
+    for (const auto& [name, value] : request.headers) {
+      std::string line = name;
+      line.append(": ").append(value);
+      list = curl_slist_append(list, line.c_str());
+    }
+    transfer->header_list = list;
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+  }
+
+  EventLoop* loop;
+  CURLM* multi = nullptr;
+  TimerHandle timer;
+  // Nesting of curl_multi_socket_action(); ended transfers are reported only
+  // at depth 0 because libcurl forbids removing handles inside a callback.
+  int depth = 0;
+  uint64_t next_id = 1;
+  std::unordered_map<uint64_t, std::unique_ptr<Transfer>> transfers;
+  std::vector<uint64_t> cancelled_ids;
+};
+
+HttpClient::HttpClient(EventLoop* loop) : m_impl(std::make_unique<Impl>(loop)) {
+  assert(loop != nullptr);
+}
+
+HttpClient::~HttpClient() = default;
+
+TransferHandle HttpClient::Start(const HttpClientRequest& request,
+                                 HttpClientCallbacks callbacks) {
+  auto transfer = std::make_unique<Impl::Transfer>();
+  transfer->id = m_impl->next_id++;
+  transfer->owner = m_impl.get();
+  transfer->easy = curl_easy_init();
+  assert(transfer->easy != nullptr);
+  transfer->callbacks = std::move(callbacks);
+  transfer->single_attempt = request.single_attempt;
+  m_impl->SetUp(transfer.get(), request);
+  const TransferHandle handle(transfer->id);
+  CURL* easy = transfer->easy;
+  m_impl->transfers.emplace(transfer->id, std::move(transfer));
+  curl_multi_add_handle(m_impl->multi, easy);
+  return handle;
+}
+
+void HttpClient::Cancel(TransferHandle handle) {
+  Impl::Transfer* transfer = m_impl->Find(handle);
+  if (transfer == nullptr || transfer->cancelled) {
+    return;
+  }
+  transfer->cancelled = true;
+  transfer->callbacks.on_done = nullptr;
+  if (m_impl->depth > 0) {
+    // The function objects may be running; they are freed with the transfer.
+    m_impl->cancelled_ids.push_back(transfer->id);
+    return;
+  }
+  m_impl->Remove(transfer->id);
+}
+
+void HttpClient::Pause(TransferHandle handle) {
+  if (Impl::Transfer* transfer = m_impl->Find(handle)) {
+    transfer->paused = true;
+  }
+}
+
+void HttpClient::Resume(TransferHandle handle) {
+  Impl::Transfer* transfer = m_impl->Find(handle);
+  if (transfer == nullptr || !transfer->paused) {
+    return;
+  }
+  transfer->paused = false;
+  ++m_impl->depth;
+  curl_easy_pause(transfer->easy, CURLPAUSE_CONT);
+  --m_impl->depth;
+  if (m_impl->depth == 0) {
+    m_impl->loop->Post([impl = m_impl.get()] { impl->FinishEnded(); });
+  }
+}
+
+size_t HttpClient::open_transfers() const {
+  return m_impl->transfers.size();
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/http_request.h
@@ -0,0 +1,33 @@
+// One request as a caller, an operator or another program sent it.
+#ifndef BRAMLEYBANK_SRC_HTTP_REQUEST_H_
+#define BRAMLEYBANK_SRC_HTTP_REQUEST_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "http_types.h"
+
+namespace bramleybank {
+
+/// A whole request. Path and query are as sent, percent-encoding included.
+struct HttpRequest {
+  std::string method;
+  std::string path;
+  HttpHeaders query;
+  HttpHeaders headers;
+  std::string body;
+
+  std::optional<std::string> Header(std::string_view name) const {
+    return FindHeader(headers, name);
+  }
+  std::optional<std::string> Query(std::string_view name) const {
+    return FindHeader(query, name);
+  }
+
+  friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_HTTP_REQUEST_H_
--- /dev/null
+++ b/src/http_server.h
@@ -0,0 +1,64 @@
+// HTTP server on libmicrohttpd, driven by the event loop without threads.
+#ifndef BRAMLEYBANK_SRC_HTTP_SERVER_H_
+#define BRAMLEYBANK_SRC_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "bramleybank/limits.h"
+#include "bramleybank/result_code.h"
+
+namespace bramleybank {
+
+class EventLoop;
+class HttpResponder;
+struct HttpRequest;
+
+/// Bounds of one server.
+struct HttpServerOptions {
+  size_t max_body_bytes = kMaxRequestBodyBytes;
+  size_t max_url_bytes = kMaxUrlBytes;
+  unsigned max_connections = kMaxCallerConnections;
+  size_t connection_pool_bytes = kConnectionPoolBytes;
+  std::chrono::seconds idle_timeout = kCallerIdleTimeout;
+};
+
+/// Accepts connections and hands whole requests to a handler.
+class HttpServer {
+ public:
+  using Handler =
+      std::function<void(const HttpRequest& request,
+                         const std::shared_ptr<HttpResponder>& responder)>;
+  /// Builds the body of a refusal that the server itself makes.
+  using RefusalHook = std::function<std::string(ResultCode code)>;
+
+  HttpServer(EventLoop* loop, const HttpServerOptions& options);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Listens on an IPv4 address. Port 0 takes a free port.
+  /// @returns the port, or nothing with last_reason() set.
+  std::optional<uint16_t> Start(const std::string& ip,
+                                uint16_t port,
+                                Handler handler);
+  /// Stops listening; open exchanges go on.
+  void StopListening();
+
+  void SetRefusalHook(RefusalHook hook);
+
+  size_t open_exchanges() const;
+  const Reason& last_reason() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_HTTP_SERVER_H_
--- /dev/null
+++ b/src/log_event.cc
@@ -0,0 +1,107 @@
+// The catalogue of log events and its glog output.
+#include "log_event.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace bramleybank {
+namespace {
+
+using enum LogEventId;
+using enum LogSeverity;
+
+constexpr LogEventInfo kCatalogue[] = {
+    {kStarted, "started", kInfo, "The program serves."},
+    {kStopping, "stopping", kInfo, "The program has been told to stop."},
+    {kStopped, "stopped", kInfo, "The program ends; nothing is open."},
+    {kSettingRefused, "setting_refused", kError, "A setting is wrong."},
+    {kRequestRefused, "request_refused", kInfo,
+     "A request was refused; the code says why."},
+    {kAttemptStarted, "attempt_started", kInfo,
+     "A generation was sent to an engine."},
+    {kAttemptEnded, "attempt_ended", kWarning,
+     "An attempt ended before the answer was whole."},
+    {kStreamResumed, "stream_resumed", kInfo,
+     "Output goes on after the loss of an attempt."},
+    {kStreamGivenUp, "stream_given_up", kWarning,
+     "A stream cannot go on; the caller was told how far it reached."},
+    {kStreamFinished, "stream_finished", kInfo, "An answer was sent whole."},
+    {kStreamCallerGone, "stream_caller_gone", kInfo,
+     "The caller's connection closed before the end."},
+    {kStreamUnprotected, "stream_unprotected", kWarning,
+     "Tokens are passed on without a copy in another daemon."},
+    {kStreamReattached, "stream_reattached", kInfo,
+     "A caller came back with Last-Event-ID and its stream goes on."},
+    {kConfigInForce, "config_in_force", kInfo,
+     "A newer configuration is in force."},
+    {kConfigRefused, "config_refused", kError,
+     "A configuration is malformed and was not taken."},
+    {kPlatformUnreachable, "platform_unreachable", kWarning,
+     "The platform did not answer."},
+};
+
+const LogEventInfo& InfoOf(LogEventId id) {
+  const auto* info = std::ranges::find(kCatalogue, id, &LogEventInfo::id);
+  assert(info != std::end(kCatalogue));
+  return *info;
+}
+
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() ||
+         value.find_first_of(" \"\\\n\r\t=") != std::string_view::npos;
+}
+
+}  // namespace
+
+std::span<const LogEventInfo> AllLogEvents() {
+  return kCatalogue;
+}
+
+LogLine::LogLine(LogEventId id) : m_info(InfoOf(id)) {
+  m_text << "event=" << static_cast<int>(id) << " name=" << m_info.name;
+}
+
+LogLine::~LogLine() {
+  switch (m_info.severity) {
+    case kInfo:
+      LOG(INFO) << m_text.str();
+      break;
+    case kWarning:
+      LOG(WARNING) << m_text.str();
+      break;
+    case kError:
+      LOG(ERROR) << m_text.str();
+      break;
+  }
+}
+
+LogLine& LogLine::Field(std::string_view key, std::string_view value) {
+  m_text << ' ' << key << '=';
+  if (!NeedsQuotes(value)) {
+    m_text << value;
+    return *this;
+  }
+  m_text << '"';
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      m_text << '\\';
+    }
+    m_text << (static_cast<unsigned char>(c) < ' ' ? ' ' : c);
+  }
+  m_text << '"';
+  return *this;
+}
+
+LogLine& LogLine::Field(std::string_view key, long long value) {
+  m_text << ' ' << key << '=' << value;
+  return *this;
+}
+
+void StartLogging(const char* program) {
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(program);
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/log_event.h
@@ -0,0 +1,70 @@
+// Numbered log events in a key=value form that scripts can read. The catalogue
+// in docs/log-events.md is compared with the table by a test.
+#ifndef BRAMLEYBANK_SRC_LOG_EVENT_H_
+#define BRAMLEYBANK_SRC_LOG_EVENT_H_
+
+#include <span>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace bramleybank {
+
+/// Ranges: 100 process, 200 HTTP, 300 streams, 400 calls, 500 platform and
+/// configuration, 600 membership and peers, 700 routing and limits.
+enum class LogEventId : int {
+  kStarted = 101,
+  kStopping = 102,
+  kStopped = 103,
+  kSettingRefused = 104,
+  kRequestRefused = 201,
+  kAttemptStarted = 301,
+  kAttemptEnded = 302,
+  kStreamResumed = 303,
+  kStreamGivenUp = 304,
+  kStreamFinished = 305,
+  kStreamCallerGone = 306,
+  kStreamUnprotected = 307,
+  kStreamReattached = 308,
+  kConfigInForce = 501,
+  kConfigRefused = 502,
+  kPlatformUnreachable = 503,
+};
+
+enum class LogSeverity { kInfo, kWarning, kError };
+
+/// One row of the catalogue.
+struct LogEventInfo {
+  LogEventId id;
+  std::string_view name;
+  LogSeverity severity;
+  std::string_view meaning;
+};
+
+/// @returns every event in ascending order of its number.
+std::span<const LogEventInfo> AllLogEvents();
+
+/// Builds one log line and writes it when destroyed:
+/// `event=303 name=stream_resumed generation=... position=...`.
+class LogLine {
+ public:
+  explicit LogLine(LogEventId id);
+  ~LogLine();
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+
+  /// Adds a field. Values with spaces, quotes or line breaks are quoted.
+  LogLine& Field(std::string_view key, std::string_view value);
+  LogLine& Field(std::string_view key, long long value);
+
+ private:
+  const LogEventInfo& m_info;
+  std::ostringstream m_text;
+};
+
+/// Sends glog's output to standard error. Call once at program start.
+void StartLogging(const char* program);
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_LOG_EVENT_H_
--- /dev/null
+++ b/tests/unit_main.cc
@@ -0,0 +1,3 @@
+// Entry point of the unit tests.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- /dev/null
+++ b/tests/unit_stream_cursor.cc
@@ -0,0 +1,39 @@
+// Guards against event ids that lose a field or that foreign text passes for.
+#include <doctest/doctest.h>
+
+#include "stream_cursor.h"
+
+namespace bramleybank {
+namespace {
+
+const StreamCursor kCursor{.generation = 0x0123456789abcdefULL,
+                           .request_hash = 0xdeadbeefU,
+                           .owner = "127.0.0.1:7103",
+                           .copy_holder = "127.0.0.2:7103",
+                           .engine = "127.0.0.9:9000",
+                           .attempt = 3,
+                           .position = 512};
+
+TEST_CASE("a cursor survives its text form") {
+  CHECK(ParseStreamCursor(FormatStreamCursor(kCursor)) == kCursor);
+}
+
+TEST_CASE("a cursor without a copy survives its text form") {
+  StreamCursor cursor = kCursor;
+  cursor.copy_holder.clear();
+  CHECK(ParseStreamCursor(FormatStreamCursor(cursor)) == cursor);
+}
+
+TEST_CASE("text that is no cursor is refused") {
+  const std::string good = FormatStreamCursor(kCursor);
+  for (const std::string& bad :
+       {std::string(), std::string("7"), good + "-1", good + "x",
+        "2" + good.substr(1), good.substr(0, good.rfind('-')),
+        std::string(300, '1')}) {
+    CAPTURE(bad);
+    CHECK_FALSE(ParseStreamCursor(bad));
+  }
+}
+
+}  // namespace
+}  // namespace bramleybank
