--- /dev/null
+++ b/tools/standin_engine_core.h
@@ -0,0 +1,153 @@
+// The engine stand-in without HTTP routes: streams by generation, the steps of
+// the batch, hold times and figures.
+#ifndef BRAMLEYBANK_TOOLS_STANDIN_ENGINE_CORE_H_
+#define BRAMLEYBANK_TOOLS_STANDIN_ENGINE_CORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "bramleybank/handle.h"
+#include "hooks.h"
+#include "standin_engine_batch.h"
+#include "standin_engine_cache.h"
+#include "standin_engine_faults.h"
+#include "standin_engine_load.h"
+#include "standin_engine_settings.h"
+
+namespace bramleybank {
+
+class EngineStream;
+class EventLoop;
+class HttpResponder;
+
+/// A generation as the engine is asked for it.
+struct EngineRequest {
+  std::string generation;
+  uint32_t attempt = 1;
+  int priority = 0;
+  std::string prompt;
+  uint64_t max_tokens = 1;
+  std::vector<std::string> resume_tokens;
+};
+
+enum class EngineStatus {
+  kOk,
+  kUnknownStream,
+  /// The stream has had this attempt or a higher one.
+  kStaleAttempt,
+  /// Resume tokens that no version of this model and prompt generated, or a
+  /// position that the stream has not reached.
+  kBadResume,
+  /// A fault of the version was asked for.
+  kVersionFault,
+};
+
+/// Streams and model of one engine.
+class EngineCore {
+ public:
+  EngineCore(EventLoop* loop, const EngineSettings& settings);
+  ~EngineCore();
+  EngineCore(const EngineCore&) = delete;
+  EngineCore& operator=(const EngineCore&) = delete;
+
+  /// Starts or resumes a generation. The responder is used only with kOk.
+  EngineStatus Start(const EngineRequest& request,
+                     const std::shared_ptr<HttpResponder>& responder);
+  /// Continues a stream after position `after`.
+  EngineStatus Attach(const std::string& generation,
+                      uint32_t attempt,
+                      uint64_t after,
+                      const std::shared_ptr<HttpResponder>& responder);
+  EngineStatus Cancel(const std::string& generation, uint32_t attempt);
+
+  /// Carries out a command: `{"command": "load_version" | "load_model" |
+  /// "load_adapter" | "set_role", "name": "..."}`.
+  /// @returns the HTTP status.
+  int Command(const nlohmann::json& command, uint64_t fencing_number);
+  bool Control(const nlohmann::json& control, std::string* error);
+
+  nlohmann::json Load() const;
+  nlohmann::json CacheEvents(uint64_t after) const;
+  nlohmann::json Stats() const;
+
+  /// @returns a new number for a request without one, in hex.
+  std::string NewGeneration();
+  const std::string& model() const { return m_settings.model; }
+
+ private:
+  struct Run {
+    std::shared_ptr<EngineStream> stream;
+    uint64_t prefill_tokens = 0;
+    bool admitted = false;
+    TimePoint ready_at{};
+    double slowdown = 1;
+    // Tokens due; grows by 1 / slowdown each step.
+    double credit = 0;
+  };
+  struct Entry {
+    std::shared_ptr<EngineStream> stream;
+    uint64_t run = 0;
+    bool cancelled = false;
+    TimerHandle hold_timer{};
+  };
+  struct Figures {
+    uint64_t tokens = 0;
+    uint64_t prefill_tokens = 0;
+    uint64_t cached_tokens = 0;
+    uint64_t started = 0;
+    uint64_t resumed = 0;
+    uint64_t attached = 0;
+    uint64_t cancelled = 0;
+    uint64_t expired = 0;
+    uint64_t finished = 0;
+  };
+
+  std::shared_ptr<EngineStream> MakeStream(const EngineRequest& request,
+                                           const RequestEffect& effect,
+                                           uint64_t run);
+  void StartRun(const EngineRequest& request,
+                std::shared_ptr<EngineStream> stream,
+                double slowdown,
+                uint64_t run);
+  void AdmitRuns();
+  void EndRun(uint64_t run);
+  void ScheduleStep();
+  void Step();
+  void StepRun(uint64_t id, Run* run);
+  void HoldEntry(const std::string& generation, uint64_t run);
+  void OnHoldEnd(const std::string& generation);
+  void CancelEntry(Entry* entry);
+  void SampleLoad();
+  uint16_t NonceOf(const EngineRequest& request) const;
+
+  EventLoop* m_loop;
+  EngineSettings m_settings;
+  std::mt19937_64 m_random;
+  // Distinguishes the samples of this process from those of others.
+  uint64_t m_process_nonce;
+  BatchModel m_batch;
+  PrefixCache m_cache;
+  LoadHistory m_load;
+  EngineFaults m_faults;
+  uint64_t m_next_run = 1;
+  std::unordered_map<uint64_t, Run> m_runs;
+  // Latest attempt of each generation, until its hold time ends.
+  std::unordered_map<std::string, Entry> m_entries;
+  TimePoint m_last_step;
+  TimerHandle m_step_timer;
+  TimerHandle m_load_timer;
+  Figures m_figures;
+  std::string m_role = "both";
+  uint64_t m_fencing_number = 0;
+  uint64_t m_commands = 0;
+  uint64_t m_commands_refused = 0;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_CORE_H_
--- /dev/null
+++ b/tools/standin_engine_http.h
@@ -0,0 +1,37 @@
+// HTTP routes of the engine stand-in.
+#ifndef BRAMLEYBANK_TOOLS_STANDIN_ENGINE_HTTP_H_
+#define BRAMLEYBANK_TOOLS_STANDIN_ENGINE_HTTP_H_
+
+#include <memory>
+#include <string>
+
+namespace bramleybank {
+
+class EngineCore;
+class HttpResponder;
+struct HttpRequest;
+
+/// Parses requests and answers from the core.
+class EngineHttp {
+ public:
+  using Responder = std::shared_ptr<HttpResponder>;
+
+  explicit EngineHttp(EngineCore* core) : m_core(core) {}
+
+  void Handle(const HttpRequest& request, const Responder& responder);
+
+ private:
+  void HandlePost(const HttpRequest& request, const Responder& responder);
+  void HandleGet(const HttpRequest& request, const Responder& responder);
+  void Generate(const HttpRequest& request, const Responder& responder);
+  void Attach(const HttpRequest& request, const Responder& responder);
+  void Cancel(const HttpRequest& request, const Responder& responder);
+  void Command(const HttpRequest& request, const Responder& responder);
+  void Control(const HttpRequest& request, const Responder& responder);
+
+  EngineCore* m_core;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_HTTP_H_
--- /dev/null
+++ b/tools/standin_engine_load.h
@@ -0,0 +1,51 @@
+// Load reports of the engine stand-in, which show the state some time ago.
+#ifndef BRAMLEYBANK_TOOLS_STANDIN_ENGINE_LOAD_H_
+#define BRAMLEYBANK_TOOLS_STANDIN_ENGINE_LOAD_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+#include "hooks.h"
+
+namespace bramleybank {
+
+/// State of the engine at one time.
+struct LoadSample {
+  TimePoint time;
+  size_t running = 0;
+  size_t waiting = 0;
+  /// Tokens generated since the start of the process.
+  uint64_t tokens = 0;
+
+  friend bool operator==(const LoadSample&, const LoadSample&) = default;
+};
+
+/// A report as sent.
+struct LoadReport {
+  size_t running = 0;
+  size_t waiting = 0;
+  double tokens_per_s = 0;
+  Duration age{0};
+
+  friend bool operator==(const LoadReport&, const LoadReport&) = default;
+};
+
+/// Keeps samples for as long as the lag needs them.
+class LoadHistory {
+ public:
+  explicit LoadHistory(Duration lag);
+
+  void Record(const LoadSample& sample);
+  /// @returns the newest sample that is at least as old as the lag, or zeros.
+  LoadReport Report(TimePoint now) const;
+
+ private:
+  Duration m_lag;
+  // In ascending order of time.
+  std::deque<LoadSample> m_samples;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_LOAD_H_
