--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -43,9 +43,33 @@
 inline constexpr size_t kMaxInlineResultBytes = 64 * 1024;
 inline constexpr std::chrono::milliseconds kRecordBeforeAnswerTimeout{250};
 
+/// A claim that is not dispatched by then is given up. It covers one claim
+/// write and one read back, each of which takes at most kPlatformTimeout.
+inline constexpr std::chrono::milliseconds kCallClaimTimeout{3000};
+/// A caller waits at most this long for the result of another daemon's claim.
+inline constexpr std::chrono::seconds kCallWaitTimeout{30};
+/// Limit on one exchange with a plain service.
+inline constexpr std::chrono::seconds kServiceTimeout{30};
+/// Larger answers to a non-idempotent call are not kept: their outcome is
+/// unknown to the caller, and the call is not run again.
+inline constexpr size_t kMaxServiceAnswerBytes = 4 * 1024 * 1024;
+inline constexpr std::chrono::milliseconds kMinCallBackoff{50};
+inline constexpr std::chrono::milliseconds kMaxCallBackoff{1000};
+/// Results and releases that the table does not take are dropped after this
+/// time, so that a long outage does not fill the memory.
+inline constexpr std::chrono::minutes kCallBackgroundTimeout{10};
+/// Endpoints tried for one call while none has accepted a connection.
+inline constexpr int kMaxCallConnects = 3;
+/// Retries of an idempotent request after its first try.
+inline constexpr int kMaxIdempotentRetries = 2;
+
 // Transfers to endpoints and the platform.
 inline constexpr std::chrono::milliseconds kConnectTimeout{800};
 inline constexpr std::chrono::milliseconds kPlatformTimeout{1000};
+/// Table writes that arrive within this time share one batch.
+inline constexpr std::chrono::milliseconds kTableBatchWindow{2};
+inline constexpr size_t kMaxTableBatchRows = 64;
+inline constexpr size_t kMaxTableBatchBytes = 512 * 1024;
 
 }  // namespace bramleybank
 
