Add the stand-in of the platform

Cause: calls need a table whose answers get lost and whose writes come late. Change: table with conditional writes, batch and scan, objects, rate-limited weights and a lagging VM list in memory; rate gates for writes and reads with a bounded queue; faults through POST /control; counts at GET /stats. A second, optional port takes control while the first one refuses connections. A batch counts as one write request unless batch_counts_rows is set.

--- /dev/null
+++ b/tools/standin_platform_server.cc
@@ -0,0 +1,345 @@
+// Routes, rate limits and faults of the platform stand-in.
+#include "standin_platform_server.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "event_loop.h"
+#include "http_path.h"
+#include "http_request.h"
+#include "http_responder.h"
+
+namespace bramleybank {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr size_t kMaxScanRows = 1000;
+constexpr uint64_t kMaxWeightBytes = 64 * 1024 * 1024;
+constexpr size_t kMaxWaitingWeightBytes = 1024 * 1024 * 1024;
+
+std::optional<uint64_t> ParseNumber(const std::optional<std::string>& text) {
+  uint64_t value = 0;
+  if (!text) {
+    return std::nullopt;
+  }
+  const char* end = text->data() + text->size();
+  const auto [stop, fault] = std::from_chars(text->data(), end, value);
+  if (fault != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string After(std::string_view path, std::string_view prefix) {
+  return PercentDecode(path.substr(prefix.size()));
+}
+
+void Reply(HttpResponder* responder, int status, const json& body) {
+  responder->Respond(status, {{"Content-Type", "application/json"}},
+                     body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+PlatformWrite ParseWrite(const json& value) {
+  return {.key = value.at("key").get<std::string>(),
+          .value = value.at("value").get<std::string>(),
+          .expected_version = value.at("expected_version").get<uint64_t>()};
+}
+
+}  // namespace
+
+PlatformServer::PlatformServer(EventLoop* loop,
+                               const PlatformSettings& settings)
+    : m_loop(loop),
+      m_settings(settings),
+      m_listener(loop, settings.ip, settings.port),
+      m_control_listener(loop, settings.ip, settings.control_port),
+      m_write_gate(settings.writes_per_s, settings.max_queue, &SteadyNow),
+      m_read_gate(settings.reads_per_s, settings.max_queue, &SteadyNow),
+      m_weight_gate(settings.weight_bytes_per_s,
+                    kMaxWaitingWeightBytes,
+                    &SteadyNow),
+      m_vm_lag_ms(settings.vm_lag_ms) {}
+
+bool PlatformServer::Start() {
+  const auto handler = [this](const HttpRequest& request,
+                              const Responder& responder) {
+    Handle(request, responder);
+  };
+  if (!m_listener.Open(handler)) {
+    m_reason = m_listener.last_reason();
+    return false;
+  }
+  if (m_settings.control_port != 0 && !m_control_listener.Open(handler)) {
+    m_reason = m_control_listener.last_reason();
+    return false;
+  }
+  return true;
+}
+
+void PlatformServer::FollowDownState() {
+  if (m_settings.control_port == 0) {
+    return;
+  }
+  if (m_faults.down == PlatformDown::kRefuse) {
+    m_listener.Close();
+  } else if (!m_listener.is_open() && !Start()) {
+    // The address can be taken by a closing connection for a moment.
+    m_loop->Schedule(milliseconds(10), [this] { FollowDownState(); });
+  }
+}
+
+void PlatformServer::Handle(const HttpRequest& request,
+                            const Responder& responder) {
+  const std::string& path = request.path;
+  if (path == "/control") {
+    HandleControl(request, responder);
+  } else if (path == "/stats") {
+    HandleStats(responder);
+  } else if (m_faults.down == PlatformDown::kSilent) {
+    // Kept open by the server until the client closes.
+  } else if (m_faults.down == PlatformDown::kRefuse) {
+    responder->Abort();
+  } else if (path.starts_with("/table/")) {
+    HandleTable(request, responder);
+  } else if (path == "/table-batch") {
+    HandleBatch(request, responder);
+  } else if (path == "/table-scan") {
+    HandleScan(request, responder);
+  } else if (path.starts_with("/object/")) {
+    HandleObject(request, responder);
+  } else if (path.starts_with("/weights/")) {
+    HandleWeights(request, responder);
+  } else if (path == "/vms") {
+    HandleVms(responder);
+  } else {
+    Reply(responder.get(), 404, {{"error", "unknown path"}});
+  }
+}
+
+void PlatformServer::HandleControl(const HttpRequest& request,
+                                   const Responder& responder) {
+  try {
+    const json control = json::parse(request.body);
+    ApplyPlatformControl(control, &m_faults);
+    m_vm_lag_ms = control.value("vm_lag_ms", m_vm_lag_ms);
+    if (control.contains("vms")) {
+      SetVms(control.at("vms"));
+    }
+  } catch (const json::exception& fault) {
+    Reply(responder.get(), 400, {{"error", fault.what()}});
+    return;
+  }
+  // Closing a listener from inside its own handler is not allowed. The answer
+  // follows, so that a refusing platform refuses once it is sent.
+  m_loop->Post([this, responder] {
+    FollowDownState();
+    Reply(responder.get(), 200, {{"ok", true}});
+  });
+}
+
+void PlatformServer::HandleStats(const Responder& responder) {
+  Reply(responder.get(), 200,
+        {{"reads", m_reads},
+         {"write_requests", m_write_requests},
+         {"rows_written", m_store.rows_written()},
+         {"conflicts", m_store.conflicts()},
+         {"refused", m_refused},
+         {"held", m_held}});
+}
+
+void PlatformServer::RunWrite(double cost,
+                              const Responder& responder,
+                              Operation operation) {
+  const auto delay = m_write_gate.Admit(cost);
+  if (!delay) {
+    ++m_refused;
+    Reply(responder.get(), 503, {{"error", "write queue is full"}});
+    return;
+  }
+  m_loop->Schedule(*delay + milliseconds(m_faults.delay_ms),
+                   [this, responder, operation = std::move(operation)] {
+                     FinishWrite(responder, operation);
+                   });
+}
+
+void PlatformServer::FinishWrite(const Responder& responder,
+                                 const Operation& operation) {
+  ++m_write_requests;
+  if (m_faults.hold_writes > 0) {
+    --m_faults.hold_writes;
+    ++m_held;
+    const milliseconds late(m_faults.hold_ms);
+    responder->SetCloseHandler([this, late, operation](bool) {
+      m_loop->Schedule(late, [this, operation] {
+        --m_held;
+        operation();
+      });
+    });
+    return;
+  }
+  const Answer answer = operation();
+  if (m_faults.lose_answers > 0) {
+    --m_faults.lose_answers;
+    if (m_faults.lose_by_close) {
+      responder->Abort();
+    }
+    return;
+  }
+  responder->Respond(answer.status, answer.headers, answer.body);
+}
+
+void PlatformServer::RunRead(const Responder& responder, Operation operation) {
+  const auto delay = m_read_gate.Admit(1);
+  if (!delay) {
+    ++m_refused;
+    Reply(responder.get(), 503, {{"error", "read queue is full"}});
+    return;
+  }
+  m_loop->Schedule(*delay + milliseconds(m_faults.delay_ms),
+                   [this, responder, operation = std::move(operation)] {
+                     ++m_reads;
+                     const Answer answer = operation();
+                     responder->Respond(answer.status, answer.headers,
+                                        answer.body);
+                   });
+}
+
+void PlatformServer::HandleTable(const HttpRequest& request,
+                                 const Responder& responder) {
+  const std::string key = After(request.path, "/table/");
+  if (request.method == "GET") {
+    RunRead(responder, [this, key]() -> Answer {
+      const TableRow* row = m_store.Read(key);
+      if (row == nullptr) {
+        return {.status = 404};
+      }
+      return {.headers = {{"X-Row-Version", std::to_string(row->version)}},
+              .body = row->value};
+    });
+    return;
+  }
+  const auto expected = ParseNumber(request.Header("X-Expected-Version"));
+  if (request.method != "PUT" || !expected) {
+    Reply(responder.get(), 400, {{"error", "PUT with X-Expected-Version"}});
+    return;
+  }
+  RunWrite(
+      1, responder,
+      [this, write = PlatformWrite{key, request.body, *expected}]() -> Answer {
+        const auto version = m_store.Write(write);
+        if (!version) {
+          return {.status = 412};
+        }
+        return {.headers = {{"X-Row-Version", std::to_string(*version)}}};
+      });
+}
+
+void PlatformServer::HandleBatch(const HttpRequest& request,
+                                 const Responder& responder) {
+  std::vector<PlatformWrite> writes;
+  bool atomic = false;
+  try {
+    const json body = json::parse(request.body);
+    atomic = body.value("atomic", false);
+    for (const json& write : body.at("writes")) {
+      writes.push_back(ParseWrite(write));
+    }
+  } catch (const json::exception& fault) {
+    Reply(responder.get(), 400, {{"error", fault.what()}});
+    return;
+  }
+  const double cost =
+      m_settings.batch_counts_rows
+          ? std::max<double>(1, static_cast<double>(writes.size()))
+          : 1;
+  RunWrite(cost, responder,
+           [this, atomic, writes = std::move(writes)]() -> Answer {
+             json results = json::array();
+             for (const auto& version : m_store.WriteBatch(writes, atomic)) {
+               results.push_back({{"written", version.has_value()},
+                                  {"version", version.value_or(0)}});
+             }
+             return {.headers = {{"Content-Type", "application/json"}},
+                     .body = json{{"results", results}}.dump()};
+           });
+}
+
+void PlatformServer::HandleScan(const HttpRequest& request,
+                                const Responder& responder) {
+  const std::string prefix =
+      PercentDecode(request.Query("prefix").value_or(""));
+  const std::string after = PercentDecode(request.Query("after").value_or(""));
+  const uint64_t limit = std::min<uint64_t>(
+      kMaxScanRows, ParseNumber(request.Query("limit")).value_or(kMaxScanRows));
+  RunRead(responder, [this, prefix, after, limit]() -> Answer {
+    json rows = json::array();
+    for (const auto& [key, row] : m_store.Scan(prefix, after, limit)) {
+      rows.push_back(
+          {{"key", key}, {"value", row.value}, {"version", row.version}});
+    }
+    return {.headers = {{"Content-Type", "application/json"}},
+            .body = json{{"rows", rows}}.dump(-1, ' ', false,
+                                              json::error_handler_t::replace)};
+  });
+}
+
+void PlatformServer::HandleObject(const HttpRequest& request,
+                                  const Responder& responder) {
+  const std::string name = After(request.path, "/object/");
+  if (request.method == "GET") {
+    RunRead(responder, [this, name]() -> Answer {
+      const std::string* bytes = m_store.GetObject(name);
+      if (bytes == nullptr) {
+        return {.status = 404};
+      }
+      return {.body = *bytes};
+    });
+    return;
+  }
+  if (request.method != "PUT") {
+    Reply(responder.get(), 405, {{"error", "GET or PUT"}});
+    return;
+  }
+  RunWrite(1, responder, [this, name, bytes = request.body]() -> Answer {
+    m_store.PutObject(name, bytes);
+    return {};
+  });
+}
+
+void PlatformServer::HandleWeights(const HttpRequest& request,
+                                   const Responder& responder) {
+  const uint64_t bytes = ParseNumber(request.Query("bytes")).value_or(0);
+  if (bytes > kMaxWeightBytes) {
+    Reply(responder.get(), 400, {{"error", "at most 64 MB a request"}});
+    return;
+  }
+  const auto delay = m_weight_gate.Admit(static_cast<double>(bytes));
+  if (!delay) {
+    ++m_refused;
+    Reply(responder.get(), 503, {{"error", "weight queue is full"}});
+    return;
+  }
+  m_loop->Schedule(*delay, [responder, bytes] {
+    responder->Respond(200, {}, std::string(bytes, 'w'));
+  });
+}
+
+void PlatformServer::SetVms(const json& vms) {
+  m_loop->Schedule(milliseconds(m_vm_lag_ms),
+                   [this, vms] { m_visible_vms = vms; });
+}
+
+void PlatformServer::HandleVms(const Responder& responder) {
+  RunRead(responder, [this]() -> Answer {
+    return {.headers = {{"Content-Type", "application/json"}},
+            .body = json{{"vms", m_visible_vms}}.dump()};
+  });
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/tools/standin_platform_server.h
@@ -0,0 +1,84 @@
+// HTTP side of the platform stand-in: routes, rate limits and faults.
+#ifndef BRAMLEYBANK_TOOLS_STANDIN_PLATFORM_SERVER_H_
+#define BRAMLEYBANK_TOOLS_STANDIN_PLATFORM_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "bramleybank/result_code.h"
+#include "http_types.h"
+#include "standin_listener.h"
+#include "standin_platform_faults.h"
+#include "standin_platform_gate.h"
+#include "standin_platform_settings.h"
+#include "standin_platform_store.h"
+
+namespace bramleybank {
+
+class HttpResponder;
+struct HttpRequest;
+
+/// The platform of section 9.1 in memory.
+class PlatformServer {
+ public:
+  PlatformServer(EventLoop* loop, const PlatformSettings& settings);
+
+  /// @returns whether it listens, else last_reason() is set.
+  bool Start();
+  const Reason& last_reason() const { return m_reason; }
+
+ private:
+  using Responder = std::shared_ptr<HttpResponder>;
+  struct Answer {
+    int status = 200;
+    HttpHeaders headers = {};
+    std::string body = {};
+  };
+  /// Reads or changes the stores.
+  using Operation = std::function<Answer()>;
+
+  void Handle(const HttpRequest& request, const Responder& responder);
+  void HandleControl(const HttpRequest& request, const Responder& responder);
+  void HandleStats(const Responder& responder);
+  void HandleTable(const HttpRequest& request, const Responder& responder);
+  void HandleBatch(const HttpRequest& request, const Responder& responder);
+  void HandleScan(const HttpRequest& request, const Responder& responder);
+  void HandleObject(const HttpRequest& request, const Responder& responder);
+  void HandleWeights(const HttpRequest& request, const Responder& responder);
+  void HandleVms(const Responder& responder);
+
+  /// Runs a write after its turn and the faults in force.
+  void RunWrite(double cost, const Responder& responder, Operation operation);
+  void FinishWrite(const Responder& responder, const Operation& operation);
+  void RunRead(const Responder& responder, Operation operation);
+  void SetVms(const nlohmann::json& vms);
+  /// Opens or closes the listening address as the faults demand.
+  void FollowDownState();
+
+  EventLoop* m_loop;
+  PlatformSettings m_settings;
+  StandinListener m_listener;
+  StandinListener m_control_listener;
+  PlatformStore m_store;
+  PlatformFaults m_faults;
+  PlatformGate m_write_gate;
+  PlatformGate m_read_gate;
+  // Bytes a second; a request costs its number of bytes.
+  PlatformGate m_weight_gate;
+  // What GET /vms shows; follows the real list after the lag.
+  nlohmann::json m_visible_vms = nlohmann::json::array();
+  int64_t m_vm_lag_ms;
+  uint64_t m_reads = 0;
+  uint64_t m_write_requests = 0;
+  uint64_t m_refused = 0;
+  // Writes whose effect waits for their connection to close.
+  uint64_t m_held = 0;
+  Reason m_reason;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_TOOLS_STANDIN_PLATFORM_SERVER_H_
