Add the stand-in of a plain service

Cause: only the service itself can judge how often a call has run. Change: three non-idempotent routes whose runs are recorded, a status route that shows the request it got, and faults before and after a run. Conclusion: tests can count the runs of each call.

--- /dev/null
+++ b/tools/standin_service_server.cc
@@ -0,0 +1,199 @@
+// Routes, record of runs and faults of the service stand-in.
+#include "standin_service_server.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "config_ini_reader.h"
+#include "event_loop.h"
+#include "http_request.h"
+#include "http_responder.h"
+
+namespace bramleybank {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void Reply(HttpResponder* responder, int status, std::string body) {
+  responder->Respond(status, {{"Content-Type", "application/json"}},
+                     std::move(body));
+}
+
+bool IsCallRoute(const HttpRequest& request) {
+  return request.method == "POST" &&
+         (request.path == "/bookings" || request.path == "/charges" ||
+          request.path == "/marks");
+}
+
+}  // namespace
+
+ServiceSettings ReadServiceSettings(IniReader* reader) {
+  ServiceSettings settings;
+  settings.ip = reader->Ip("listen", "ip", "127.0.0.1");
+  settings.port =
+      static_cast<uint16_t>(reader->Int("listen", "port", 7400, 1, 65535));
+  settings.control_port =
+      static_cast<uint16_t>(reader->Int("listen", "control_port", 0, 0, 65535));
+  return settings;
+}
+
+ServiceServer::ServiceServer(EventLoop* loop, const ServiceSettings& settings)
+    : m_loop(loop),
+      m_settings(settings),
+      m_listener(loop, settings.ip, settings.port),
+      m_control_listener(loop, settings.ip, settings.control_port) {}
+
+bool ServiceServer::Start() {
+  const auto handler = [this](const HttpRequest& request,
+                              const Responder& responder) {
+    Handle(request, responder);
+  };
+  if (!m_listener.Open(handler)) {
+    m_reason = m_listener.last_reason();
+    return false;
+  }
+  if (m_settings.control_port != 0 && !m_control_listener.Open(handler)) {
+    m_reason = m_control_listener.last_reason();
+    return false;
+  }
+  return true;
+}
+
+void ServiceServer::FollowRefuseState() {
+  if (m_settings.control_port == 0) {
+    return;
+  }
+  if (m_faults.refuse) {
+    m_listener.Close();
+  } else if (!m_listener.is_open() && !Start()) {
+    // The address can be taken by a closing connection for a moment.
+    m_loop->Schedule(milliseconds(10), [this] { FollowRefuseState(); });
+  }
+}
+
+void ServiceServer::Handle(const HttpRequest& request,
+                           const Responder& responder) {
+  if (request.path == "/control") {
+    HandleControl(request, responder);
+    return;
+  }
+  if (request.path == "/runs") {
+    HandleRuns(responder);
+    return;
+  }
+  ++m_requests;
+  if (m_faults.close == ServiceClose::kBeforeRun) {
+    responder->Abort();
+  } else if (IsCallRoute(request)) {
+    HandleCall(request, responder);
+  } else if (request.path.starts_with("/status")) {
+    HandleStatus(request, responder);
+  } else {
+    Reply(responder.get(), 404, R"({"error":"unknown path"})");
+  }
+}
+
+void ServiceServer::HandleControl(const HttpRequest& request,
+                                  const Responder& responder) {
+  try {
+    ApplyServiceControl(json::parse(request.body), &m_faults);
+  } catch (const json::exception& fault) {
+    Reply(responder.get(), 400, Dump({{"error", fault.what()}}));
+    return;
+  }
+  // Closing a listener from inside its own handler is not allowed. The answer
+  // follows, so that the fault holds once it is sent.
+  m_loop->Post([this, responder] {
+    FollowRefuseState();
+    Reply(responder.get(), 200, R"({"ok":true})");
+  });
+}
+
+void ServiceServer::HandleRuns(const Responder& responder) {
+  json runs = json::array();
+  for (const Run& run : m_runs) {
+    runs.push_back(
+        {{"call_id", run.call_id}, {"path", run.path}, {"body", run.body}});
+  }
+  Reply(responder.get(), 200, Dump({{"requests", m_requests}, {"runs", runs}}));
+}
+
+void ServiceServer::HandleStatus(const HttpRequest& request,
+                                 const Responder& responder) {
+  json headers = json::object();
+  for (const auto& [name, value] : request.headers) {
+    headers[name] = value;
+  }
+  json query = json::object();
+  for (const auto& [name, value] : request.query) {
+    query[name] = value;
+  }
+  std::string body = Dump({{"status", "ok"},
+                           {"method", request.method},
+                           {"path", request.path},
+                           {"headers", headers},
+                           {"query", query},
+                           {"body", request.body}});
+  m_loop->Schedule(milliseconds(m_faults.delay_before_answer_ms),
+                   [this, responder, body = std::move(body)] {
+                     Answer(200, body, responder);
+                   });
+}
+
+void ServiceServer::HandleCall(const HttpRequest& request,
+                               const Responder& responder) {
+  const Run run{.call_id = request.Header("X-Call-Id").value_or(""),
+                .path = request.path,
+                .body = request.body};
+  if (m_faults.delay_before_run_ms == 0) {
+    RunCall(run, responder);
+    return;
+  }
+  m_loop->Schedule(milliseconds(m_faults.delay_before_run_ms),
+                   [this, run, responder] { RunCall(run, responder); });
+}
+
+void ServiceServer::RunCall(const Run& run, const Responder& responder) {
+  m_runs.push_back(run);
+  if (m_faults.close == ServiceClose::kAfterRun) {
+    responder->Abort();
+    return;
+  }
+  std::string body = Dump({{"run", m_runs.size()}, {"call_id", run.call_id}});
+  if (m_faults.delay_before_answer_ms == 0) {
+    Answer(201, std::move(body), responder);
+    return;
+  }
+  m_loop->Schedule(milliseconds(m_faults.delay_before_answer_ms),
+                   [this, responder, body = std::move(body)] {
+                     Answer(201, body, responder);
+                   });
+}
+
+void ServiceServer::Answer(int status,
+                           std::string body,
+                           const Responder& responder) {
+  if (body.size() < m_faults.answer_bytes) {
+    body.append(m_faults.answer_bytes - body.size(), ' ');
+  }
+  if (!m_faults.truncate) {
+    responder->Respond(
+        status,
+        {{"Content-Type", "application/json"}, {"X-Service-Run", "yes"}},
+        std::move(body));
+    return;
+  }
+  responder->StartStream(status, {{"Content-Type", "application/json"}});
+  responder->Write(std::string_view(body).substr(0, body.size() / 2));
+  // The first half leaves before the connection closes.
+  responder->SetDrainHandler(
+      [responder = responder.get()] { responder->Abort(); });
+}
+
+}  // namespace bramleybank
