--- /dev/null
+++ b/src/chart_machine.cc
@@ -0,0 +1,154 @@
+// Parsing, checking and interpreting of charts.
+#include "chart_machine.h"
+
+#include <cassert>
+#include <pugixml.hpp>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace bramleybank {
+namespace {
+
+std::string StateFault(std::string_view id,
+                       std::string_view text,
+                       std::string_view name = {}) {
+  std::string fault = "state ";
+  return fault.append(id).append(": ").append(text).append(name);
+}
+
+/// @returns the text of a fault, or an empty text.
+std::string ReadTransitions(const pugi::xml_node& node,
+                            const std::string& id,
+                            ChartState* state) {
+  for (const pugi::xml_node& child : node.children()) {
+    if (child.type() != pugi::node_element) {
+      continue;
+    }
+    const std::string event = child.attribute("event").value();
+    const std::string target = child.attribute("target").value();
+    if (std::string_view(child.name()) != "transition") {
+      return StateFault(id, "not supported: element ", child.name());
+    }
+    if (event.empty() || target.empty()) {
+      return StateFault(id, "a transition needs event and target");
+    }
+    if (!state->transitions.emplace(event, target).second) {
+      return StateFault(id, "two transitions for event ", event);
+    }
+  }
+  return {};
+}
+
+std::string ReadStates(const pugi::xml_node& root, Chart* chart) {
+  for (const pugi::xml_node& node : root.children()) {
+    if (node.type() != pugi::node_element) {
+      continue;
+    }
+    const std::string_view kind = node.name();
+    if (kind != "state" && kind != "final") {
+      return "element " + std::string(kind) + " is not supported";
+    }
+    const std::string id = node.attribute("id").value();
+    ChartState state{.is_final = kind == "final", .transitions = {}};
+    std::string fault = ReadTransitions(node, id, &state);
+    if (!fault.empty()) {
+      return fault;
+    }
+    if (id.empty() || !chart->states.emplace(id, std::move(state)).second) {
+      return "state \"" + id + "\": the id is empty or used twice";
+    }
+  }
+  return {};
+}
+
+std::string CheckExits(const Chart& chart) {
+  for (const auto& [id, state] : chart.states) {
+    for (const auto& [event, target] : state.transitions) {
+      if (!chart.states.contains(target)) {
+        return StateFault(id, "unknown target ", target);
+      }
+    }
+    // A transition to the state itself leads nowhere.
+    bool leaves = false;
+    for (const auto& [event, target] : state.transitions) {
+      leaves = leaves || target != id;
+    }
+    if (!state.is_final && !leaves) {
+      return StateFault(id, "not final and without a way out");
+    }
+    if (state.is_final && !state.transitions.empty()) {
+      return StateFault(id, "final with a transition");
+    }
+  }
+  return {};
+}
+
+std::string CheckReachable(const Chart& chart) {
+  std::set<std::string_view> seen = {chart.initial};
+  std::vector<std::string_view> open = {chart.initial};
+  while (!open.empty()) {
+    const auto state = chart.states.find(open.back());
+    open.pop_back();
+    for (const auto& [event, target] : state->second.transitions) {
+      if (seen.insert(target).second) {
+        open.push_back(target);
+      }
+    }
+  }
+  for (const auto& [id, state] : chart.states) {
+    if (!seen.contains(id)) {
+      return StateFault(id, "cannot be reached");
+    }
+  }
+  return {};
+}
+
+std::string ReadChart(std::string_view scxml, Chart* chart) {
+  pugi::xml_document document;
+  const auto parsed = document.load_buffer(scxml.data(), scxml.size());
+  const pugi::xml_node root = document.child("scxml");
+  if (!parsed || !root) {
+    return std::string("no SCXML document: ") + parsed.description();
+  }
+  chart->initial = root.attribute("initial").value();
+  std::string fault = ReadStates(root, chart);
+  if (fault.empty() && !chart->states.contains(chart->initial)) {
+    fault = "unknown initial state \"" + chart->initial + "\"";
+  }
+  if (fault.empty()) {
+    fault = CheckExits(*chart);
+  }
+  return fault.empty() ? CheckReachable(*chart) : fault;
+}
+
+}  // namespace
+
+std::optional<Chart> ParseChart(std::string_view scxml, Reason* error) {
+  assert(error != nullptr);
+  Chart chart;
+  std::string fault = ReadChart(scxml, &chart);
+  if (!fault.empty()) {
+    *error = {ResultCode::kBadConfiguration, std::move(fault)};
+    return std::nullopt;
+  }
+  return chart;
+}
+
+ChartMachine::ChartMachine(std::shared_ptr<const Chart> chart)
+    : m_chart(std::move(chart)) {
+  assert(m_chart != nullptr);
+  m_state = m_chart->states.find(m_chart->initial);
+  assert(m_state != m_chart->states.end());
+}
+
+bool ChartMachine::Fire(std::string_view event) {
+  const auto it = m_state->second.transitions.find(event);
+  if (it == m_state->second.transitions.end()) {
+    return false;
+  }
+  m_state = m_chart->states.find(it->second);
+  return true;
+}
+
+}  // namespace bramleybank
