Serve a streamed generation through daemon and stand-in engine

Cause: no request was served end to end yet. Change: StreamSession decides which chunk is passed on and when an attempt is replaced; StreamRunner and EngineTransfer carry it out; caller port, operator port, drain and wiring of the daemon; deployment fixture for tests with real processes; tables of result codes and log events with a test. Routing is random and the configuration is polled whole until the decision classes land.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -28,9 +28,13 @@
 /// Output buffered for one slow caller before the engine transfer is paused.
 inline constexpr size_t kMaxBufferedOutputBytes = 256 * 1024;
 inline constexpr int kMaxStreamAttempts = 8;
+/// A stream that finds no endpoint for this long is given up.
+inline constexpr std::chrono::milliseconds kMaxInterruption{3000};
 /// The upper bound leaves 1.5 s of the 3 s resume target for the new attempt.
 inline constexpr std::chrono::milliseconds kMinStallTimeout{250};
 inline constexpr std::chrono::milliseconds kMaxStallTimeout{1500};
+inline constexpr std::chrono::milliseconds kMinFirstTokenTimeout{500};
+inline constexpr std::chrono::milliseconds kMaxFirstTokenTimeout{1500};
 /// A token waits at most this long for the acknowledgement of its copy.
 inline constexpr std::chrono::milliseconds kCopyAckTimeout{50};
 /// A copy without news from its owner is dropped after this time.
--- a/makefile
+++ b/makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 CMAKE_FLAGS ?=
 
-.PHONY: all deps build run test bench lint format clean
+.PHONY: all deps build run test bench lint format tables clean
 
 all: build
 
@@ -26,6 +26,10 @@
 lint: build
 	@BUILD=$(BUILD) JOBS=$(JOBS) scripts/lint.sh
 
+tables:
+	@scripts/write-tables.py
+	@scripts/embed-chart.sh
+
 format:
 	@git ls-files '*.h' '*.cc' | xargs clang-format -i
 
--- a/scripts/embed-chart.sh
+++ b/scripts/embed-chart.sh
@@ -1,24 +1,33 @@
 #!/usr/bin/env bash
-# Writes src/chart_call_p.h from charts/call.scxml.
+# Writes src/chart_<name>_p.h from charts/<name>.scxml for every chart.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-{
-  cat <<'HEAD'
-// Copy of charts/call.scxml, so that the daemon needs no file at run time.
+
+embed() {
+  local name=$1
+  local upper=${name^^}
+  local camel=${name^}
+  cat <<HEAD
+// Copy of charts/$name.scxml, so that the daemon needs no file at run time.
 // scripts/embed-chart.sh writes it, and a test compares both.
-#ifndef BRAMLEYBANK_SRC_CHART_CALL_P_H_
-#define BRAMLEYBANK_SRC_CHART_CALL_P_H_
+#ifndef BRAMLEYBANK_SRC_CHART_${upper}_P_H_
+#define BRAMLEYBANK_SRC_CHART_${upper}_P_H_
 
 namespace bramleybank {
 
 HEAD
-  printf 'inline constexpr char kCallChart[] =\n    R"scxml('
-  cat charts/call.scxml
+  printf 'inline constexpr char k%sChart[] =\n    R"scxml(' "$camel"
+  cat "charts/$name.scxml"
   printf ')scxml";\n'
-  cat <<'TAIL'
+  cat <<TAIL
 
 }  // namespace bramleybank
 
-#endif  // BRAMLEYBANK_SRC_CHART_CALL_P_H_
+#endif  // BRAMLEYBANK_SRC_CHART_${upper}_P_H_
 TAIL
-} > src/chart_call_p.h
+}
+
+for chart in charts/*.scxml; do
+  name=$(basename "$chart" .scxml)
+  embed "$name" > "src/chart_${name}_p.h"
+done
--- a/src/call_machine.cc
+++ b/src/call_machine.cc
@@ -14,12 +14,7 @@
 constexpr int kMaxBackoffDoublings = 6;
 
 std::shared_ptr<const Chart> CallChart() {
-  static const std::shared_ptr<const Chart> chart = [] {
-    Reason error;
-    auto parsed = ParseChart(kCallChart, &error);
-    assert(parsed);
-    return std::make_shared<const Chart>(*std::move(parsed));
-  }();
+  static const auto chart = LoadEmbeddedChart(kCallChart);
   return chart;
 }
 
--- a/src/chart_machine.cc
+++ b/src/chart_machine.cc
@@ -135,6 +135,13 @@
   return chart;
 }
 
+std::shared_ptr<const Chart> LoadEmbeddedChart(std::string_view scxml) {
+  Reason error;
+  auto chart = ParseChart(scxml, &error);
+  assert(chart);
+  return std::make_shared<const Chart>(*std::move(chart));
+}
+
 ChartMachine::ChartMachine(std::shared_ptr<const Chart> chart)
     : m_chart(std::move(chart)) {
   assert(m_chart != nullptr);
--- a/src/chart_machine.h
+++ b/src/chart_machine.h
@@ -38,6 +38,9 @@
 /// @param error set to the first fault when the chart is refused.
 std::optional<Chart> ParseChart(std::string_view scxml, Reason* error);
 
+/// Parses a chart that is part of the program; a faulty one ends the program.
+std::shared_ptr<const Chart> LoadEmbeddedChart(std::string_view scxml);
+
 /// The current state of one run of a chart.
 class ChartMachine {
  public:
--- a/src/stream_cursor.cc
+++ b/src/stream_cursor.cc
@@ -46,13 +46,19 @@
 
 }  // namespace
 
+std::string FormatGeneration(uint64_t generation) {
+  std::array<char, 17> digits{};
+  std::snprintf(digits.data(), digits.size(), "%016llx",
+                static_cast<unsigned long long>(generation));
+  return digits.data();
+}
+
 std::string FormatStreamCursor(const StreamCursor& cursor) {
-  std::array<char, 32> numbers{};
-  std::snprintf(numbers.data(), numbers.size(), "-%016llx-%08x-",
-                static_cast<unsigned long long>(cursor.generation),
-                cursor.request_hash);
+  std::array<char, 16> hash{};
+  std::snprintf(hash.data(), hash.size(), "-%08x-", cursor.request_hash);
   std::string text(kFormat);
-  text.append(numbers.data()).append(cursor.owner).append("-");
+  text.append("-").append(FormatGeneration(cursor.generation));
+  text.append(hash.data()).append(cursor.owner).append("-");
   text.append(cursor.copy_holder.empty() ? kAbsent : cursor.copy_holder);
   text.append("-").append(cursor.engine).append("-");
   text.append(std::to_string(cursor.attempt)).append("-");
--- a/src/stream_cursor.h
+++ b/src/stream_cursor.h
@@ -32,6 +32,9 @@
   friend auto operator<=>(const StreamCursor&, const StreamCursor&) = default;
 };
 
+/// @returns the generation number as 16 hexadecimal digits.
+std::string FormatGeneration(uint64_t generation);
+
 std::string FormatStreamCursor(const StreamCursor& cursor);
 
 /// @returns nothing when the text is not a cursor of a known format.
--- /dev/null
+++ b/src/stream_request.cc
@@ -0,0 +1,105 @@
+// Validation of generation requests.
+#include "stream_request.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace bramleybank {
+namespace {
+
+using nlohmann::json;
+
+constexpr uint64_t kDefaultMaxTokens = 64;
+constexpr uint64_t kMaxMaxTokens = 1000000;
+// Prompts that share this much are likely to share a cached prefix.
+constexpr size_t kPrefixHashBytes = 256;
+
+std::string PromptOf(GenerationKind kind, const json& body) {
+  if (kind == GenerationKind::kChat) {
+    const json& messages = body.at("messages");
+    if (!messages.is_array() || messages.empty()) {
+      throw std::invalid_argument("\"messages\" must be a non-empty array");
+    }
+    return messages.dump();
+  }
+  const json& prompt = body.at("prompt");
+  if (!prompt.is_string()) {
+    throw std::invalid_argument("\"prompt\" must be a string");
+  }
+  return prompt.get<std::string>();
+}
+
+uint64_t MaxTokensOf(const json& body) {
+  for (const char* name : {"max_tokens", "max_completion_tokens"}) {
+    const auto it = body.find(name);
+    if (it == body.end() || it->is_null()) {
+      continue;
+    }
+    if (!it->is_number_integer() || it->get<int64_t>() < 1 ||
+        it->get<uint64_t>() > kMaxMaxTokens) {
+      throw std::invalid_argument(std::string("\"") + name +
+                                  "\" must be from 1 to " +
+                                  std::to_string(kMaxMaxTokens));
+    }
+    return it->get<uint64_t>();
+  }
+  return kDefaultMaxTokens;
+}
+
+GenerationRequest FromJson(GenerationKind kind, const json& body) {
+  if (!body.is_object()) {
+    throw std::invalid_argument("the body must be a JSON object");
+  }
+  GenerationRequest request;
+  request.kind = kind;
+  request.model = body.at("model").get<std::string>();
+  request.adapter = body.value("adapter", "");
+  request.stream = body.value("stream", false);
+  request.max_tokens = MaxTokensOf(body);
+  const std::string prompt = PromptOf(kind, body);
+  request.prompt_bytes = prompt.size();
+  request.prefix_hash =
+      XXH3_64bits(prompt.data(), std::min(prompt.size(), kPrefixHashBytes));
+  return request;
+}
+
+}  // namespace
+
+std::optional<GenerationRequest> ParseGenerationRequest(GenerationKind kind,
+                                                        std::string body,
+                                                        Reason* error) {
+  json parsed;
+  try {
+    parsed = json::parse(body);
+  } catch (const json::exception& fault) {
+    *error = {ResultCode::kBadJson, fault.what()};
+    return std::nullopt;
+  }
+  try {
+    GenerationRequest request = FromJson(kind, parsed);
+    request.body_hash =
+        static_cast<uint32_t>(XXH3_64bits(body.data(), body.size()));
+    request.body = std::move(body);
+    return request;
+  } catch (const std::exception& fault) {
+    *error = {ResultCode::kBadField, fault.what()};
+    return std::nullopt;
+  }
+}
+
+std::string_view EnginePath(GenerationKind kind) {
+  return kind == GenerationKind::kChat ? "/v1/chat/completions"
+                                       : "/v1/completions";
+}
+
+std::string AddResumeTokens(const std::string& body,
+                            const std::vector<std::string>& tokens) {
+  json value = json::parse(body);
+  value["resume_tokens"] = tokens;
+  return value.dump();
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/stream_runner.cc
@@ -0,0 +1,583 @@
+// Adapter of a stream: everything that a StreamSession decides happens here.
+#include "stream_runner.h"
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <ctime>
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "event_loop.h"
+#include "http_client.h"
+#include "http_refusal.h"
+#include "http_responder.h"
+#include "http_sse_parser.h"
+#include "log_event.h"
+#include "metric_registry.h"
+#include "stream_cursor.h"
+#include "stream_engine_transfer.h"
+#include "stream_environment.h"
+#include "stream_format.h"
+#include "stream_stall_detector.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr int kRetryAfterSeconds = 1;
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+long long ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace
+
+StreamRunner::StreamRunner(const StreamEnvironment* environment,
+                           GenerationRequest request,
+                           StreamStart start,
+                           std::optional<StreamBinding> binding,
+                           std::shared_ptr<HttpResponder> responder,
+                           std::function<void()> on_over)
+    : m_environment(environment),
+      m_request(std::move(request)),
+      m_start(std::move(start)),
+      m_binding(std::move(binding)),
+      m_session(std::make_unique<StreamSession>(
+          m_start,
+          [loop = environment->loop] { return loop->Now(); },
+          environment->random)),
+      m_on_over(std::move(on_over)),
+      m_request_time(environment->loop->Now()) {
+  if (m_binding) {
+    m_engine = m_binding->engine;
+    m_may_have_run = true;
+    m_lost_time = m_request_time;
+  }
+  SetResponder(std::move(responder));
+}
+
+StreamRunner::~StreamRunner() {
+  m_environment->loop->Cancel(m_stall_timer);
+  m_environment->loop->Cancel(m_resume_timer);
+  m_environment->loop->Cancel(m_return_timer);
+  ReportEngineEnd(false);
+  if (m_responder) {
+    m_responder->SetCloseHandler(nullptr);
+    m_responder->SetDrainHandler(nullptr);
+  }
+}
+
+std::string StreamRunner::version() const {
+  return m_binding ? m_binding->version : std::string();
+}
+
+std::string StreamRunner::adapter() const {
+  return m_binding ? m_binding->adapter : std::string();
+}
+
+void StreamRunner::Start() {
+  if (m_binding) {
+    OpenCopy();
+  }
+  Apply(m_session->Start());
+}
+
+void StreamRunner::Apply(const StreamActions& actions) {
+  for (const StreamAction& action : actions) {
+    std::visit([this](const auto& typed) { Do(typed); }, action);
+  }
+}
+
+// Engine side.
+
+std::optional<EngineChoice> StreamRunner::ChooseEngine(Reason* reason) {
+  EngineQuery query;
+  query.model = m_request.model;
+  query.adapter = m_request.adapter;
+  if (m_binding) {
+    query.version = m_binding->version;
+    query.adapter = m_binding->adapter;
+  }
+  query.avoid = m_lost_engines;
+  query.customer = m_request.customer;
+  query.generation = generation();
+  query.prompt_bytes = m_request.prompt_bytes;
+  query.prefix_hash = m_request.prefix_hash;
+  query.max_tokens = m_request.max_tokens;
+  auto choice = m_environment->choose_engine(query, reason);
+  if (!choice && !m_lost_engines.empty()) {
+    // Every engine of the version has failed this stream once; the one that
+    // failed first is the likeliest to be back.
+    query.avoid.clear();
+    m_lost_engines.clear();
+    choice = m_environment->choose_engine(query, reason);
+  }
+  return choice;
+}
+
+void StreamRunner::Do(const StartAttempt& action) {
+  Reason reason;
+  const auto choice = ChooseEngine(&reason);
+  if (!choice) {
+    Apply(m_session->OnNoEndpoint(action.attempt, reason));
+    return;
+  }
+  m_engine = choice->address;
+  if (m_session->received() == 0) {
+    m_binding = StreamBinding{choice->version, choice->adapter, m_engine};
+  }
+  InvalidateEventIdPrefix();
+  OpenCopy();
+  BeginTransfer({.address = m_engine,
+                 .generation = generation(),
+                 .attempt = action.attempt},
+                choice->first_token);
+}
+
+void StreamRunner::Do(const AttachAttempt& action) {
+  BeginTransfer({.address = m_engine,
+                 .generation = generation(),
+                 .attempt = action.attempt,
+                 .attach = true,
+                 .position = action.position},
+                Duration{0});
+}
+
+void StreamRunner::BeginTransfer(const EngineAttempt& attempt,
+                                 Duration first_token) {
+  RetireTransfer();
+  m_attempt_time = m_environment->loop->Now();
+  m_attempt_has_token = false;
+  m_engine_reported = false;
+  m_environment->observe({m_engine, EngineEventKind::kStarted, {}});
+  m_environment->metrics->Count("bramleybank_attempts_total");
+  LogLine(LogEventId::kAttemptStarted)
+      .Field("generation", FormatGeneration(generation()))
+      .Field("attempt", attempt.attempt)
+      .Field("engine", m_engine)
+      .Field("attach", attempt.attach ? "true" : "false")
+      .Field("after", static_cast<long long>(m_session->received()));
+  const uint32_t number = attempt.attempt;
+  m_transfer = std::make_unique<EngineTransfer>(
+      m_environment->client, attempt, m_request, m_session->tokens(),
+      EngineCallbacks{
+          .on_chunk =
+              [this, number](const EngineChunk& chunk) {
+                const uint64_t before = m_session->received();
+                const auto actions =
+                    m_session->OnChunk(number, chunk.generation, chunk.attempt,
+                                       chunk.index, chunk.text);
+                if (m_session->received() > before) {
+                  OnTokenSeen();
+                }
+                Apply(actions);
+              },
+          .on_end =
+              [this, number](const EngineEnd& end) {
+                ReportEngineEnd(false);
+                Apply(m_session->OnEnd(number, end.generation, end.attempt,
+                                       end.count, end.reason));
+              },
+          .on_lost =
+              [this, number](AttemptLoss loss, const std::string& detail) {
+                OnLost(number, loss, detail);
+              },
+          .on_rejected =
+              [this, number](const std::string& detail) {
+                ReportEngineEnd(false);
+                Apply(m_session->OnRejected(number, detail));
+              }});
+  m_stall_detector =
+      std::make_unique<StallDetector>(m_attempt_time, first_token, Duration{0});
+  ArmStallTimer();
+}
+
+void StreamRunner::OnTokenSeen() {
+  const TimePoint now = m_environment->loop->Now();
+  if (!m_attempt_has_token) {
+    m_attempt_has_token = true;
+    m_environment->observe(
+        {m_engine, EngineEventKind::kFirstToken, now - m_attempt_time});
+  } else {
+    m_environment->observe({m_engine, EngineEventKind::kToken, {}});
+  }
+  m_stall_detector->OnToken(
+      now, static_cast<uint32_t>(m_environment->streams_on(m_engine)));
+  if (m_lost_time) {
+    const Duration interruption = now - *m_lost_time;
+    m_lost_time.reset();
+    m_environment->metrics->Observe("bramleybank_resume_seconds",
+                                    ToSeconds(interruption));
+    LogLine(LogEventId::kStreamResumed)
+        .Field("generation", FormatGeneration(generation()))
+        .Field("position", static_cast<long long>(m_session->received()))
+        .Field("engine", m_engine)
+        .Field("after_ms", ToMilliseconds(interruption));
+  }
+}
+
+void StreamRunner::OnLost(uint32_t attempt,
+                          AttemptLoss loss,
+                          const std::string& detail) {
+  if (m_transfer && m_transfer->may_have_reached_engine()) {
+    m_may_have_run = true;
+  }
+  m_environment->metrics->Count("bramleybank_attempts_lost_total", "reason",
+                                AttemptLossName(loss));
+  LogLine(LogEventId::kAttemptEnded)
+      .Field("generation", FormatGeneration(generation()))
+      .Field("attempt", attempt)
+      .Field("engine", m_engine)
+      .Field("reason", AttemptLossName(loss))
+      .Field("position", static_cast<long long>(m_session->received()))
+      .Field("detail", detail);
+  if (!m_lost_time && m_session->received() > 0) {
+    m_lost_time = m_environment->loop->Now();
+  }
+  ReportEngineEnd(loss != AttemptLoss::kNotAttached);
+  if (loss != AttemptLoss::kNotAttached) {
+    m_lost_engines.push_back(m_engine);
+  }
+  Apply(m_session->OnLost(attempt, loss));
+}
+
+void StreamRunner::ReportEngineEnd(bool is_failure) {
+  if (std::exchange(m_engine_reported, true)) {
+    return;
+  }
+  m_environment->observe(
+      {m_engine,
+       is_failure ? EngineEventKind::kFailed : EngineEventKind::kDone,
+       {}});
+}
+
+void StreamRunner::RetireTransfer() {
+  m_environment->loop->Cancel(m_stall_timer);
+  if (!m_transfer) {
+    return;
+  }
+  m_may_have_run = m_may_have_run || m_transfer->may_have_reached_engine();
+  m_transfer->Stop();
+  // The transfer's callback may be on the stack.
+  m_environment->loop->Post(
+      [transfer = std::shared_ptr<EngineTransfer>(std::move(m_transfer))] {});
+}
+
+void StreamRunner::Do(const CancelAttempt& action) {
+  RetireTransfer();
+  ReportEngineEnd(false);
+  CancelEngineStream(m_environment->client, m_engine, generation(),
+                     action.attempt);
+}
+
+void StreamRunner::Do(const ScheduleResume& action) {
+  RetireTransfer();
+  m_environment->metrics->Count("bramleybank_resumes_total");
+  m_resume_timer = m_environment->loop->Schedule(
+      action.delay, [this] { Apply(m_session->OnResumeDue()); });
+}
+
+void StreamRunner::ArmStallTimer() {
+  m_environment->loop->Cancel(m_stall_timer);
+  const TimePoint deadline = m_stall_detector->Deadline();
+  m_stall_timer = m_environment->loop->Schedule(
+      deadline - m_environment->loop->Now(), [this] { CheckStall(); });
+}
+
+void StreamRunner::CheckStall() {
+  if (!m_session->is_attempt_running() || m_output_paused) {
+    return;
+  }
+  // Tokens move the deadline without touching the timer.
+  if (m_environment->loop->Now() < m_stall_detector->Deadline()) {
+    ArmStallTimer();
+    return;
+  }
+  OnLost(m_session->attempt(), AttemptLoss::kStalled, "no token in time");
+}
+
+// The copy in a second daemon.
+
+void StreamRunner::OpenCopy() {
+  if (is_buffered() || !m_environment->open_copy) {
+    return;
+  }
+  const bool is_protected = m_environment->open_copy(
+      {.generation = generation(),
+       .attempt = m_session->attempt(),
+       .request_hash = m_request.body_hash,
+       .model = m_request.model,
+       .version = version(),
+       .adapter = adapter(),
+       .engine = m_engine},
+      m_session->base() == 0 ? m_session->tokens()
+                             : std::vector<std::string>());
+  // A stream whose first tokens are not known here cannot be copied.
+  if (is_protected && m_session->base() == 0) {
+    m_session->OnProtected();
+  }
+  InvalidateEventIdPrefix();
+}
+
+void StreamRunner::Do(const CopyToken& action) {
+  if (!is_buffered() && m_environment->append_copy) {
+    m_environment->append_copy(generation(), action.position, action.text);
+  }
+}
+
+void StreamRunner::OnCopied(uint64_t position) {
+  Apply(m_session->OnCopied(position));
+}
+
+void StreamRunner::OnUnprotected() {
+  m_environment->metrics->Count("bramleybank_streams_unprotected_total");
+  LogLine(LogEventId::kStreamUnprotected)
+      .Field("generation", FormatGeneration(generation()))
+      .Field("position", static_cast<long long>(m_session->received()));
+  InvalidateEventIdPrefix();
+  Apply(m_session->OnUnprotected());
+}
+
+void StreamRunner::OnCopyMoved(bool is_protected) {
+  InvalidateEventIdPrefix();
+  if (is_protected && m_session->base() == 0) {
+    m_session->OnProtected();
+  }
+}
+
+void StreamRunner::OnSuperseded() {
+  RetireTransfer();
+  ReportEngineEnd(false);
+  Apply(m_session->OnSuperseded());
+}
+
+// Caller side.
+
+void StreamRunner::SetResponder(std::shared_ptr<HttpResponder> responder) {
+  m_environment->loop->Cancel(m_return_timer);
+  if (m_responder) {
+    m_responder->SetCloseHandler(nullptr);
+    m_responder->SetDrainHandler(nullptr);
+    m_responder->Abort();
+  }
+  m_responder = std::move(responder);
+  m_output_started = false;
+  m_responder->SetCloseHandler([this](bool whole) { OnCallerClosed(whole); });
+  m_responder->SetDrainHandler([this] {
+    if (std::exchange(m_output_paused, false) && m_transfer) {
+      m_transfer->Resume();
+      // The pause was the caller's, so the gap starts anew.
+      m_stall_detector = std::make_unique<StallDetector>(
+          m_environment->loop->Now(), Duration{0}, Duration{0});
+      ArmStallTimer();
+    }
+  });
+}
+
+bool StreamRunner::Reattach(std::shared_ptr<HttpResponder> responder,
+                            uint64_t position) {
+  if (m_is_over || position < m_session->base() ||
+      position > m_session->received()) {
+    return false;
+  }
+  SetResponder(std::move(responder));
+  LogLine(LogEventId::kStreamReattached)
+      .Field("generation", FormatGeneration(generation()))
+      .Field("position", static_cast<long long>(position))
+      .Field("engine", m_engine)
+      .Field("copy", "local");
+  if (auto actions = m_session->OnCallerBack(position)) {
+    Apply(*actions);
+  }
+  return true;
+}
+
+void StreamRunner::OnCallerClosed(bool whole) {
+  m_responder.reset();
+  m_output_paused = false;
+  if (whole && m_finished) {
+    EndSoon();
+    return;
+  }
+  LogLine(LogEventId::kStreamCallerGone)
+      .Field("generation", FormatGeneration(generation()))
+      .Field("position", static_cast<long long>(m_session->delivered()));
+  m_environment->metrics->Count("bramleybank_callers_gone_total");
+  if (is_buffered() || m_session->received() == 0) {
+    // Without an event id the caller cannot come back to this stream.
+    Abandon();
+    return;
+  }
+  if (m_transfer) {
+    m_transfer->Resume();
+  }
+  m_return_timer =
+      m_environment->loop->Schedule(kCallerReturnWindow, [this] { Abandon(); });
+}
+
+void StreamRunner::Abandon() {
+  if (m_session->is_attempt_running()) {
+    Do(CancelAttempt{m_session->attempt()});
+  }
+  EndSoon();
+}
+
+void StreamRunner::EndSoon() {
+  if (std::exchange(m_is_over, true)) {
+    return;
+  }
+  if (m_environment->end_copy && !is_buffered()) {
+    m_environment->end_copy(generation());
+  }
+  m_environment->loop->Post(m_on_over);
+}
+
+std::string StreamRunner::EventId(uint64_t position) {
+  if (m_event_id_prefix.empty()) {
+    StreamCursor cursor{.generation = generation(),
+                        .request_hash = m_request.body_hash,
+                        .owner = m_environment->self,
+                        .copy_holder = {},
+                        .engine = m_engine,
+                        .attempt = m_session->attempt(),
+                        .position = 0};
+    if (m_environment->copy_holder) {
+      cursor.copy_holder = m_environment->copy_holder(generation());
+    }
+    m_event_id_prefix = FormatStreamCursor(cursor);
+    m_event_id_prefix.pop_back();
+  }
+  return m_event_id_prefix + std::to_string(position);
+}
+
+void StreamRunner::StartOutput() {
+  if (!m_format) {
+    m_format = std::make_unique<StreamFormat>(
+        m_request.kind, generation(), m_request.model,
+        version() + "/" + adapter(), std::time(nullptr));
+  }
+  if (std::exchange(m_output_started, true) || is_buffered()) {
+    return;
+  }
+  m_responder->StartStream(200, {{"Content-Type", "text/event-stream"},
+                                 {"Cache-Control", "no-cache"}});
+}
+
+void StreamRunner::Output(std::string_view bytes) {
+  m_responder->Write(bytes);
+  if (m_responder->buffered_bytes() > kMaxBufferedOutputBytes &&
+      !m_output_paused && m_transfer) {
+    m_output_paused = true;
+    m_transfer->Pause();
+    m_environment->metrics->Count("bramleybank_slow_caller_pauses_total");
+  }
+}
+
+void StreamRunner::Do(const DeliverToken& action) {
+  if (action.position == 1) {
+    m_environment->metrics->Observe(
+        "bramleybank_first_token_seconds",
+        ToSeconds(m_environment->loop->Now() - m_request_time));
+  }
+  if (is_buffered()) {
+    m_text += action.text;
+    return;
+  }
+  if (!m_responder) {
+    return;
+  }
+  StartOutput();
+  Output(m_format->Token(EventId(action.position), action.text));
+}
+
+void StreamRunner::Do(const FinishStream& action) {
+  RetireTransfer();
+  if (!m_finished) {
+    m_finished = true;
+    m_environment->metrics->Count("bramleybank_streams_finished_total");
+    LogLine(LogEventId::kStreamFinished)
+        .Field("generation", FormatGeneration(generation()))
+        .Field("tokens", static_cast<long long>(action.count))
+        .Field("resumes", m_session->resumes());
+  }
+  if (!m_responder) {
+    return;
+  }
+  StartOutput();
+  if (is_buffered()) {
+    m_responder->Respond(200, {{"Content-Type", "application/json"}},
+                         m_format->Whole(m_text, action.reason, action.count));
+    return;
+  }
+  Output(m_format->Finish(EventId(action.count), action.reason, action.count));
+  m_responder->Finish();
+}
+
+void StreamRunner::Do(const GiveUpStream& action) {
+  RetireTransfer();
+  m_finished = true;
+  LogLine(LogEventId::kStreamGivenUp)
+      .Field("generation", FormatGeneration(generation()))
+      .Field("code", static_cast<int>(action.reason.code))
+      .Field("position", static_cast<long long>(action.position))
+      .Field("detail", action.reason.detail);
+  if (!m_responder) {
+    EndSoon();
+    return;
+  }
+  if (action.reason.code == ResultCode::kStreamTakenOver) {
+    // The caller has a newer connection; this one ends without an answer.
+    m_responder->Abort();
+    EndSoon();
+    return;
+  }
+  SendGiveUp(action);
+}
+
+void StreamRunner::SendGiveUp(const GiveUpStream& action) {
+  HttpRefusal refusal;
+  refusal.code = action.reason.code;
+  refusal.message = action.reason.detail;
+  refusal.outcome =
+      m_may_have_run ? RefusalOutcome::kUnknown : RefusalOutcome::kNotRun;
+  const bool is_final = action.reason.code == ResultCode::kEngineRejected ||
+                        action.reason.code == ResultCode::kUnknownModel;
+  if (!is_final) {
+    refusal.retry_after_s = kRetryAfterSeconds;
+  }
+  if (action.position > 0) {
+    refusal.position = action.position;
+  }
+  if (!m_output_started) {
+    SendRefusal(m_responder.get(), refusal, m_environment->metrics);
+    return;
+  }
+  m_environment->metrics->Count("bramleybank_refusals_total", "reason",
+                                InfoOf(refusal.code).name);
+  Output(FormatSseEvent({}, "error", FormatRefusal(refusal)));
+  m_responder->Finish();
+}
+
+void StreamRunner::HandOver() {
+  if (!m_responder || is_buffered() || m_finished ||
+      m_session->delivered() == 0) {
+    return;
+  }
+  // The engine keeps its stream for its hold time, and the copy stays with its
+  // holder, so the next daemon goes on without a new attempt.
+  StartOutput();
+  Output(FormatSseEvent(EventId(m_session->delivered()), "handover", "{}"));
+  m_responder->Finish();
+  RetireTransfer();
+  ReportEngineEnd(false);
+  m_environment->metrics->Count("bramleybank_streams_handed_over_total");
+  m_is_over = true;
+  m_environment->loop->Post(m_on_over);
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/stream_runner.h
@@ -0,0 +1,150 @@
+// Carries out the decisions of one stream session: engine transfers, output to
+// the caller, timers and the copy.
+#ifndef BRAMLEYBANK_SRC_STREAM_RUNNER_H_
+#define BRAMLEYBANK_SRC_STREAM_RUNNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bramleybank/handle.h"
+#include "hooks.h"
+#include "stream_action.h"
+#include "stream_request.h"
+#include "stream_session.h"
+
+namespace bramleybank {
+
+class EngineTransfer;
+class HttpResponder;
+class StreamFormat;
+class StallDetector;
+struct EngineAttempt;
+struct EngineChoice;
+struct StreamEnvironment;
+
+/// The version that a stream is bound to, and the engine to attach to.
+struct StreamBinding {
+  std::string version;
+  std::string adapter;
+  std::string engine;
+
+  friend bool operator==(const StreamBinding&, const StreamBinding&) = default;
+};
+
+/// One generation between a caller and engines.
+class StreamRunner {
+ public:
+  /// @param binding set when the stream has output already.
+  /// @param on_over called once, not inside a method of the runner, when
+  /// nothing is left to do.
+  StreamRunner(const StreamEnvironment* environment,
+               GenerationRequest request,
+               StreamStart start,
+               std::optional<StreamBinding> binding,
+               std::shared_ptr<HttpResponder> responder,
+               std::function<void()> on_over);
+  ~StreamRunner();
+  StreamRunner(const StreamRunner&) = delete;
+  StreamRunner& operator=(const StreamRunner&) = delete;
+
+  void Start();
+
+  void OnCopied(uint64_t position);
+  void OnUnprotected();
+  void OnCopyMoved(bool is_protected);
+  /// Another daemon serves the stream: stops without cancelling the engine.
+  void OnSuperseded();
+
+  /// The caller came back over a new connection.
+  /// @returns false when the tokens after `position` are not held here.
+  bool Reattach(std::shared_ptr<HttpResponder> responder, uint64_t position);
+
+  /// Asks the caller to reconnect elsewhere. The engine's stream and the copy
+  /// stay for the daemon that the caller reaches.
+  void HandOver();
+
+  uint64_t generation() const { return m_start.generation; }
+  const GenerationRequest& request() const { return m_request; }
+  const StreamSession& session() const { return *m_session; }
+  const std::string& engine() const { return m_engine; }
+  std::string version() const;
+  std::string adapter() const;
+  bool is_buffered() const { return !m_request.stream; }
+  bool has_caller() const { return m_responder != nullptr; }
+
+ private:
+  void Apply(const StreamActions& actions);
+  void Do(const StartAttempt& action);
+  void Do(const AttachAttempt& action);
+  void Do(const CancelAttempt& action);
+  void Do(const CopyToken& action);
+  void Do(const DeliverToken& action);
+  void Do(const FinishStream& action);
+  void Do(const GiveUpStream& action);
+  void Do(const ScheduleResume& action);
+
+  std::optional<EngineChoice> ChooseEngine(Reason* reason);
+  void BeginTransfer(const EngineAttempt& attempt, Duration first_token);
+  void OpenCopy();
+  void OnLost(uint32_t attempt, AttemptLoss loss, const std::string& detail);
+  void OnTokenSeen();
+  void RetireTransfer();
+  void ReportEngineEnd(bool is_failure);
+
+  void SetResponder(std::shared_ptr<HttpResponder> responder);
+  void OnCallerClosed(bool whole);
+  void StartOutput();
+  void Output(std::string_view bytes);
+  void SendGiveUp(const GiveUpStream& action);
+  std::string EventId(uint64_t position);
+  void InvalidateEventIdPrefix() { m_event_id_prefix.clear(); }
+  void Abandon();
+  void EndSoon();
+
+  void ArmStallTimer();
+  void CheckStall();
+
+  const StreamEnvironment* m_environment;
+  const GenerationRequest m_request;
+  const StreamStart m_start;
+  std::optional<StreamBinding> m_binding;
+  std::unique_ptr<StreamSession> m_session;
+  std::unique_ptr<StreamFormat> m_format;
+  std::unique_ptr<EngineTransfer> m_transfer;
+  std::unique_ptr<StallDetector> m_stall_detector;
+  std::shared_ptr<HttpResponder> m_responder;
+  std::function<void()> m_on_over;
+
+  // Engine of the current or last attempt.
+  std::string m_engine;
+  // Engines that this stream has lost, the latest last.
+  std::vector<std::string> m_lost_engines;
+  TimePoint m_request_time;
+  TimePoint m_attempt_time;
+  // Set from the loss of an attempt until output goes on.
+  std::optional<TimePoint> m_lost_time;
+  // Whether an engine may have got the request.
+  bool m_may_have_run = false;
+  bool m_attempt_has_token = false;
+  bool m_engine_reported = true;
+  bool m_output_started = false;
+  bool m_output_paused = false;
+  bool m_finished = false;
+  bool m_is_over = false;
+  // Text of an answer that is not streamed.
+  std::string m_text;
+  // Event id without the position; rebuilt when engine or copy change.
+  std::string m_event_id_prefix;
+  TimerHandle m_stall_timer;
+  TimerHandle m_resume_timer;
+  TimerHandle m_return_timer;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_STREAM_RUNNER_H_
--- /dev/null
+++ b/src/stream_service.cc
@@ -0,0 +1,221 @@
+// Creates, finds and ends stream runners.
+#include "stream_service.h"
+
+#include <cassert>
+#include <utility>
+
+#include "event_loop.h"
+#include "http_refusal.h"
+#include "http_responder.h"
+#include "log_event.h"
+#include "metric_registry.h"
+#include "stream_runner.h"
+
+namespace bramleybank {
+
+/// A resume that waits for the answers of the daemons that held the stream.
+struct StreamService::PendingResume {
+  GenerationRequest request;
+  StreamCursor cursor;
+  std::shared_ptr<HttpResponder> responder;
+  int answers_due = 0;
+  bool started = false;
+  // Best answer so far: the copy's before the former owner's.
+  std::optional<HeldStream> held;
+};
+
+StreamService::StreamService(StreamEnvironment environment,
+                             StreamRecoveryHooks recovery)
+    : m_environment(std::move(environment)), m_recovery(std::move(recovery)) {
+  assert(m_environment.loop && m_environment.client && m_environment.metrics);
+  assert(m_environment.choose_engine && m_environment.random);
+}
+
+StreamService::~StreamService() = default;
+
+std::function<void()> StreamService::MakeOverCallback(uint64_t generation) {
+  return [this, generation] { m_runners.erase(generation); };
+}
+
+void StreamService::Add(std::unique_ptr<StreamRunner> runner) {
+  StreamRunner* added = runner.get();
+  m_runners[added->generation()] = std::move(runner);
+  added->Start();
+}
+
+StreamRunner* StreamService::Find(uint64_t generation) {
+  const auto it = m_runners.find(generation);
+  return it == m_runners.end() ? nullptr : it->second.get();
+}
+
+void StreamService::Create(GenerationRequest request,
+                           std::shared_ptr<HttpResponder> responder) {
+  StreamStart start;
+  start.generation = m_environment.random();
+  const uint64_t generation = start.generation;
+  Add(std::make_unique<StreamRunner>(
+      &m_environment, std::move(request), std::move(start), std::nullopt,
+      std::move(responder), MakeOverCallback(generation)));
+}
+
+void StreamService::Resume(GenerationRequest request,
+                           const StreamCursor& cursor,
+                           std::shared_ptr<HttpResponder> responder) {
+  m_environment.metrics->Count("bramleybank_reconnects_total");
+  if (request.body_hash != cursor.request_hash) {
+    RefuseResume(responder.get(), ResultCode::kRequestMismatch,
+                 "the id belongs to a request with another body",
+                 cursor.position);
+    return;
+  }
+  if (StreamRunner* runner = Find(cursor.generation)) {
+    if (!runner->Reattach(responder, cursor.position)) {
+      RefuseResume(responder.get(), ResultCode::kResumeImpossible,
+                   "this daemon does not hold the position", cursor.position);
+    }
+    return;
+  }
+  auto pending = std::make_shared<PendingResume>();
+  pending->request = std::move(request);
+  pending->cursor = cursor;
+  pending->responder = std::move(responder);
+  const bool ask_copy = !cursor.copy_holder.empty() && m_recovery.claim_copy;
+  const bool ask_owner =
+      cursor.owner != m_environment.self && m_recovery.release_owner;
+  pending->answers_due = (ask_copy ? 1 : 0) + (ask_owner ? 1 : 0);
+  if (pending->answers_due == 0) {
+    StartResumed(*pending, std::nullopt);
+    return;
+  }
+  if (ask_copy) {
+    m_recovery.claim_copy(cursor, [this, pending](auto held) {
+      OnHeld(pending, true, std::move(held));
+    });
+  }
+  if (ask_owner) {
+    m_recovery.release_owner(cursor, [this, pending](auto held) {
+      OnHeld(pending, false, std::move(held));
+    });
+  }
+}
+
+void StreamService::OnHeld(const std::shared_ptr<PendingResume>& pending,
+                           bool is_copy,
+                           std::optional<HeldStream> held) {
+  --pending->answers_due;
+  if (pending->started) {
+    return;
+  }
+  const bool reaches = held && held->tokens.size() >= pending->cursor.position;
+  // The copy's attempt number is binding, so its answer wins.
+  if (reaches && (is_copy || !pending->held)) {
+    pending->held = std::move(held);
+  }
+  const bool copy_answered = is_copy && reaches;
+  if (copy_answered || pending->answers_due == 0) {
+    pending->started = true;
+    StartResumed(*pending, pending->held);
+  }
+}
+
+void StreamService::StartResumed(const PendingResume& pending,
+                                 const std::optional<HeldStream>& held) {
+  const StreamCursor& cursor = pending.cursor;
+  // The caller may have come twice while the answers were awaited.
+  if (StreamRunner* runner = Find(cursor.generation)) {
+    runner->Reattach(pending.responder, cursor.position);
+    return;
+  }
+  StreamStart start;
+  start.generation = cursor.generation;
+  start.delivered = cursor.position;
+  start.attach = true;
+  start.first_attempt = held ? held->attempt : cursor.attempt + 1;
+  StreamBinding binding;
+  binding.engine = held ? held->engine : cursor.engine;
+  if (held) {
+    start.tokens = held->tokens;
+    binding.version = held->version;
+    binding.adapter = held->adapter;
+  } else if (const auto engine = m_recovery.describe_engine(cursor.engine)) {
+    binding.version = engine->version;
+    binding.adapter = engine->adapter;
+  }
+  LogLine(LogEventId::kStreamReattached)
+      .Field("generation", FormatGeneration(cursor.generation))
+      .Field("position", static_cast<long long>(cursor.position))
+      .Field("engine", binding.engine)
+      .Field("copy", held ? "found" : "missing")
+      .Field("held", static_cast<long long>(start.tokens.size()));
+  Add(std::make_unique<StreamRunner>(
+      &m_environment, pending.request, std::move(start), std::move(binding),
+      pending.responder, MakeOverCallback(cursor.generation)));
+}
+
+void StreamService::RefuseResume(HttpResponder* responder,
+                                 ResultCode code,
+                                 std::string message,
+                                 uint64_t position) {
+  HttpRefusal refusal;
+  refusal.code = code;
+  refusal.message = std::move(message);
+  refusal.outcome = RefusalOutcome::kUnknown;
+  refusal.position = position;
+  SendRefusal(responder, refusal, m_environment.metrics);
+}
+
+void StreamService::OnCopied(uint64_t generation, uint64_t position) {
+  if (StreamRunner* runner = Find(generation)) {
+    runner->OnCopied(position);
+  }
+}
+
+void StreamService::OnUnprotected(uint64_t generation) {
+  if (StreamRunner* runner = Find(generation)) {
+    runner->OnUnprotected();
+  }
+}
+
+void StreamService::OnCopyMoved(uint64_t generation, bool is_protected) {
+  if (StreamRunner* runner = Find(generation)) {
+    runner->OnCopyMoved(is_protected);
+  }
+}
+
+void StreamService::OnSuperseded(uint64_t generation) {
+  if (StreamRunner* runner = Find(generation)) {
+    runner->OnSuperseded();
+  }
+}
+
+std::optional<HeldStream> StreamService::Release(uint64_t generation) {
+  StreamRunner* runner = Find(generation);
+  if (runner == nullptr || runner->session().base() != 0) {
+    return std::nullopt;
+  }
+  HeldStream held{.attempt = runner->session().attempt() + 1,
+                  .version = runner->version(),
+                  .adapter = runner->adapter(),
+                  .engine = runner->engine(),
+                  .tokens = runner->session().tokens()};
+  runner->OnSuperseded();
+  return held;
+}
+
+void StreamService::HandOverAll() {
+  for (const auto& [generation, runner] : m_runners) {
+    runner->HandOver();
+  }
+}
+
+uint64_t StreamService::OpenTokens(std::string_view customer) const {
+  uint64_t tokens = 0;
+  for (const auto& [generation, runner] : m_runners) {
+    if (runner->request().customer == customer) {
+      tokens += runner->request().max_tokens;
+    }
+  }
+  return tokens;
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/tests/process_deployment.h
@@ -0,0 +1,109 @@
+// A small deployment for tests: platform, engines and daemons in several
+// failure domains, and a caller that reconnects as clients are told to.
+#ifndef BRAMLEYBANK_TESTS_PROCESS_DEPLOYMENT_H_
+#define BRAMLEYBANK_TESTS_PROCESS_DEPLOYMENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http_sse_parser.h"
+#include "process_fixture.h"
+
+namespace bramleybank::testing {
+
+struct DeploymentOptions {
+  int domains = 3;
+  int daemons_per_domain = 1;
+  int engines_per_domain = 1;
+  /// Lines added to the [engine] section of every engine.
+  std::string engine_settings = "token_interval_ms = 5\n";
+  /// Sections added to the settings of every daemon.
+  std::string daemon_settings;
+  /// Services by name with their non-idempotent routes; one endpoint a domain.
+  std::map<std::string, std::vector<std::string>> services;
+};
+
+/// Processes of one deployment, all on addresses of this test.
+class Deployment {
+ public:
+  explicit Deployment(const DeploymentOptions& options);
+  ~Deployment();
+
+  ChildProcess& platform() { return *m_platform; }
+  ChildProcess& engine(int i) { return *m_engines[i]; }
+  ChildProcess& daemon(int i) { return *m_daemons[i]; }
+  int daemon_count() const { return static_cast<int>(m_daemons.size()); }
+  int engine_count() const { return static_cast<int>(m_engines.size()); }
+
+  std::string caller_url(int i) const;
+  std::string operator_url(int i) const;
+  std::string engine_url(int i) const;
+  std::string service_url(int i) const;
+  std::string platform_url() const;
+
+  /// Index of the daemon or engine that the id of an event names.
+  int engine_of(const std::string& event_id) const;
+  int copy_holder_of(const std::string& event_id) const;
+
+  void StartDaemon(int i);
+  void StartEngine(int i);
+  void WaitDaemonReady(int i);
+  /// Writes a configuration made from the options with this number.
+  void PublishConfig(uint64_t number, const std::vector<int>& leaving = {});
+  /// Sends JSON to the control path of an engine or the platform.
+  static void Control(const std::string& url, const std::string& json);
+  double Metric(int daemon, const std::string& series) const;
+
+ private:
+  std::string DaemonIp(int i) const;
+  std::string EngineIp(int i) const;
+  std::string ServiceIp(int i) const;
+  std::string ConfigJson(uint64_t number,
+                         const std::vector<int>& leaving) const;
+  std::string VmListJson() const;
+  int DomainOf(int index, int per_domain) const { return index / per_domain; }
+
+  DeploymentOptions m_options;
+  std::unique_ptr<ChildProcess> m_platform;
+  std::vector<std::unique_ptr<ChildProcess>> m_engines;
+  std::vector<std::unique_ptr<ChildProcess>> m_services;
+  std::vector<std::unique_ptr<ChildProcess>> m_daemons;
+};
+
+/// What a caller received over all its connections.
+struct CallerResult {
+  std::vector<std::string> texts;
+  std::vector<std::string> event_ids;
+  bool done = false;
+  /// Data of an error event, or body of a refusal.
+  std::string error;
+  int status = 0;
+  int connections = 0;
+  /// Faults found by the answer checker, as text; empty when all is well.
+  std::string faults;
+};
+
+struct CallerOptions {
+  std::string prompt = "Rust stripping for a small pan.";
+  int max_tokens = 40;
+  bool chat = false;
+  int first_daemon = 0;
+  /// Called after each token with the number of tokens so far.
+  std::function<void(const CallerResult&)> on_token = nullptr;
+  /// Closes the connection by itself after this many tokens; 0 never.
+  int leave_after = 0;
+};
+
+/// Sends a streamed generation and reconnects with Last-Event-ID to the next
+/// daemon, in turn, until the answer is whole or refused.
+CallerResult RunCaller(const Deployment& deployment,
+                       const CallerOptions& options);
+
+}  // namespace bramleybank::testing
+
+#endif  // BRAMLEYBANK_TESTS_PROCESS_DEPLOYMENT_H_
--- /dev/null
+++ b/tests/process_streams.cc
@@ -0,0 +1,75 @@
+// Guards the promise that a caller gets its whole answer, no token missing or
+// repeated, while engines fail in the middle. Real processes on loopback.
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+#include "process_deployment.h"
+
+namespace bramleybank::testing {
+namespace {
+
+void CheckWhole(const CallerResult& result, int tokens) {
+  CAPTURE(result.error);
+  CAPTURE(result.status);
+  CHECK(result.done);
+  CHECK(result.faults == "");
+  CHECK(result.texts.size() == static_cast<size_t>(tokens));
+}
+
+TEST_CASE("an answer arrives whole without faults") {
+  Deployment deployment({});
+  for (const bool chat : {false, true}) {
+    const CallerResult result =
+        RunCaller(deployment, {.max_tokens = 20, .chat = chat});
+    CheckWhole(result, 20);
+    CHECK(result.connections == 1);
+  }
+}
+
+TEST_CASE("an answer that is not streamed arrives whole") {
+  Deployment deployment({});
+  const HttpAnswer answer =
+      Send("POST", deployment.caller_url(0) + "/v1/completions", {},
+           R"({"model":"writer","prompt":"p","max_tokens":7})");
+  CHECK(answer.status == 200);
+  CHECK(answer.body.find("\"completion_tokens\":7") != std::string::npos);
+}
+
+TEST_CASE("an engine that dies in the middle does not break the answer") {
+  Deployment deployment({});
+  int killed = -1;
+  CallerOptions options;
+  options.on_token = [&](const CallerResult& result) {
+    if (result.texts.size() == 10) {
+      killed = deployment.engine_of(result.event_ids.back());
+      deployment.engine(killed).Kill();
+    }
+  };
+  const CallerResult result = RunCaller(deployment, options);
+  REQUIRE(killed >= 0);
+  CheckWhole(result, 40);
+  CHECK(result.connections == 1);
+  CHECK(deployment.engine_of(result.event_ids.back()) != killed);
+}
+
+TEST_CASE("faults of an engine's output do not reach the caller") {
+  Deployment deployment({});
+  for (const std::string fault :
+       {"close", "duplicate", "skip", "truncate", "foreign"}) {
+    for (const int token : {1, 20, 40}) {
+      CAPTURE(fault);
+      CAPTURE(token);
+      for (int i = 0; i < deployment.engine_count(); ++i) {
+        Deployment::Control(deployment.engine_url(i),
+                            R"({"clear":true,"stream_fault":")" + fault +
+                                R"(","token":)" + std::to_string(token) + "}");
+      }
+      CheckWhole(RunCaller(deployment, {}), 40);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace bramleybank::testing
--- a/tests/unit_chart_machine.cc
+++ b/tests/unit_chart_machine.cc
@@ -7,6 +7,7 @@
 
 #include "chart_call_p.h"
 #include "chart_machine.h"
+#include "chart_stream_p.h"
 
 namespace bramleybank {
 namespace {
@@ -15,13 +16,19 @@
   return "<scxml initial=\"a\">" + states + "</scxml>";
 }
 
-TEST_CASE("the embedded chart is the one in charts/") {
-  std::ifstream file(std::string(SOURCE_DIR) + "/charts/call.scxml");
+void CheckEmbedded(const std::string& name, const char* embedded) {
+  CAPTURE(name);
+  std::ifstream file(std::string(SOURCE_DIR) + "/charts/" + name + ".scxml");
   std::ostringstream text;
   text << file.rdbuf();
-  CHECK(text.str() == kCallChart);
+  CHECK(text.str() == embedded);
   Reason error;
-  CHECK(ParseChart(kCallChart, &error));
+  CHECK(ParseChart(embedded, &error));
+}
+
+TEST_CASE("the embedded charts are those in charts/") {
+  CheckEmbedded("call", kCallChart);
+  CheckEmbedded("stream", kStreamChart);
 }
 
 TEST_CASE("faulty charts are refused with their fault") {
