--- /dev/null
+++ b/tests/unit_route_outlier.cc
@@ -0,0 +1,105 @@
+// Guards against an observer's own fault that ejects everyone, and against
+// endpoints that never come back or come back under full load.
+#include <doctest/doctest.h>
+
+#include "manual_clock.h"
+#include "route_outlier.h"
+
+namespace bramleybank {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr NameId kGroup = 3;
+
+struct Fixture {
+  ManualClock clock;
+  OutlierDetector outliers{clock.hook(), [](NameId) { return 9; }};
+
+  static EndpointHandle At(int i) {
+    return EndpointHandle(static_cast<uint64_t>(i) + 1);
+  }
+  EndpointHealth Health(int i) { return outliers.HealthOf(kGroup, At(i)); }
+  void End(int i, EndOutcome outcome, int times = 1) {
+    for (; times > 0; --times) {
+      outliers.OnStarted(kGroup, At(i));
+      outliers.OnEnded(kGroup, At(i), outcome);
+    }
+  }
+  void AllWork() {
+    for (int i = 0; i < 9; ++i) {
+      End(i, EndOutcome::kSuccess);
+    }
+  }
+};
+
+TEST_CASE("one failing endpoint is ejected, twice as long each time") {
+  Fixture f;
+  f.AllWork();
+  f.End(0, EndOutcome::kErrorEvent, 3);
+  CHECK(f.Health(0) == EndpointHealth::kEjected);
+  f.clock.Advance(kMinEjection);
+  CHECK(f.Health(0) == EndpointHealth::kProbe);
+  f.AllWork();
+  f.outliers.OnStarted(kGroup, Fixture::At(0));
+  CHECK(f.Health(0) == EndpointHealth::kUsable);
+  f.End(0, EndOutcome::kErrorEvent, 3);
+  f.clock.Advance(kMinEjection);
+  CHECK(f.Health(0) == EndpointHealth::kEjected);
+  f.clock.Advance(kMinEjection);
+  CHECK(f.Health(0) == EndpointHealth::kProbe);
+}
+
+TEST_CASE("only one request probes, and its failure ejects again") {
+  Fixture f;
+  f.AllWork();
+  f.End(0, EndOutcome::kConnectFailed, 3);
+  f.clock.Advance(kMinEjection);
+  f.End(1, EndOutcome::kSuccess);
+  f.outliers.OnStarted(kGroup, Fixture::At(0));
+  CHECK(f.Health(0) == EndpointHealth::kEjected);
+  f.outliers.OnEnded(kGroup, Fixture::At(0), EndOutcome::kConnectFailed);
+  f.clock.Advance(kMinEjection);
+  CHECK(f.Health(0) == EndpointHealth::kEjected);
+}
+
+TEST_CASE("at most a third of a group is ejected") {
+  Fixture f;
+  f.AllWork();
+  for (int i = 0; i < 4; ++i) {
+    f.End(i, EndOutcome::kErrorEvent, 5);
+  }
+  CHECK(f.outliers.ejected_count(kGroup) == 3);
+}
+
+TEST_CASE("a fault of the observer's link ejects nobody") {
+  Fixture f;
+  f.AllWork();
+  // The first endpoints fail often enough before the others fail at all.
+  for (int i = 0; i < 9; ++i) {
+    f.End(i, EndOutcome::kConnectFailed, 3);
+  }
+  CHECK(f.outliers.ejected_count(kGroup) == 0);
+  CHECK(f.outliers.observer_faults() > 0);
+}
+
+TEST_CASE("an endpoint that fails every other time is ejected, too") {
+  Fixture f;
+  f.AllWork();
+  for (int i = 0; i < 12; ++i) {
+    f.End(0, i % 3 == 0 ? EndOutcome::kSuccess : EndOutcome::kErrorEvent);
+  }
+  CHECK(f.Health(0) == EndpointHealth::kEjected);
+}
+
+TEST_CASE("endpoints without news are forgotten") {
+  Fixture f;
+  f.AllWork();
+  CHECK(f.outliers.tracked_count() == 9);
+  f.clock.Advance(11min);
+  f.outliers.Sweep();
+  CHECK(f.outliers.tracked_count() == 0);
+}
+
+}  // namespace
+}  // namespace bramleybank
