Add customer limits, admission, retry budget and stall detection

Change: LimitDivisor and CustomerLimiter (rate, tokens in flight, max-min share under pressure), AdmissionController (expected first token within the patience), RetryBudget (retries and hedges, resume reserve, backoff), StallDetector. Conclusion: each has tests with a manual clock.

--- /dev/null
+++ b/src/limit_customer.cc
@@ -0,0 +1,223 @@
+// Token buckets, tokens in flight and max-min shares of customers.
+#include "limit_customer.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <vector>
+
+namespace bramleybank {
+namespace {
+
+// The bucket of a daemon holds a second of its rate, and at least 2 requests:
+// with many daemons a share is below one request a second, and the load
+// balancer's random spread would otherwise make many false refusals.
+constexpr double kMinBucket = 2;
+constexpr double kBucketSeconds = 1;
+constexpr std::chrono::seconds kSweepInterval{10};
+// A full table is swept more often, but not for every request.
+constexpr std::chrono::seconds kFullSweepInterval{1};
+constexpr std::chrono::milliseconds kLevelInterval{100};
+// Under pressure less is let in than lately, until the pressure ends; without
+// pressure the level does not apply, so the engines stay busy.
+constexpr double kShareUnderPressure = 0.9;
+constexpr std::chrono::seconds kMaxRetryAfter{30};
+// All customers above kMaxTrackedCustomers share the limits of one.
+constexpr std::string_view kOverflowCustomer = "(others)";
+
+Duration FromSeconds(double value) {
+  const double most = std::chrono::duration<double>(kMaxRetryAfter).count();
+  return Duration(static_cast<int64_t>(std::min(value, most) * 1e6));
+}
+
+}  // namespace
+
+CustomerLimiter::CustomerLimiter(ClockHook now, DivisorHook divisor)
+    : m_now(std::move(now)), m_divisor(std::move(divisor)) {}
+
+void CustomerLimiter::SetConfig(std::span<const CustomerConfig> customers) {
+  m_limits.clear();
+  for (const CustomerConfig& customer : customers) {
+    m_limits[customer.name] = {customer.requests_per_s,
+                               customer.tokens_in_flight, customer.weight};
+  }
+}
+
+void CustomerLimiter::SetDefaults(const CustomerConfig& defaults) {
+  m_defaults = {defaults.requests_per_s, defaults.tokens_in_flight,
+                defaults.weight};
+}
+
+const CustomerLimiter::Limits& CustomerLimiter::LimitsOf(
+    std::string_view customer) const {
+  const auto it = m_limits.find(customer);
+  return it == m_limits.end() ? m_defaults : it->second;
+}
+
+CustomerLimiter::States::iterator CustomerLimiter::FindOrAdd(
+    std::string_view customer) {
+  if (const auto it = m_states.find(customer); it != m_states.end()) {
+    return it;
+  }
+  if (m_states.size() >= kMaxTrackedCustomers &&
+      m_now() - m_swept_at >= kFullSweepInterval) {
+    Sweep();
+  }
+  if (m_states.size() >= kMaxTrackedCustomers) {
+    customer = kOverflowCustomer;
+  }
+  State state;
+  state.bucket = std::numeric_limits<double>::max();
+  state.filled_at = m_now();
+  state.last_used = m_now();
+  return m_states.try_emplace(std::string(customer), state).first;
+}
+
+std::optional<Admission> CustomerLimiter::Admit(std::string_view customer,
+                                                int64_t tokens,
+                                                bool under_pressure) {
+  assert(tokens >= 0);
+  const TimePoint now = m_now();
+  if (now - m_swept_at >= kSweepInterval) {
+    Sweep();
+  }
+  const auto it = FindOrAdd(customer);
+  const Limits& limits = LimitsOf(it->first);
+  State& state = it->second;
+  state.last_used = now;
+  state.offered.Add(static_cast<double>(tokens), now);
+  // The bucket comes last: a refused request takes nothing out of it.
+  if (!CheckTokens(limits, state, tokens) ||
+      (under_pressure && !CheckShare(limits, state)) ||
+      !CheckRate(limits, &state)) {
+    return std::nullopt;
+  }
+  state.admitted.Add(static_cast<double>(tokens), now);
+  state.tokens_in_flight += tokens;
+  return Admission{it->first, tokens};
+}
+
+bool CustomerLimiter::Refuse(ResultCode code,
+                             std::string detail,
+                             Duration retry_after) {
+  m_last_reason = {code, std::move(detail)};
+  m_retry_after = retry_after;
+  return false;
+}
+
+bool CustomerLimiter::CheckRate(const Limits& limits, State* state) {
+  if (limits.requests_per_s <= 0) {
+    return true;
+  }
+  const double rate = limits.requests_per_s / m_divisor();
+  const double capacity = std::max(kMinBucket, rate * kBucketSeconds);
+  const double elapsed =
+      std::chrono::duration<double>(m_now() - state->filled_at).count();
+  state->bucket = std::min(capacity, state->bucket + (elapsed * rate));
+  state->filled_at = m_now();
+  if (state->bucket < 1) {
+    return Refuse(ResultCode::kCustomerRateLimit,
+                  "the customer's request rate is used up",
+                  FromSeconds((1 - state->bucket) / rate));
+  }
+  state->bucket -= 1;
+  return true;
+}
+
+bool CustomerLimiter::CheckTokens(const Limits& limits,
+                                  const State& state,
+                                  int64_t tokens) {
+  if (limits.tokens_in_flight <= 0) {
+    return true;
+  }
+  const int64_t share = limits.tokens_in_flight / m_divisor();
+  if (tokens > share) {
+    return Refuse(ResultCode::kCustomerTokenLimit,
+                  "the request needs " + std::to_string(tokens) +
+                      " tokens; this daemon's share of the limit is " +
+                      std::to_string(share),
+                  kMaxRetryAfter);
+  }
+  if (state.tokens_in_flight + tokens > share) {
+    return Refuse(ResultCode::kCustomerTokenLimit,
+                  "the customer has too many tokens in flight",
+                  std::chrono::seconds(1));
+  }
+  return true;
+}
+
+bool CustomerLimiter::CheckShare(const Limits& limits, const State& state) {
+  const double used = state.admitted.RatePerSecond(m_now()) / limits.weight;
+  if (used > ShareLevel()) {
+    return Refuse(ResultCode::kCustomerTokenLimit,
+                  "the customer has its share of the busy engines",
+                  std::chrono::seconds(1));
+  }
+  return true;
+}
+
+double CustomerLimiter::ShareLevel() {
+  const TimePoint now = m_now();
+  if (m_level > 0 && now - m_level_at < kLevelInterval) {
+    return m_level;
+  }
+  m_level_at = now;
+  struct Demand {
+    double per_weight = 0;
+    double weight = 0;
+  };
+  std::vector<Demand> demands;
+  double capacity = 0;
+  double weights = 0;
+  for (const auto& [name, state] : m_states) {
+    const double offered = state.offered.RatePerSecond(now);
+    if (offered < 1) {
+      continue;
+    }
+    const double weight = LimitsOf(name).weight;
+    demands.push_back({offered / weight, weight});
+    capacity += state.admitted.RatePerSecond(now);
+    weights += weight;
+  }
+  capacity *= kShareUnderPressure;
+  std::ranges::sort(demands, {}, &Demand::per_weight);
+  m_level = std::numeric_limits<double>::max();
+  for (const Demand& demand : demands) {
+    const double level = capacity / weights;
+    if (demand.per_weight > level) {
+      m_level = level;
+      break;
+    }
+    capacity -= demand.per_weight * demand.weight;
+    weights -= demand.weight;
+  }
+  return m_level;
+}
+
+void CustomerLimiter::Release(const Admission& admission) {
+  const auto it = m_states.find(admission.customer);
+  assert(it != m_states.end());
+  it->second.tokens_in_flight -= admission.tokens;
+  assert(it->second.tokens_in_flight >= 0);
+}
+
+void CustomerLimiter::Sweep() {
+  const TimePoint now = m_now();
+  m_swept_at = now;
+  const int divisor = m_divisor();
+  std::erase_if(m_states, [&](const auto& entry) {
+    const auto& [name, state] = entry;
+    if (state.tokens_in_flight > 0 ||
+        now - state.last_used < kCustomerIdleLifetime) {
+      return false;
+    }
+    // A new entry starts with a full bucket, so only full ones may go.
+    const double rate = LimitsOf(name).requests_per_s / divisor;
+    const double idle =
+        std::chrono::duration<double>(now - state.filled_at).count();
+    return rate <= 0 || state.bucket + (idle * rate) >=
+                            std::max(kMinBucket, rate * kBucketSeconds);
+  });
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/limit_retry_budget.h
@@ -0,0 +1,107 @@
+// Budget of retries, hedges and resumes.
+#ifndef BRAMLEYBANK_SRC_LIMIT_RETRY_BUDGET_H_
+#define BRAMLEYBANK_SRC_LIMIT_RETRY_BUDGET_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "bramleybank/limits.h"
+#include "bramleybank/result_code.h"
+#include "hooks.h"
+#include "route_name_pool.h"
+
+namespace bramleybank {
+
+enum class RetryReason : uint8_t {
+  kConnectFailed,
+  kRefusedByEndpoint,
+  kErrorEvent,
+  kEarlyEnd,
+  kStalled,
+  kChunkGap,
+  kHedge,
+};
+inline constexpr size_t kRetryReasonCount = 7;
+
+/// @returns the name for logs and metric labels.
+std::string_view NameOf(RetryReason reason);
+
+/// Size of the budgets.
+struct RetryLimits {
+  /// Retries allowed per first try of the window, and besides.
+  double share = 0.1;
+  double extra = 5;
+  /// Resumes allowed beyond one per stream open at the start of the window.
+  double resume_extra = 20;
+};
+
+/// Grants retries per route, so that a fault does not multiply the load:
+/// retries and hedges together are at most 10% of the first tries of the last
+/// 10 s plus 5. Resumes of streams save work that is done and have their own
+/// reserve: the streams open at the start of the last 10 s plus 20.
+class RetryBudget {
+ public:
+  RetryBudget(ClockHook now, RandomHook random, RetryLimits limits = {});
+
+  /// @param route name of the model or service route. Routes above
+  /// kMaxRetryRoutes share one budget.
+  void OnFirstTry(std::string_view route);
+  void OnStreamOpened(std::string_view route);
+  void OnStreamClosed(std::string_view route);
+
+  /// @returns false with kRetryBudgetExhausted in last_reason().
+  bool TryRetry(std::string_view route, RetryReason reason);
+  bool TryResume(std::string_view route, RetryReason reason);
+  /// Permits a second attempt in parallel, of idempotent calls before their
+  /// first token only.
+  bool TryHedge(std::string_view route, bool is_idempotent, bool has_token);
+
+  /// Wait before retry number `retry` (0 for the first): uniform between 0 and
+  /// a bound that doubles from 50 ms up to 1 s.
+  Duration Backoff(int retry);
+
+  uint64_t granted(RetryReason reason) const;
+  uint64_t refused(RetryReason reason) const;
+  uint64_t granted_resumes() const { return m_granted_resumes; }
+  const Reason& last_reason() const { return m_last_reason; }
+
+ private:
+  static constexpr size_t kBuckets = 10;
+  /// What happened in one tenth of the window.
+  struct Bucket {
+    uint32_t first_tries = 0;
+    uint32_t retries = 0;
+    uint32_t resumes = 0;
+    /// Streams that were open when the bucket began.
+    uint32_t open_at_start = 0;
+  };
+  struct Route {
+    // Ring, with the bucket of the present at `tick % kBuckets`.
+    std::array<Bucket, kBuckets> buckets{};
+    int64_t tick = 0;
+    uint32_t open_streams = 0;
+  };
+
+  Route& Current(std::string_view route);
+  Bucket& Now(Route* route) const {
+    return route->buckets[static_cast<size_t>(route->tick) % kBuckets];
+  }
+  bool Refuse(RetryReason reason, const char* detail);
+
+  ClockHook m_now;
+  RandomHook m_random;
+  RetryLimits m_limits;
+  std::unordered_map<std::string, Route, TextHash, std::equal_to<>> m_routes;
+  std::array<uint64_t, kRetryReasonCount> m_granted{};
+  std::array<uint64_t, kRetryReasonCount> m_refused{};
+  uint64_t m_granted_resumes = 0;
+  Reason m_last_reason;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_LIMIT_RETRY_BUDGET_H_
--- /dev/null
+++ b/tests/unit_limit_admission.cc
@@ -0,0 +1,68 @@
+// Guards against requests that wait in vain, and against an overload that
+// lasts after its cause is gone.
+#include <doctest/doctest.h>
+
+#include "limit_admission.h"
+#include "manual_clock.h"
+
+namespace bramleybank {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Fixture {
+  ManualClock clock;
+  AdmissionController admission{clock.hook(), SeededRandom(3), 10};
+};
+
+TEST_CASE("a first token that would come too late is refused at once") {
+  Fixture f;
+  CHECK(f.admission.Admit(2900ms));
+  CHECK_FALSE(f.admission.Admit(3100ms));
+  CHECK(f.admission.last_reason().code == ResultCode::kExpectedTooLate);
+  CHECK(f.admission.retry_after() >= 1s);
+  CHECK(f.admission.retry_after() <= 30s);
+  CHECK_FALSE(f.admission.Admit(600ms, 500ms));
+}
+
+TEST_CASE("refused callers are not all sent back at the same moment") {
+  Fixture f;
+  f.admission.Admit(8s);
+  const Duration first = f.admission.retry_after();
+  f.admission.Admit(8s);
+  CHECK(f.admission.retry_after() != first);
+}
+
+TEST_CASE("estimates that turn out too low are corrected") {
+  Fixture f;
+  for (int i = 0; i < 50; ++i) {
+    f.admission.OnFirstToken(500ms, 4s);
+  }
+  CHECK_FALSE(f.admission.Admit(500ms));
+}
+
+TEST_CASE("refusing everything does not last: errors fade without traffic") {
+  Fixture f;
+  for (int i = 0; i < 200; ++i) {
+    f.admission.OnFirstToken(100ms, 10s);
+  }
+  CHECK_FALSE(f.admission.Admit(100ms));
+  CHECK(f.admission.is_under_pressure());
+  f.clock.Advance(60s);
+  CHECK(f.admission.Admit(100ms));
+  CHECK_FALSE(f.admission.is_under_pressure());
+}
+
+TEST_CASE("the number of waiting requests is bounded") {
+  Fixture f;
+  for (int i = 0; i < 10; ++i) {
+    CHECK(f.admission.Admit(1ms));
+  }
+  CHECK_FALSE(f.admission.Admit(1ms));
+  CHECK(f.admission.last_reason().code == ResultCode::kOverloaded);
+  f.admission.OnWaitEnded();
+  CHECK(f.admission.Admit(1ms));
+}
+
+}  // namespace
+}  // namespace bramleybank
--- /dev/null
+++ b/tests/unit_limit_customer.cc
@@ -0,0 +1,168 @@
+// Guards against limits that grow when the fleet splits, small customers that
+// starve beside a large one, and state that grows with the customers seen.
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "limit_customer.h"
+#include "limit_divisor.h"
+#include "manual_clock.h"
+
+namespace bramleybank {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Fixture {
+  ManualClock clock;
+  int divisor = 1;
+  CustomerLimiter limiter{clock.hook(), [this] { return divisor; }};
+
+  Fixture() {
+    const std::vector<CustomerConfig> customers = {
+        {.name = "rate", .requests_per_s = 10},
+        {.name = "tokens", .tokens_in_flight = 1000},
+        {.name = "large", .weight = 1},
+        {.name = "small", .weight = 1}};
+    limiter.SetConfig(customers);
+  }
+  int AdmitMany(const char* customer, int count) {
+    int admitted = 0;
+    for (int i = 0; i < count; ++i) {
+      admitted += limiter.Admit(customer, 1, false) ? 1 : 0;
+    }
+    return admitted;
+  }
+};
+
+TEST_CASE("the request rate holds and a refusal says when to come back") {
+  Fixture f;
+  CHECK(f.AdmitMany("rate", 50) == 10);
+  CHECK(f.limiter.last_reason().code == ResultCode::kCustomerRateLimit);
+  f.clock.Advance(f.limiter.retry_after());
+  f.clock.Advance(1us);
+  CHECK(f.AdmitMany("rate", 50) == 1);
+  f.clock.Advance(10s);
+  CHECK(f.AdmitMany("rate", 50) == 10);
+}
+
+TEST_CASE("a daemon admits its share of the rate only") {
+  Fixture f;
+  f.divisor = 5;
+  f.AdmitMany("rate", 50);
+  int admitted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    f.clock.Advance(100ms);
+    admitted += f.AdmitMany("rate", 2);
+  }
+  CHECK(admitted == doctest::Approx(200).epsilon(0.02));
+}
+
+TEST_CASE("tokens in flight are bounded and come back on release") {
+  Fixture f;
+  const auto first = f.limiter.Admit("tokens", 600, false);
+  REQUIRE(first);
+  CHECK_FALSE(f.limiter.Admit("tokens", 600, false));
+  CHECK(f.limiter.last_reason().code == ResultCode::kCustomerTokenLimit);
+  f.limiter.Release(*first);
+  CHECK(f.limiter.Admit("tokens", 600, false));
+}
+
+TEST_CASE("a small customer keeps its share beside one that floods") {
+  Fixture f;
+  int small = 0;
+  int large = 0;
+  // 2 and 100 requests a second are offered; the engines take 20, and refuse
+  // whoever comes when they are full.
+  for (int i = 0; i < 6000; ++i) {
+    f.clock.Advance(10ms);
+    const int free = (i / 5) - (small + large);
+    large += f.limiter.Admit("large", 100, free < 2) && free > 0 ? 1 : 0;
+    small += i % 50 == 0 && f.limiter.Admit("small", 100, free < 2) ? 1 : 0;
+  }
+  CHECK(small >= 114);
+  CHECK(large > 800);
+}
+
+TEST_CASE("the share follows the weights when all want more") {
+  Fixture f;
+  const std::vector<CustomerConfig> customers = {
+      {.name = "one", .weight = 1}, {.name = "three", .weight = 3}};
+  f.limiter.SetConfig(customers);
+  int one = 0;
+  int three = 0;
+  for (int i = 0; i < 6000; ++i) {
+    f.clock.Advance(10ms);
+    // The engines take one request in 20 ms; above that there is pressure.
+    const bool busy = one + three > i / 2;
+    one += f.limiter.Admit("one", 100, busy) ? 1 : 0;
+    three += f.limiter.Admit("three", 100, busy) ? 1 : 0;
+  }
+  CHECK(three > 2 * one);
+  CHECK(one > 300);
+}
+
+TEST_CASE("38,000 customers are dropped when idle, others share one entry") {
+  Fixture f;
+  for (int i = 0; i < 60000; ++i) {
+    f.limiter.Admit(std::to_string(i), 1, false);
+  }
+  CHECK(f.limiter.tracked_count() <= kMaxTrackedCustomers + 1);
+  Fixture g;
+  for (int i = 0; i < 38000; ++i) {
+    const auto admission = g.limiter.Admit(std::to_string(i), 1, false);
+    REQUIRE(admission);
+    g.limiter.Release(*admission);
+  }
+  g.clock.Advance(61s);
+  g.limiter.Sweep();
+  CHECK(g.limiter.tracked_count() == 0);
+}
+
+TEST_CASE("dropping an idle customer doesn't refill its bucket early") {
+  Fixture f;
+  const std::vector<CustomerConfig> customers = {
+      {.name = "slow", .requests_per_s = 0.01}};
+  f.limiter.SetConfig(customers);
+  CHECK(f.AdmitMany("slow", 5) == 2);
+  f.clock.Advance(70s);
+  f.limiter.Sweep();
+  CHECK(f.AdmitMany("slow", 5) == 0);
+}
+
+TEST_CASE("the parts of a partition together admit at most twice the limit") {
+  for (const int part : {1, 3, 10, 15, 20, 29}) {
+    ManualClock clock;
+    LimitDivisor here(clock.hook());
+    LimitDivisor there(clock.hook());
+    here.OnMembers(30);
+    there.OnMembers(30);
+    clock.Advance(5min);
+    here.OnMembers(part);
+    there.OnMembers(30 - part);
+    const double sum = (static_cast<double>(part) / here.Get()) +
+                       ((30.0 - part) / there.Get());
+    CAPTURE(part);
+    CHECK(sum <= 2.0);
+    CHECK(sum >= 1.0);
+  }
+}
+
+TEST_CASE("members that leave for good get their part used after 10 minutes") {
+  ManualClock clock;
+  LimitDivisor divisor(clock.hook());
+  divisor.OnMembers(30);
+  clock.Advance(1h);
+  divisor.OnMembers(4);
+  CHECK(divisor.Get() == 15);
+  clock.Advance(9min);
+  divisor.OnMembers(6);
+  CHECK(divisor.Get() == 15);
+  clock.Advance(2min);
+  CHECK(divisor.Get() == 6);
+  divisor.OnMembers(40);
+  CHECK(divisor.Get() == 40);
+}
+
+}  // namespace
+}  // namespace bramleybank
