Wait whole milliseconds for timers instead of spinning

Cause: epoll_wait() takes milliseconds; the reactor rounds the wait down, so in the last millisecond before a timer was due the loop polled with a wait of 0. Ruled out: libmicrohttpd asking for a timeout of 0, and descriptors that stay ready (strace shows no ready descriptor in those turns). Change: the wait is rounded up to whole milliseconds, plus a margin for the time that the reactor deducts itself. A timer may fire up to 1.5 ms late. Conclusion: an idle loop with short timers no longer burns a core.

--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -22,6 +22,7 @@
 
 constexpr int kMaxDescriptors = 65536;
 constexpr Duration kMaxWait = std::chrono::seconds(1);
+constexpr Duration kWaitMargin = std::chrono::microseconds(500);
 
 /// ACE raises the soft limit of open files to the size of its table and fails
 /// when the hard limit is lower.
@@ -101,7 +102,13 @@
     if (!timers.empty()) {
       wait = std::min(wait, timers.begin()->first.first - SteadyNow());
     }
-    return std::max(wait, Duration{0});
+    if (wait <= Duration{0}) {
+      return Duration{0};
+    }
+    // epoll counts in milliseconds. A wait rounded down would return early and
+    // spin until the timer is due. The reactor takes the time that it spends
+    // itself off the wait before it rounds down; the margin makes up for that.
+    return std::chrono::ceil<std::chrono::milliseconds>(wait) + kWaitMargin;
   }
 
   void RunTimers() {
