Route generations by the endpoint table, limits and retry budget

Cause: the thin path picked an engine at random and admitted everything. Change: RouteDirector connects the endpoint table, outlier detection, picker, subset, customer limits, admission and retry budget with streams; each attempt holds a ticket; load reports are polled.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -33,8 +33,6 @@
 /// The upper bound leaves 1.5 s of the 3 s resume target for the new attempt.
 inline constexpr std::chrono::milliseconds kMinStallTimeout{250};
 inline constexpr std::chrono::milliseconds kMaxStallTimeout{1500};
-inline constexpr std::chrono::milliseconds kMinFirstTokenTimeout{500};
-inline constexpr std::chrono::milliseconds kMaxFirstTokenTimeout{1500};
 /// A token waits at most this long for the acknowledgement of its copy.
 inline constexpr std::chrono::milliseconds kCopyAckTimeout{50};
 /// A copy without news from its owner is dropped after this time.
@@ -95,6 +93,8 @@
 inline constexpr uint32_t kPrefixBlockTokens = 64;
 /// Endpoints with an estimate of their prefix cache; 8 groups of 64 and some.
 inline constexpr size_t kMaxPrefixCaches = 1024;
+inline constexpr std::chrono::milliseconds kLoadPollInterval{1000};
+inline constexpr std::chrono::milliseconds kLoadPollTimeout{900};
 inline constexpr std::chrono::seconds kOutlierWindow{10};
 inline constexpr std::chrono::seconds kMinEjection{5};
 inline constexpr std::chrono::seconds kMaxEjection{300};
--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -5,7 +5,6 @@
 #include <cassert>
 #include <nlohmann/json.hpp>
 #include <random>
-#include <unordered_map>
 #include <utility>
 
 #include "bramleybank/limits.h"
@@ -21,6 +20,8 @@
 #include "http_server.h"
 #include "log_event.h"
 #include "metric_registry.h"
+#include "route_director.h"
+#include "route_load_poller.h"
 #include "stream_service.h"
 
 namespace bramleybank {
@@ -37,6 +38,18 @@
         settings(daemon_settings),
         random_engine(std::random_device{}()),
         client(loop),
+        director(
+            {.id = settings.PeerAddress(),
+             .region = settings.region,
+             .failure_domain = settings.failure_domain},
+            [this] { return loop->Now(); },
+            [this] { return random_engine(); },
+            &metrics),
+        load_poller(
+            loop,
+            &client,
+            [this] { return random_engine(); },
+            &director),
         caller_server(loop, HttpServerOptions{}),
         operator_server(loop, HttpServerOptions{}),
         drain(settings.drain_time, [this] { return loop->Now(); }) {
@@ -46,12 +59,15 @@
             .claim_copy = nullptr,
             .release_owner = nullptr,
             .describe_engine =
-                [this](auto address) { return Describe(address); },
+                [this](auto address) { return director.Describe(address); },
         });
     caller_api = std::make_unique<HttpCallerApi>(
         CallerApiHooks{.config = [this] { return config ? &*config : nullptr; },
                        .is_draining = [this] { return drain.is_draining(); },
-                       .admit = nullptr,
+                       .admit =
+                           [this](const GenerationRequest& request) {
+                             return Admit(request);
+                           },
                        .serve_call = nullptr,
                        .show_call = nullptr},
         streams.get(), &metrics);
@@ -70,59 +86,42 @@
     environment.metrics = &metrics;
     environment.random = [this] { return random_engine(); };
     environment.self = settings.PeerAddress();
-    environment.choose_engine = [this](const EngineQuery& query,
-                                       Reason* reason) {
-      return Choose(query, reason);
+    RouteDirector* routes = &director;
+    environment.choose_engine = [routes](const EngineQuery& query,
+                                         EngineRefusal* refusal) {
+      return routes->Choose(query, refusal);
     };
-    environment.observe = [this](const EngineObservation& observation) {
-      Observe(observation);
+    environment.adopt_engine = [routes](std::string_view address) {
+      return routes->Adopt(address);
     };
-    environment.streams_on = [this](std::string_view address) {
-      return in_flight[std::string(address)];
+    environment.on_first_token = [routes](EngineTicket ticket) {
+      routes->OnFirstToken(ticket);
+    };
+    environment.on_token = [routes](EngineTicket ticket) {
+      routes->OnToken(ticket);
+    };
+    environment.on_engine_end = [routes](EngineTicket ticket,
+                                         EndOutcome outcome) {
+      routes->OnEnd(ticket, outcome);
+    };
+    environment.streams_on = [routes](EngineTicket ticket) {
+      return routes->StreamsOn(ticket);
+    };
+    environment.on_stream_opened = [routes](std::string_view model) {
+      routes->OnStreamOpened(model);
+    };
+    environment.on_stream_closed = [routes](std::string_view model) {
+      routes->OnStreamClosed(model);
     };
     return environment;
   }
 
-  std::optional<EngineChoice> Choose(const EngineQuery& query, Reason* reason) {
-    std::vector<const EndpointConfig*> usable;
-    for (const EndpointConfig& endpoint : config->endpoints) {
-      const bool matches =
-          endpoint.kind == EndpointKind::kEngine &&
-          endpoint.group == query.model && !endpoint.leaving &&
-          endpoint.adapter == query.adapter &&
-          (!query.version || *query.version == endpoint.version) &&
-          std::ranges::find(query.avoid, endpoint.address) == query.avoid.end();
-      if (matches) {
-        usable.push_back(&endpoint);
-      }
-    }
-    if (usable.empty()) {
-      *reason = {ResultCode::kNoEndpoint, "no engine serves " + query.model};
-      return std::nullopt;
-    }
-    const EndpointConfig* chosen = usable[random_engine() % usable.size()];
-    return EngineChoice{chosen->address, chosen->version, chosen->adapter, {}};
-  }
-
-  std::optional<EngineChoice> Describe(std::string_view address) const {
-    if (!config) {
-      return std::nullopt;
-    }
-    const auto it =
-        std::ranges::find(config->endpoints, address, &EndpointConfig::address);
-    if (it == config->endpoints.end()) {
-      return std::nullopt;
-    }
-    return EngineChoice{it->address, it->version, it->adapter, {}};
-  }
-
-  void Observe(const EngineObservation& observation) {
-    if (observation.kind == EngineEventKind::kStarted) {
-      ++in_flight[std::string(observation.address)];
-    } else if (observation.kind == EngineEventKind::kDone ||
-               observation.kind == EngineEventKind::kFailed) {
-      --in_flight[std::string(observation.address)];
-    }
+  AdmissionDecision Admit(const GenerationRequest& request) {
+    CustomerDecision decision = director.Admit(
+        request.customer, request.prompt.size(), request.max_tokens);
+    return {.refusal = std::move(decision.refusal),
+            .retry_after_s = decision.retry_after_s,
+            .admission = std::move(decision.admission)};
   }
 
   void PollConfig() {
@@ -153,6 +152,7 @@
     }
     if (!config || next->number > config->number) {
       config = std::move(next);
+      director.SetConfig(*config);
       LogLine(LogEventId::kConfigInForce)
           .Field("number", static_cast<long long>(config->number));
     }
@@ -176,6 +176,7 @@
   }
 
   void UpdateGauges() {
+    director.UpdateGauges();
     metrics.SetGauge("bramleybank_open_streams",
                      static_cast<double>(streams->open_streams()));
   }
@@ -202,7 +203,8 @@
   std::mt19937_64 random_engine;
   HttpClient client;
   std::optional<ConfigSnapshot> config;
-  std::unordered_map<std::string, int> in_flight;
+  RouteDirector director;
+  RouteLoadPoller load_poller;
   std::unique_ptr<StreamService> streams;
   std::unique_ptr<HttpCallerApi> caller_api;
   std::unique_ptr<HttpOperatorApi> operator_api;
@@ -246,6 +248,7 @@
     return false;
   }
   impl->PollConfig();
+  impl->load_poller.Start();
   return true;
 }
 
--- a/src/http_caller_api.cc
+++ b/src/http_caller_api.cc
@@ -35,7 +35,7 @@
                              StreamService* streams,
                              MetricRegistry* metrics)
     : m_hooks(std::move(hooks)), m_streams(streams), m_metrics(metrics) {
-  assert(m_hooks.config && m_hooks.is_draining);
+  assert(m_hooks.config && m_hooks.is_draining && m_hooks.admit);
   assert(streams != nullptr && metrics != nullptr);
 }
 
@@ -123,14 +123,13 @@
     HandleReconnect(*std::move(generation), *last_event_id, responder);
     return;
   }
-  if (m_hooks.admit) {
-    if (const auto refusal = m_hooks.admit(*generation)) {
-      Refuse(responder, refusal->reason.code, refusal->reason.detail,
-             refusal->retry_after_s);
-      return;
-    }
+  const AdmissionDecision decision = m_hooks.admit(*generation);
+  if (decision.refusal) {
+    Refuse(responder, decision.refusal->code, decision.refusal->detail,
+           decision.retry_after_s);
+    return;
   }
-  m_streams->Create(*std::move(generation), responder);
+  m_streams->Create(*std::move(generation), responder, decision.admission);
 }
 
 void HttpCallerApi::HandleReconnect(GenerationRequest generation,
--- a/src/http_caller_api.h
+++ b/src/http_caller_api.h
@@ -18,14 +18,14 @@
 class StreamService;
 struct HttpRequest;
 
-/// Refusal of a request before any work starts.
-struct AdmissionRefusal {
-  Reason reason;
+/// Decision about a request before any work starts.
+struct AdmissionDecision {
+  /// Set when the request is refused.
+  std::optional<Reason> refusal;
   /// Seconds after which another try makes sense; 0 without advice.
   int retry_after_s = 0;
-
-  friend bool operator==(const AdmissionRefusal&,
-                         const AdmissionRefusal&) = default;
+  /// Keeps an admitted request counted until it is destroyed.
+  std::shared_ptr<const void> admission;
 };
 
 /// Hooks of the caller port.
@@ -34,9 +34,8 @@
   std::function<const ConfigSnapshot*()> config;
   /// @returns whether the daemon is stopping and takes no new work.
   std::function<bool()> is_draining;
-  /// Limits and admission; nothing means that the request is admitted.
-  std::function<std::optional<AdmissionRefusal>(const GenerationRequest&)>
-      admit;
+  /// Limits of the customer.
+  std::function<AdmissionDecision(const GenerationRequest&)> admit;
   /// Serves /svc/... and /v1/calls/...
   using CallHandler =
       std::function<void(const HttpRequest&,
--- a/src/stream_environment.h
+++ b/src/stream_environment.h
@@ -9,8 +9,11 @@
 #include <string_view>
 #include <vector>
 
+#include "bramleybank/handle.h"
 #include "bramleybank/result_code.h"
 #include "hooks.h"
+#include "route_endpoint_table.h"
+#include "stream_session.h"
 
 namespace bramleybank {
 
@@ -18,6 +21,10 @@
 class HttpClient;
 class MetricRegistry;
 
+struct EngineTicketTag;
+/// One attempt as the routing knows it.
+using EngineTicket = Handle<EngineTicketTag>;
+
 /// What an engine is needed for.
 struct EngineQuery {
   std::string model;
@@ -27,32 +34,39 @@
   /// Addresses of engines that this stream has lost.
   std::vector<std::string> avoid;
   std::string customer;
-  uint64_t generation = 0;
-  size_t prompt_bytes = 0;
-  uint64_t prefix_hash = 0;
+  std::string prompt;
   uint64_t max_tokens = 0;
+  /// Tokens that were generated before; part of the engine's prefill.
+  uint64_t resumed_tokens = 0;
+  /// The first attempt of a request is subject to admission; later ones draw
+  /// from the retry budget, and those of a stream with output from its reserve.
+  bool is_first = true;
+  bool has_output = false;
+  /// Why the attempt before was lost.
+  AttemptLoss loss = AttemptLoss::kRefused;
 
   friend bool operator==(const EngineQuery&, const EngineQuery&) = default;
 };
 
 struct EngineChoice {
+  EngineTicket ticket;
   std::string address;
   std::string version;
   std::string adapter;
-  /// Estimated time to first token, queueing included.
+  /// Estimated time to first token without the queue, and the queue.
   Duration first_token{0};
+  Duration queue{0};
 
   friend bool operator==(const EngineChoice&, const EngineChoice&) = default;
 };
 
-enum class EngineEventKind { kStarted, kFirstToken, kToken, kDone, kFailed };
+/// Why no engine was chosen.
+struct EngineRefusal {
+  Reason reason;
+  /// Seconds after which another try makes sense.
+  int retry_after_s = 1;
 
-/// What a stream saw of an engine.
-struct EngineObservation {
-  std::string_view address;
-  EngineEventKind kind = EngineEventKind::kStarted;
-  /// Time to first token; set for kFirstToken.
-  Duration elapsed{0};
+  friend bool operator==(const EngineRefusal&, const EngineRefusal&) = default;
 };
 
 /// What a second daemon must know to resume a stream.
@@ -64,6 +78,10 @@
   std::string version;
   std::string adapter;
   std::string engine;
+  /// Peer that holds a copy already, and how many tokens it has; for a stream
+  /// that was resumed from its copy.
+  std::string holder;
+  uint64_t held = 0;
 
   friend bool operator==(const StreamCopyInfo&,
                          const StreamCopyInfo&) = default;
@@ -78,22 +96,38 @@
   /// Peer address of this daemon.
   std::string self;
 
-  /// Chooses an engine, or sets the reason why there is none.
-  std::function<std::optional<EngineChoice>(const EngineQuery&, Reason*)>
+  /// Chooses an engine, or says why there is none. The ticket must be given
+  /// back through `on_engine_end`.
+  std::function<std::optional<EngineChoice>(const EngineQuery&, EngineRefusal*)>
       choose_engine;
-  std::function<void(const EngineObservation&)> observe;
-  /// Streams that this daemon has open on an engine.
-  std::function<int(std::string_view address)> streams_on;
-
-  /// Starts or updates the copy of a stream; `tokens` are those from position
-  /// 1 on. @returns whether tokens are to wait for the copy.
+  /// Takes a ticket for an engine that runs the stream already. @returns
+  /// nothing when the configuration does not know the engine.
+  std::function<std::optional<EngineChoice>(std::string_view address)>
+      adopt_engine;
+  std::function<void(EngineTicket)> on_first_token;
+  std::function<void(EngineTicket)> on_token;
+  std::function<void(EngineTicket, EndOutcome)> on_engine_end;
+  /// @returns streams that this daemon has on the engine of the ticket.
+  std::function<uint32_t(EngineTicket)> streams_on;
+  /// Called when a stream has got its first token, and when it is over after
+  /// that; the resume reserve counts the streams between.
+  std::function<void(std::string_view model)> on_stream_opened;
+  std::function<void(std::string_view model)> on_stream_closed;
+
+  // The copy in a second daemon. Empty hooks mean that there are no copies.
+
+  /// Starts the copy of a stream; `tokens` are those from position 1 on.
+  /// @returns whether a daemon could be chosen that holds it.
   std::function<bool(const StreamCopyInfo&,
                      const std::vector<std::string>& tokens)>
       open_copy;
-  std::function<
-      void(uint64_t generation, uint64_t position, std::string_view text)>
-      append_copy;
+  /// Tokens from now on belong to a new attempt on another engine.
+  std::function<void(const StreamCopyInfo&)> update_copy;
+  std::function<void(uint64_t generation, std::string_view text)> append_copy;
+  /// The caller has the whole answer, or it will not come back.
   std::function<void(uint64_t generation)> end_copy;
+  /// The copy stays for the daemon that resumes the stream.
+  std::function<void(uint64_t generation)> abandon_copy;
   /// @returns the peer that holds the copy; empty without one.
   std::function<std::string(uint64_t generation)> copy_holder;
 };
--- a/src/stream_request.cc
+++ b/src/stream_request.cc
@@ -3,7 +3,6 @@
 
 #include <xxhash.h>
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -14,8 +13,6 @@
 
 constexpr uint64_t kDefaultMaxTokens = 64;
 constexpr uint64_t kMaxMaxTokens = 1000000;
-// Prompts that share this much are likely to share a cached prefix.
-constexpr size_t kPrefixHashBytes = 256;
 
 std::string PromptOf(GenerationKind kind, const json& body) {
   if (kind == GenerationKind::kChat) {
@@ -59,10 +56,7 @@
   request.adapter = body.value("adapter", "");
   request.stream = body.value("stream", false);
   request.max_tokens = MaxTokensOf(body);
-  const std::string prompt = PromptOf(kind, body);
-  request.prompt_bytes = prompt.size();
-  request.prefix_hash =
-      XXH3_64bits(prompt.data(), std::min(prompt.size(), kPrefixHashBytes));
+  request.prompt = PromptOf(kind, body);
   return request;
 }
 
--- a/src/stream_request.h
+++ b/src/stream_request.h
@@ -22,14 +22,12 @@
   std::string adapter;
   bool stream = false;
   uint64_t max_tokens = 0;
-  /// Bytes of prompt or messages, an estimate of the prefill work.
-  size_t prompt_bytes = 0;
+  /// Prompt, or messages as text.
+  std::string prompt;
   std::string customer;
   std::string body;
   /// Hash of the body; part of the cursor.
   uint32_t body_hash = 0;
-  /// Hash of the start of the prompt, for cache affinity.
-  uint64_t prefix_hash = 0;
 
   friend bool operator==(const GenerationRequest&,
                          const GenerationRequest&) = default;
--- a/src/stream_runner.cc
+++ b/src/stream_runner.cc
@@ -24,8 +24,6 @@
 namespace bramleybank {
 namespace {
 
-constexpr int kRetryAfterSeconds = 1;
-
 double ToSeconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -35,6 +33,24 @@
       .count();
 }
 
+EndOutcome OutcomeOf(AttemptLoss loss, const EngineTransfer& transfer) {
+  switch (loss) {
+    case AttemptLoss::kRefused:
+      return transfer.may_have_reached_engine() ? EndOutcome::kErrorEvent
+                                                : EndOutcome::kConnectFailed;
+    case AttemptLoss::kBroken:
+    case AttemptLoss::kGap:
+      return EndOutcome::kEarlyEnd;
+    case AttemptLoss::kStalled:
+      return EndOutcome::kStalled;
+    case AttemptLoss::kMalformed:
+      return EndOutcome::kErrorEvent;
+    case AttemptLoss::kNotAttached:
+      return EndOutcome::kCancelled;
+  }
+  return EndOutcome::kCancelled;
+}
+
 }  // namespace
 
 StreamRunner::StreamRunner(const StreamEnvironment* environment,
@@ -42,6 +58,7 @@
                            StreamStart start,
                            std::optional<StreamBinding> binding,
                            std::shared_ptr<HttpResponder> responder,
+                           std::shared_ptr<const void> admission,
                            std::function<void()> on_over)
     : m_environment(environment),
       m_request(std::move(request)),
@@ -52,6 +69,7 @@
           [loop = environment->loop] { return loop->Now(); },
           environment->random)),
       m_on_over(std::move(on_over)),
+      m_admission(std::move(admission)),
       m_request_time(environment->loop->Now()) {
   if (m_binding) {
     m_engine = m_binding->engine;
@@ -65,7 +83,10 @@
   m_environment->loop->Cancel(m_stall_timer);
   m_environment->loop->Cancel(m_resume_timer);
   m_environment->loop->Cancel(m_return_timer);
-  ReportEngineEnd(false);
+  EndTicket(EndOutcome::kCancelled);
+  if (m_is_counted_open) {
+    m_environment->on_stream_closed(m_request.model);
+  }
   if (m_responder) {
     m_responder->SetCloseHandler(nullptr);
     m_responder->SetDrainHandler(nullptr);
@@ -95,66 +116,64 @@
 
 // Engine side.
 
-std::optional<EngineChoice> StreamRunner::ChooseEngine(Reason* reason) {
+std::optional<EngineChoice> StreamRunner::ChooseEngine(EngineRefusal* refusal) {
   EngineQuery query;
   query.model = m_request.model;
   query.adapter = m_request.adapter;
-  if (m_binding) {
-    query.version = m_binding->version;
-    query.adapter = m_binding->adapter;
+  if (m_session->received() > 0) {
+    query.version = version();
+    query.adapter = adapter();
   }
   query.avoid = m_lost_engines;
   query.customer = m_request.customer;
-  query.generation = generation();
-  query.prompt_bytes = m_request.prompt_bytes;
-  query.prefix_hash = m_request.prefix_hash;
+  query.prompt = m_request.prompt;
   query.max_tokens = m_request.max_tokens;
-  auto choice = m_environment->choose_engine(query, reason);
-  if (!choice && !m_lost_engines.empty()) {
-    // Every engine of the version has failed this stream once; the one that
-    // failed first is the likeliest to be back.
-    query.avoid.clear();
-    m_lost_engines.clear();
-    choice = m_environment->choose_engine(query, reason);
-  }
-  return choice;
+  query.resumed_tokens = m_session->received();
+  query.is_first = m_session->resumes() == 0;
+  query.has_output = m_session->received() > 0;
+  query.loss = m_last_loss;
+  return m_environment->choose_engine(query, refusal);
 }
 
 void StreamRunner::Do(const StartAttempt& action) {
-  Reason reason;
-  const auto choice = ChooseEngine(&reason);
+  EngineRefusal refusal;
+  const auto choice = ChooseEngine(&refusal);
   if (!choice) {
-    Apply(m_session->OnNoEndpoint(action.attempt, reason));
+    m_retry_after_s = refusal.retry_after_s;
+    // Every engine of the version may have failed this stream once; by the
+    // next try one of them may be back.
+    m_lost_engines.clear();
+    Apply(m_session->OnNoEndpoint(action.attempt, refusal.reason));
     return;
   }
   m_engine = choice->address;
   if (m_session->received() == 0) {
     m_binding = StreamBinding{choice->version, choice->adapter, m_engine};
   }
-  InvalidateEventIdPrefix();
   OpenCopy();
   BeginTransfer({.address = m_engine,
                  .generation = generation(),
                  .attempt = action.attempt},
-                choice->first_token);
+                *choice);
 }
 
 void StreamRunner::Do(const AttachAttempt& action) {
+  const auto choice = m_environment->adopt_engine(m_engine);
   BeginTransfer({.address = m_engine,
                  .generation = generation(),
                  .attempt = action.attempt,
                  .attach = true,
                  .position = action.position},
-                Duration{0});
+                choice.value_or(EngineChoice{}));
 }
 
 void StreamRunner::BeginTransfer(const EngineAttempt& attempt,
-                                 Duration first_token) {
+                                 const EngineChoice& choice) {
   RetireTransfer();
+  EndTicket(EndOutcome::kCancelled);
+  m_ticket = choice.ticket;
   m_attempt_time = m_environment->loop->Now();
   m_attempt_has_token = false;
-  m_engine_reported = false;
-  m_environment->observe({m_engine, EngineEventKind::kStarted, {}});
   m_environment->metrics->Count("bramleybank_attempts_total");
   LogLine(LogEventId::kAttemptStarted)
       .Field("generation", FormatGeneration(generation()))
@@ -179,7 +198,7 @@
               },
           .on_end =
               [this, number](const EngineEnd& end) {
-                ReportEngineEnd(false);
+                EndTicket(EndOutcome::kSuccess);
                 Apply(m_session->OnEnd(number, end.generation, end.attempt,
                                        end.count, end.reason));
               },
@@ -189,25 +208,25 @@
               },
           .on_rejected =
               [this, number](const std::string& detail) {
-                ReportEngineEnd(false);
+                EndTicket(EndOutcome::kCancelled);
                 Apply(m_session->OnRejected(number, detail));
               }});
-  m_stall_detector =
-      std::make_unique<StallDetector>(m_attempt_time, first_token, Duration{0});
+  m_stall_detector = std::make_unique<StallDetector>(
+      m_attempt_time, choice.first_token, choice.queue);
   ArmStallTimer();
 }
 
 void StreamRunner::OnTokenSeen() {
   const TimePoint now = m_environment->loop->Now();
-  if (!m_attempt_has_token) {
-    m_attempt_has_token = true;
-    m_environment->observe(
-        {m_engine, EngineEventKind::kFirstToken, now - m_attempt_time});
+  if (!std::exchange(m_attempt_has_token, true)) {
+    m_environment->on_first_token(m_ticket);
   } else {
-    m_environment->observe({m_engine, EngineEventKind::kToken, {}});
+    m_environment->on_token(m_ticket);
+  }
+  if (!std::exchange(m_is_counted_open, true)) {
+    m_environment->on_stream_opened(m_request.model);
   }
-  m_stall_detector->OnToken(
-      now, static_cast<uint32_t>(m_environment->streams_on(m_engine)));
+  m_stall_detector->OnToken(now, m_environment->streams_on(m_ticket));
   if (m_lost_time) {
     const Duration interruption = now - *m_lost_time;
     m_lost_time.reset();
@@ -239,21 +258,19 @@
   if (!m_lost_time && m_session->received() > 0) {
     m_lost_time = m_environment->loop->Now();
   }
-  ReportEngineEnd(loss != AttemptLoss::kNotAttached);
+  m_last_loss = loss;
+  EndTicket(m_transfer ? OutcomeOf(loss, *m_transfer) : EndOutcome::kCancelled);
   if (loss != AttemptLoss::kNotAttached) {
     m_lost_engines.push_back(m_engine);
   }
   Apply(m_session->OnLost(attempt, loss));
 }
 
-void StreamRunner::ReportEngineEnd(bool is_failure) {
-  if (std::exchange(m_engine_reported, true)) {
-    return;
+void StreamRunner::EndTicket(EndOutcome outcome) {
+  if (m_ticket.is_valid()) {
+    m_environment->on_engine_end(std::exchange(m_ticket, EngineTicket()),
+                                 outcome);
   }
-  m_environment->observe(
-      {m_engine,
-       is_failure ? EngineEventKind::kFailed : EngineEventKind::kDone,
-       {}});
 }
 
 void StreamRunner::RetireTransfer() {
@@ -270,7 +287,7 @@
 
 void StreamRunner::Do(const CancelAttempt& action) {
   RetireTransfer();
-  ReportEngineEnd(false);
+  EndTicket(EndOutcome::kCancelled);
   CancelEngineStream(m_environment->client, m_engine, generation(),
                      action.attempt);
 }
@@ -303,30 +320,36 @@
 
 // The copy in a second daemon.
 
+StreamCopyInfo StreamRunner::CopyInfo() const {
+  return {.generation = generation(),
+          .attempt = m_session->attempt(),
+          .request_hash = m_request.body_hash,
+          .model = m_request.model,
+          .version = version(),
+          .adapter = adapter(),
+          .engine = m_engine,
+          .holder = m_binding ? m_binding->copy_holder : std::string(),
+          .held = m_start.tokens.size()};
+}
+
 void StreamRunner::OpenCopy() {
-  if (is_buffered() || !m_environment->open_copy) {
+  // A stream whose first tokens are not known here cannot be copied.
+  if (is_buffered() || !m_environment->open_copy || m_session->base() != 0) {
     return;
   }
-  const bool is_protected = m_environment->open_copy(
-      {.generation = generation(),
-       .attempt = m_session->attempt(),
-       .request_hash = m_request.body_hash,
-       .model = m_request.model,
-       .version = version(),
-       .adapter = adapter(),
-       .engine = m_engine},
-      m_session->base() == 0 ? m_session->tokens()
-                             : std::vector<std::string>());
-  // A stream whose first tokens are not known here cannot be copied.
-  if (is_protected && m_session->base() == 0) {
+  if (m_has_copy) {
+    m_environment->update_copy(CopyInfo());
+    return;
+  }
+  m_has_copy = true;
+  if (m_environment->open_copy(CopyInfo(), m_session->tokens())) {
     m_session->OnProtected();
   }
-  InvalidateEventIdPrefix();
 }
 
 void StreamRunner::Do(const CopyToken& action) {
-  if (!is_buffered() && m_environment->append_copy) {
-    m_environment->append_copy(generation(), action.position, action.text);
+  if (m_has_copy) {
+    m_environment->append_copy(generation(), action.text);
   }
 }
 
@@ -335,24 +358,19 @@
 }
 
 void StreamRunner::OnUnprotected() {
+  if (!m_session->is_protected()) {
+    return;
+  }
   m_environment->metrics->Count("bramleybank_streams_unprotected_total");
   LogLine(LogEventId::kStreamUnprotected)
       .Field("generation", FormatGeneration(generation()))
       .Field("position", static_cast<long long>(m_session->received()));
-  InvalidateEventIdPrefix();
   Apply(m_session->OnUnprotected());
 }
 
-void StreamRunner::OnCopyMoved(bool is_protected) {
-  InvalidateEventIdPrefix();
-  if (is_protected && m_session->base() == 0) {
-    m_session->OnProtected();
-  }
-}
-
 void StreamRunner::OnSuperseded() {
   RetireTransfer();
-  ReportEngineEnd(false);
+  EndTicket(EndOutcome::kCancelled);
   Apply(m_session->OnSuperseded());
 }
 
@@ -401,7 +419,7 @@
   m_responder.reset();
   m_output_paused = false;
   if (whole && m_finished) {
-    EndSoon();
+    EndSoon(false);
     return;
   }
   LogLine(LogEventId::kStreamCallerGone)
@@ -424,32 +442,35 @@
   if (m_session->is_attempt_running()) {
     Do(CancelAttempt{m_session->attempt()});
   }
-  EndSoon();
+  EndSoon(false);
 }
 
-void StreamRunner::EndSoon() {
+void StreamRunner::EndSoon(bool keep_copy) {
   if (std::exchange(m_is_over, true)) {
     return;
   }
-  if (m_environment->end_copy && !is_buffered()) {
-    m_environment->end_copy(generation());
+  if (m_has_copy) {
+    const auto& end =
+        keep_copy ? m_environment->abandon_copy : m_environment->end_copy;
+    end(generation());
   }
   m_environment->loop->Post(m_on_over);
 }
 
 std::string StreamRunner::EventId(uint64_t position) {
-  if (m_event_id_prefix.empty()) {
-    StreamCursor cursor{.generation = generation(),
-                        .request_hash = m_request.body_hash,
-                        .owner = m_environment->self,
-                        .copy_holder = {},
-                        .engine = m_engine,
-                        .attempt = m_session->attempt(),
-                        .position = 0};
-    if (m_environment->copy_holder) {
-      cursor.copy_holder = m_environment->copy_holder(generation());
-    }
-    m_event_id_prefix = FormatStreamCursor(cursor);
+  std::string holder =
+      m_has_copy ? m_environment->copy_holder(generation()) : std::string();
+  if (m_event_id_prefix.empty() || holder != m_event_id_holder ||
+      m_event_id_attempt != m_session->attempt()) {
+    m_event_id_holder = std::move(holder);
+    m_event_id_attempt = m_session->attempt();
+    m_event_id_prefix = FormatStreamCursor({.generation = generation(),
+                                            .request_hash = m_request.body_hash,
+                                            .owner = m_environment->self,
+                                            .copy_holder = m_event_id_holder,
+                                            .engine = m_engine,
+                                            .attempt = m_event_id_attempt,
+                                            .position = 0});
     m_event_id_prefix.pop_back();
   }
   return m_event_id_prefix + std::to_string(position);
@@ -527,13 +548,13 @@
       .Field("position", static_cast<long long>(action.position))
       .Field("detail", action.reason.detail);
   if (!m_responder) {
-    EndSoon();
+    EndSoon(action.reason.code == ResultCode::kStreamTakenOver);
     return;
   }
   if (action.reason.code == ResultCode::kStreamTakenOver) {
     // The caller has a newer connection; this one ends without an answer.
     m_responder->Abort();
-    EndSoon();
+    EndSoon(true);
     return;
   }
   SendGiveUp(action);
@@ -548,7 +569,7 @@
   const bool is_final = action.reason.code == ResultCode::kEngineRejected ||
                         action.reason.code == ResultCode::kUnknownModel;
   if (!is_final) {
-    refusal.retry_after_s = kRetryAfterSeconds;
+    refusal.retry_after_s = m_retry_after_s;
   }
   if (action.position > 0) {
     refusal.position = action.position;
@@ -574,10 +595,9 @@
   Output(FormatSseEvent(EventId(m_session->delivered()), "handover", "{}"));
   m_responder->Finish();
   RetireTransfer();
-  ReportEngineEnd(false);
+  EndTicket(EndOutcome::kCancelled);
   m_environment->metrics->Count("bramleybank_streams_handed_over_total");
-  m_is_over = true;
-  m_environment->loop->Post(m_on_over);
+  EndSoon(true);
 }
 
 }  // namespace bramleybank
--- a/src/stream_runner.h
+++ b/src/stream_runner.h
@@ -14,6 +14,7 @@
 #include "bramleybank/handle.h"
 #include "hooks.h"
 #include "stream_action.h"
+#include "stream_environment.h"
 #include "stream_request.h"
 #include "stream_session.h"
 
@@ -24,14 +25,14 @@
 class StreamFormat;
 class StallDetector;
 struct EngineAttempt;
-struct EngineChoice;
-struct StreamEnvironment;
 
 /// The version that a stream is bound to, and the engine to attach to.
 struct StreamBinding {
   std::string version;
   std::string adapter;
   std::string engine;
+  /// Peer that holds a copy of the stream; empty without one.
+  std::string copy_holder;
 
   friend bool operator==(const StreamBinding&, const StreamBinding&) = default;
 };
@@ -40,6 +41,7 @@
 class StreamRunner {
  public:
   /// @param binding set when the stream has output already.
+  /// @param admission kept until the stream is over.
   /// @param on_over called once, not inside a method of the runner, when
   /// nothing is left to do.
   StreamRunner(const StreamEnvironment* environment,
@@ -47,6 +49,7 @@
                StreamStart start,
                std::optional<StreamBinding> binding,
                std::shared_ptr<HttpResponder> responder,
+               std::shared_ptr<const void> admission,
                std::function<void()> on_over);
   ~StreamRunner();
   StreamRunner(const StreamRunner&) = delete;
@@ -56,7 +59,6 @@
 
   void OnCopied(uint64_t position);
   void OnUnprotected();
-  void OnCopyMoved(bool is_protected);
   /// Another daemon serves the stream: stops without cancelling the engine.
   void OnSuperseded();
 
@@ -88,13 +90,13 @@
   void Do(const GiveUpStream& action);
   void Do(const ScheduleResume& action);
 
-  std::optional<EngineChoice> ChooseEngine(Reason* reason);
-  void BeginTransfer(const EngineAttempt& attempt, Duration first_token);
+  std::optional<EngineChoice> ChooseEngine(EngineRefusal* refusal);
+  void BeginTransfer(const EngineAttempt& attempt, const EngineChoice& choice);
   void OpenCopy();
   void OnLost(uint32_t attempt, AttemptLoss loss, const std::string& detail);
   void OnTokenSeen();
   void RetireTransfer();
-  void ReportEngineEnd(bool is_failure);
+  void EndTicket(EndOutcome outcome);
 
   void SetResponder(std::shared_ptr<HttpResponder> responder);
   void OnCallerClosed(bool whole);
@@ -102,9 +104,9 @@
   void Output(std::string_view bytes);
   void SendGiveUp(const GiveUpStream& action);
   std::string EventId(uint64_t position);
-  void InvalidateEventIdPrefix() { m_event_id_prefix.clear(); }
   void Abandon();
-  void EndSoon();
+  void EndSoon(bool keep_copy);
+  StreamCopyInfo CopyInfo() const;
 
   void ArmStallTimer();
   void CheckStall();
@@ -120,8 +122,16 @@
   std::shared_ptr<HttpResponder> m_responder;
   std::function<void()> m_on_over;
 
+  // Keeps the request counted against its customer's limits.
+  std::shared_ptr<const void> m_admission;
+
   // Engine of the current or last attempt.
   std::string m_engine;
+  // Valid while an attempt is counted by the routing.
+  EngineTicket m_ticket;
+  AttemptLoss m_last_loss = AttemptLoss::kRefused;
+  int m_retry_after_s = 1;
+  bool m_is_counted_open = false;
   // Engines that this stream has lost, the latest last.
   std::vector<std::string> m_lost_engines;
   TimePoint m_request_time;
@@ -131,15 +141,17 @@
   // Whether an engine may have got the request.
   bool m_may_have_run = false;
   bool m_attempt_has_token = false;
-  bool m_engine_reported = true;
   bool m_output_started = false;
   bool m_output_paused = false;
   bool m_finished = false;
   bool m_is_over = false;
+  bool m_has_copy = false;
   // Text of an answer that is not streamed.
   std::string m_text;
-  // Event id without the position; rebuilt when engine or copy change.
+  // Event id without the position, and what it was built for.
   std::string m_event_id_prefix;
+  std::string m_event_id_holder;
+  uint32_t m_event_id_attempt = 0;
   TimerHandle m_stall_timer;
   TimerHandle m_resume_timer;
   TimerHandle m_return_timer;
--- a/src/stream_service.cc
+++ b/src/stream_service.cc
@@ -1,6 +1,7 @@
 // Creates, finds and ends stream runners.
 #include "stream_service.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -9,7 +10,6 @@
 #include "http_responder.h"
 #include "log_event.h"
 #include "metric_registry.h"
-#include "stream_runner.h"
 
 namespace bramleybank {
 
@@ -20,6 +20,8 @@
   std::shared_ptr<HttpResponder> responder;
   int answers_due = 0;
   bool started = false;
+  // Attempt number to use; grows with the answers.
+  uint32_t attempt = 0;
   // Best answer so far: the copy's before the former owner's.
   std::optional<HeldStream> held;
 };
@@ -49,13 +51,15 @@
 }
 
 void StreamService::Create(GenerationRequest request,
-                           std::shared_ptr<HttpResponder> responder) {
+                           std::shared_ptr<HttpResponder> responder,
+                           std::shared_ptr<const void> admission) {
   StreamStart start;
   start.generation = m_environment.random();
   const uint64_t generation = start.generation;
-  Add(std::make_unique<StreamRunner>(
-      &m_environment, std::move(request), std::move(start), std::nullopt,
-      std::move(responder), MakeOverCallback(generation)));
+  Add(std::make_unique<StreamRunner>(&m_environment, std::move(request),
+                                     std::move(start), std::nullopt,
+                                     std::move(responder), std::move(admission),
+                                     MakeOverCallback(generation)));
 }
 
 void StreamService::Resume(GenerationRequest request,
@@ -78,6 +82,7 @@
   auto pending = std::make_shared<PendingResume>();
   pending->request = std::move(request);
   pending->cursor = cursor;
+  pending->attempt = cursor.attempt + 1;
   pending->responder = std::move(responder);
   const bool ask_copy = !cursor.copy_holder.empty() && m_recovery.claim_copy;
   const bool ask_owner =
@@ -130,11 +135,12 @@
   start.generation = cursor.generation;
   start.delivered = cursor.position;
   start.attach = true;
-  start.first_attempt = held ? held->attempt : cursor.attempt + 1;
+  start.first_attempt = pending.attempt;
   StreamBinding binding;
   binding.engine = held ? held->engine : cursor.engine;
   if (held) {
     start.tokens = held->tokens;
+    binding.copy_holder = held->copy_holder;
     binding.version = held->version;
     binding.adapter = held->adapter;
   } else if (const auto engine = m_recovery.describe_engine(cursor.engine)) {
@@ -149,7 +155,7 @@
       .Field("held", static_cast<long long>(start.tokens.size()));
   Add(std::make_unique<StreamRunner>(
       &m_environment, pending.request, std::move(start), std::move(binding),
-      pending.responder, MakeOverCallback(cursor.generation)));
+      pending.responder, nullptr, MakeOverCallback(cursor.generation)));
 }
 
 void StreamService::RefuseResume(HttpResponder* responder,
@@ -176,12 +182,6 @@
   }
 }
 
-void StreamService::OnCopyMoved(uint64_t generation, bool is_protected) {
-  if (StreamRunner* runner = Find(generation)) {
-    runner->OnCopyMoved(is_protected);
-  }
-}
-
 void StreamService::OnSuperseded(uint64_t generation) {
   if (StreamRunner* runner = Find(generation)) {
     runner->OnSuperseded();
@@ -208,14 +208,4 @@
   }
 }
 
-uint64_t StreamService::OpenTokens(std::string_view customer) const {
-  uint64_t tokens = 0;
-  for (const auto& [generation, runner] : m_runners) {
-    if (runner->request().customer == customer) {
-      tokens += runner->request().max_tokens;
-    }
-  }
-  return tokens;
-}
-
 }  // namespace bramleybank
--- a/src/stream_service.h
+++ b/src/stream_service.h
@@ -15,11 +15,11 @@
 #include "stream_cursor.h"
 #include "stream_environment.h"
 #include "stream_request.h"
+#include "stream_runner.h"
 
 namespace bramleybank {
 
 class HttpResponder;
-class StreamRunner;
 
 /// What another daemon holds of a stream.
 struct HeldStream {
@@ -28,7 +28,9 @@
   std::string version;
   std::string adapter;
   std::string engine;
-  /// Tokens from position 1 on.
+  /// Peer that holds the copy; empty when the tokens came from the owner.
+  std::string copy_holder;
+  /// Tokens from position 1 on; none when only the attempt number is known.
   std::vector<std::string> tokens;
 
   friend bool operator==(const HeldStream&, const HeldStream&) = default;
@@ -43,7 +45,7 @@
   /// Tells the former owner to stop; it answers with what it has.
   std::function<void(const StreamCursor&, HeldCallback)> release_owner;
   /// @returns version and adapter of an engine, from the configuration.
-  std::function<std::optional<EngineChoice>(std::string_view address)>
+  std::function<std::optional<StreamBinding>(std::string_view address)>
       describe_engine;
 };
 
@@ -56,8 +58,10 @@
   StreamService& operator=(const StreamService&) = delete;
 
   /// Starts a generation.
+  /// @param admission kept until the stream is over.
   void Create(GenerationRequest request,
-              std::shared_ptr<HttpResponder> responder);
+              std::shared_ptr<HttpResponder> responder,
+              std::shared_ptr<const void> admission);
   /// Goes on after the position in the cursor.
   void Resume(GenerationRequest request,
               const StreamCursor& cursor,
@@ -65,7 +69,6 @@
 
   void OnCopied(uint64_t generation, uint64_t position);
   void OnUnprotected(uint64_t generation);
-  void OnCopyMoved(uint64_t generation, bool is_protected);
   void OnSuperseded(uint64_t generation);
 
   /// The caller has reached another daemon: stops the stream here.
@@ -76,8 +79,6 @@
   void HandOverAll();
 
   size_t open_streams() const { return m_runners.size(); }
-  /// @returns tokens still to be generated for a customer, as requested.
-  uint64_t OpenTokens(std::string_view customer) const;
 
  private:
   struct PendingResume;
--- a/src/stream_session.cc
+++ b/src/stream_session.cc
@@ -50,6 +50,7 @@
       m_tokens(m_start.tokens),
       m_delivered(m_start.delivered),
       m_protected(m_start.is_protected),
+      m_wants_copy(m_start.is_protected),
       m_attempt(m_start.first_attempt) {
   assert(m_clock && m_random);
   if (m_tokens.size() < m_delivered) {
@@ -236,6 +237,7 @@
 StreamActions StreamSession::OnCopied(uint64_t position) {
   StreamActions actions;
   m_copied = std::max(m_copied, std::min(position, received()));
+  m_protected = m_protected || (m_wants_copy && m_copied == received());
   if (!is_over()) {
     AppendDeliveries(&actions);
     FinishIfWhole(&actions);
@@ -255,6 +257,7 @@
 
 void StreamSession::OnProtected() {
   m_protected = true;
+  m_wants_copy = true;
 }
 
 StreamActions StreamSession::OnSuperseded() {
--- a/src/stream_session.h
+++ b/src/stream_session.h
@@ -97,7 +97,7 @@
   StreamActions OnCopied(uint64_t position);
   /// Tokens no longer wait for the copy.
   StreamActions OnUnprotected();
-  /// Tokens wait for the copy again.
+  /// Tokens wait for their copy from now on.
   void OnProtected();
   /// Another daemon serves the stream now.
   StreamActions OnSuperseded();
@@ -114,6 +114,8 @@
   const std::vector<std::string>& tokens() const { return m_tokens; }
   bool is_over() const;
   bool is_attempt_running() const;
+  /// @returns whether tokens wait for their copy.
+  bool is_protected() const { return m_protected; }
   const StreamDropCounts& drops() const { return m_drops; }
   /// Attempts after the first that were needed.
   uint32_t resumes() const { return m_resumes; }
@@ -138,6 +140,8 @@
   uint64_t m_delivered = 0;
   uint64_t m_copied = 0;
   bool m_protected = false;
+  // A stream that once had a copy is protected again when it has caught up.
+  bool m_wants_copy = false;
 
   uint32_t m_attempt = 0;
   uint32_t m_resumes = 0;
