--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -7,6 +7,7 @@
 #include <ace/Reactor.h>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
+#include <sys/timerfd.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -23,6 +24,9 @@
 constexpr int kMaxDescriptors = 65536;
 constexpr Duration kMaxWait = std::chrono::seconds(1);
 constexpr Duration kWaitMargin = std::chrono::microseconds(500);
+// Waits below this use a timerfd: a timer late by a millisecond would count
+// against the 1 ms that a daemon may add to the first token.
+constexpr Duration kPreciseWait = std::chrono::milliseconds(5);
 
 /// ACE raises the soft limit of open files to the size of its table and fails
 /// when the hard limit is lower.
@@ -93,8 +97,16 @@
   std::vector<int> signal_fds;
   Duration max_timer_delay{0};
   bool stopped = false;
+  const int timer_fd;
 
-  Duration NextWait(Duration max_wait) const {
+  Impl()
+      : timer_fd(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {
+    assert(timer_fd >= 0);
+  }
+
+  ~Impl() { close(timer_fd); }
+
+  Duration NextWait(Duration max_wait) {
     if (!posted.empty()) {
       return Duration{0};
     }
@@ -105,12 +117,23 @@
     if (wait <= Duration{0}) {
       return Duration{0};
     }
+    if (wait < kPreciseWait) {
+      ArmTimerFd(wait);
+    }
     // epoll counts in milliseconds. A wait rounded down would return early and
     // spin until the timer is due. The reactor takes the time that it spends
     // itself off the wait before it rounds down; the margin makes up for that.
     return std::chrono::ceil<std::chrono::milliseconds>(wait) + kWaitMargin;
   }
 
+  /// Makes timer_fd readable after `wait`; setting it also clears an expiry
+  /// that has not been read.
+  void ArmTimerFd(Duration wait) const {
+    itimerspec spec{};
+    spec.it_value.tv_nsec = std::chrono::nanoseconds(wait).count();
+    timerfd_settime(timer_fd, 0, &spec, nullptr);
+  }
+
   void RunTimers() {
     const TimePoint now = SteadyNow();
     while (!timers.empty() && timers.begin()->first.first <= now) {
@@ -132,6 +155,11 @@
 
 EventLoop::EventLoop() : m_impl(std::make_unique<Impl>()) {
   assert(m_impl->poll_reactor->initialized());
+  Watch(m_impl->timer_fd, true, false, [fd = m_impl->timer_fd](IoReady) {
+    uint64_t expirations = 0;
+    [[maybe_unused]] const ssize_t count =
+        read(fd, &expirations, sizeof(expirations));
+  });
 }
 
 EventLoop::~EventLoop() {
