Add the membership: table, messages and protocol

Daemons need to know each other, notice failures and pass configuration numbers on without any service of their own. The protocol is SWIM-like and holds no socket: datagrams and time go in, datagrams come out.

Confirmed configuration numbers go round as one bit per live member, because an item per member and change would need about 90 KB/s at 380 members and a change every 6 s (calculated).

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -47,6 +47,18 @@
 inline constexpr std::chrono::milliseconds kConnectTimeout{800};
 inline constexpr std::chrono::milliseconds kPlatformTimeout{1000};
 
+// Membership.
+/// Largest datagram; fits every link without fragments.
+inline constexpr size_t kMaxMemberDatagramBytes = 1200;
+/// Known members, dead ones included; 380 live ones are the target.
+inline constexpr size_t kMaxMembers = 1024;
+inline constexpr size_t kMaxNotices = 512;
+inline constexpr size_t kMaxNoticeKeyBytes = 128;
+inline constexpr size_t kMaxRegionNameBytes = 64;
+/// Members that died or left stay known for this long, so that old news does
+/// not bring them back and a healed link finds them.
+inline constexpr std::chrono::hours kDeadMemberRetention{1};
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_LIMITS_H_
--- /dev/null
+++ b/src/member_sender.cc
@@ -0,0 +1,178 @@
+// Byte budget and contents of datagrams.
+#include "member_sender.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "member_table.h"
+
+namespace bramleybank {
+namespace {
+
+// Rate and burst add up to the cap of 8 KB in any second.
+constexpr double kBytesPerSecond = 6000;
+constexpr double kBurstBytes = 2000;
+// Piggybacked news leaves this much for probes and answers.
+constexpr double kReservedBytes = 600;
+constexpr size_t kMaxSyncs = 8;
+constexpr int kTransmissionFactor = 3;
+
+}  // namespace
+
+MemberSender::MemberSender(uint64_t cluster,
+                           const MemberTable* table,
+                           const MemberNotices* notices)
+    : m_cluster(cluster),
+      m_table(table),
+      m_notices(notices),
+      m_tokens(kBurstBytes) {}
+
+void MemberSender::Send(const MemberSend& send, TimePoint now) {
+  Refill(now);
+  const double news_bytes = m_tokens - kReservedBytes;
+  const size_t max_bytes = std::min(
+      kMaxMemberDatagramBytes, static_cast<size_t>(std::max(news_bytes, 0.0)));
+  MemberMessageWriter writer = NewWriter(send, max_bytes);
+  const MemberRow* receiver = m_table->Find(send.to);
+  const bool accused =
+      receiver != nullptr && receiver->info.state != MemberState::kAlive;
+  if (accused) {
+    Write(send.to, &writer, now);
+  }
+  m_queue.Take(
+      TransmissionLimit(), [&](const MemberGossipQueue::Subject& subject) {
+        return (accused && subject == MemberGossipQueue::Subject(send.to)) ||
+               Write(subject, &writer, now);
+      });
+  Emit(send.to, writer);
+}
+
+MemberMessageWriter MemberSender::NewWriter(const MemberSend& send,
+                                            size_t max_bytes) {
+  const MemberHeader header{.cluster = m_cluster,
+                            .kind = send.kind,
+                            .sequence = send.sequence,
+                            .about = send.about,
+                            .from = m_table->self()};
+  ConfirmationNews confirmations;
+  if (m_confirmation_sends > 0) {
+    --m_confirmation_sends;
+    confirmations.number = m_table->highest_config();
+    confirmations.live_hash = m_table->LiveHash();
+    confirmations.bits = m_table->ConfirmationBits(confirmations.number);
+  }
+  return {header, confirmations, max_bytes};
+}
+
+bool MemberSender::Write(const MemberGossipQueue::Subject& subject,
+                         MemberMessageWriter* writer,
+                         TimePoint now) const {
+  if (const auto* peer = std::get_if<std::string>(&subject)) {
+    const MemberRow* row = m_table->Find(*peer);
+    return row == nullptr || writer->Add({row->info, now - row->since});
+  }
+  const auto& rows = m_notices->rows();
+  const auto it = rows.find(std::get<MemberNotices::Key>(subject));
+  return it == rows.end() ||
+         writer->Add({it->second.notice, now - it->second.since});
+}
+
+void MemberSender::Emit(const std::string& to,
+                        const MemberMessageWriter& writer) {
+  std::string bytes = writer.Finish();
+  if (static_cast<double>(bytes.size()) > m_tokens) {
+    ++m_counters.suppressed;
+    return;
+  }
+  m_tokens -= static_cast<double>(bytes.size());
+  ++m_counters.datagrams;
+  m_counters.bytes += bytes.size();
+  m_output.push_back({to, std::move(bytes)});
+}
+
+void MemberSender::Refill(TimePoint now) {
+  if (m_refilled != TimePoint{}) {
+    const std::chrono::duration<double> passed = now - m_refilled;
+    m_tokens =
+        std::min(m_tokens + passed.count() * kBytesPerSecond, kBurstBytes);
+  }
+  m_refilled = now;
+}
+
+void MemberSender::Spread(const MemberGossipQueue::Subject& subject) {
+  m_queue.Add(subject);
+}
+
+void MemberSender::SpreadConfirmations() {
+  m_confirmation_sends = TransmissionLimit();
+}
+
+bool MemberSender::has_news() const {
+  return !m_queue.empty() || m_confirmation_sends > 0;
+}
+
+int MemberSender::TransmissionLimit() const {
+  const auto members = static_cast<double>(m_table->Live().size());
+  return kTransmissionFactor *
+         std::max(1, static_cast<int>(std::ceil(std::log2(members + 1))));
+}
+
+void MemberSender::StartSync(const std::string& to) {
+  const bool queued =
+      std::ranges::find(m_syncs, to, &Sync::to) != m_syncs.end();
+  if (!queued && m_syncs.size() < kMaxSyncs) {
+    m_syncs.emplace_back().to = to;
+  }
+}
+
+void MemberSender::ContinueSync(TimePoint now) {
+  Refill(now);
+  if (m_syncs.empty() || m_tokens < kMaxMemberDatagramBytes + kReservedBytes) {
+    return;
+  }
+  Sync sync = std::move(m_syncs.front());
+  m_syncs.pop_front();
+  MemberMessageWriter writer = NewWriter(MemberSend{}, kMaxMemberDatagramBytes);
+  const bool done = WriteSyncMembers(&sync, &writer, now) &&
+                    WriteSyncNotices(&sync, &writer, now);
+  Emit(sync.to, writer);
+  if (!done) {
+    m_syncs.push_back(std::move(sync));
+  }
+}
+
+bool MemberSender::WriteSyncMembers(Sync* sync,
+                                    MemberMessageWriter* writer,
+                                    TimePoint now) const {
+  const auto& rows = m_table->rows();
+  for (auto it = rows.upper_bound(sync->after_member);
+       !sync->members_done && it != rows.end(); ++it) {
+    if (!writer->Add({it->second.info, now - it->second.since})) {
+      return false;
+    }
+    sync->after_member = it->first;
+  }
+  sync->members_done = true;
+  return true;
+}
+
+bool MemberSender::WriteSyncNotices(Sync* sync,
+                                    MemberMessageWriter* writer,
+                                    TimePoint now) const {
+  const auto& rows = m_notices->rows();
+  for (auto it = rows.upper_bound(sync->after_notice); it != rows.end(); ++it) {
+    if (!writer->Add({it->second.notice, now - it->second.since})) {
+      return false;
+    }
+    sync->after_notice = it->first;
+  }
+  return true;
+}
+
+std::vector<MemberDatagram> MemberSender::TakeOutput() {
+  return std::exchange(m_output, {});
+}
+
+}  // namespace bramleybank
