--- /dev/null
+++ b/tests/process_config_source.cc
@@ -0,0 +1,117 @@
+// Guards the HTTP client of the configuration: requests as the platform
+// expects them, and no answer taken for an empty log.
+#include <doctest/doctest.h>
+
+#include <optional>
+
+#include "event_loop.h"
+#include "http_client.h"
+#include "http_request.h"
+#include "http_responder.h"
+#include "http_server.h"
+#include "platform_config_source.h"
+#include "process_fixture.h"
+
+namespace bramleybank {
+namespace {
+
+/// A platform that gives one prepared answer, and the client of it.
+struct Platform {
+  Platform() : server(&loop, {}), client(&loop) {
+    const auto port =
+        server.Start(testing::LoopbackIp(1), 0,
+                     [this](const HttpRequest& got,
+                            const std::shared_ptr<HttpResponder>& responder) {
+                       request = got;
+                       responder->Respond(status, {}, body);
+                     });
+    REQUIRE(port);
+    source.emplace(&client, "http://" + testing::LoopbackIp(1) + ":" +
+                                std::to_string(*port));
+  }
+
+  std::optional<std::vector<ConfigLogRow>> Scan() {
+    bool done = false;
+    std::optional<std::vector<ConfigLogRow>> rows;
+    source->ScanLog(7, 500, [&](const auto& answer) {
+      rows = answer;
+      done = true;
+    });
+    Wait(&done);
+    return rows;
+  }
+
+  void Wait(const bool* done) {
+    testing::WaitUntil("an answer", [&] {
+      loop.RunOnce(std::chrono::milliseconds(50));
+      return *done;
+    });
+  }
+
+  EventLoop loop;
+  HttpServer server;
+  HttpClient client;
+  std::optional<PlatformConfigSource> source;
+  HttpRequest request;
+  int status = 200;
+  std::string body;
+};
+
+TEST_CASE("rows of the log are read by a scan") {
+  Platform platform;
+  platform.body = R"({"rows":[{"key":"config/log/00000000000000000008",)"
+                  R"("value":"{}","version":1}]})";
+  CHECK(platform.Scan() == std::vector<ConfigLogRow>{{8, "{}"}});
+  CHECK(platform.request.path == "/table-scan");
+  CHECK(platform.request.Query("limit") == "500");
+  platform.body = R"({"rows":[]})";
+  CHECK(platform.Scan() == std::vector<ConfigLogRow>{});
+}
+
+TEST_CASE("a failed or malformed scan is no empty log") {
+  Platform platform;
+  for (const char* bad :
+       {"", "{}", R"({"rows":[{"key":"other/1","value":"{}"}]})",
+        R"({"rows":[{"key":"config/log/00000000000000000008"}]})"}) {
+    platform.body = bad;
+    CHECK_FALSE(platform.Scan());
+  }
+  platform.body = R"({"rows":[]})";
+  platform.status = 503;
+  CHECK_FALSE(platform.Scan());
+}
+
+TEST_CASE("the snapshot object is read and written") {
+  Platform platform;
+  const auto read = [&] {
+    bool done = false;
+    auto result = ConfigObjectStatus::kUnavailable;
+    platform.source->ReadSnapshot([&](ConfigObjectStatus status, const auto&) {
+      result = status;
+      done = true;
+    });
+    platform.Wait(&done);
+    return result;
+  };
+  CHECK(read() == ConfigObjectStatus::kFound);
+  CHECK(platform.request.path == "/object/config/snapshot");
+  platform.status = 404;
+  CHECK(read() == ConfigObjectStatus::kNotFound);
+  platform.status = 500;
+  CHECK(read() == ConfigObjectStatus::kUnavailable);
+
+  platform.status = 200;
+  bool done = false;
+  bool written = false;
+  platform.source->WriteSnapshot("{\"number\":1}", [&](bool result) {
+    written = result;
+    done = true;
+  });
+  platform.Wait(&done);
+  CHECK(written);
+  CHECK(platform.request.method == "PUT");
+  CHECK(platform.request.body == "{\"number\":1}");
+}
+
+}  // namespace
+}  // namespace bramleybank
