--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -40,6 +40,13 @@
      "A configuration is malformed and was not taken."},
     {kPlatformUnreachable, "platform_unreachable", kWarning,
      "The platform did not answer."},
+    {kMemberAlive, "member_alive", kInfo,
+     "A daemon is new, has restarted, or has refuted a suspicion."},
+    {kMemberSuspect, "member_suspect", kInfo,
+     "A daemon did not answer; it can still refute."},
+    {kMemberDead, "member_dead", kWarning,
+     "A daemon is taken for dead by this one."},
+    {kMemberLeft, "member_left", kInfo, "A daemon was stopped as planned."},
 };
 
 const LogEventInfo& InfoOf(LogEventId id) {
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -29,6 +29,10 @@
   kConfigInForce = 501,
   kConfigRefused = 502,
   kPlatformUnreachable = 503,
+  kMemberAlive = 601,
+  kMemberSuspect = 602,
+  kMemberDead = 603,
+  kMemberLeft = 604,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
