--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -39,6 +39,40 @@
 /// engine's stream is cancelled.
 inline constexpr std::chrono::seconds kCallerReturnWindow{5};
 
+/// Batches of copied tokens to one holder start at least this far apart, so
+/// that the cost of a message is shared by several tokens.
+inline constexpr std::chrono::milliseconds kCopyFlushInterval{2};
+/// Text and framing in one batch of copied tokens.
+inline constexpr size_t kMaxCopyBatchBytes = 64 * 1024;
+/// All copies held for other daemons. At 160 streams a daemon and about 10 KB
+/// a minute and stream this is far above the ordinary load.
+inline constexpr size_t kMaxCopyStoreBytes = 32 * 1024 * 1024;
+/// One copy; a claim's reply must fit into kMaxPeerBodyBytes.
+inline constexpr size_t kMaxCopyBytes = 1024 * 1024;
+inline constexpr size_t kMaxCopyTokens = 200'000;
+/// Longest wait between two tries to find a holder for an unprotected stream.
+inline constexpr std::chrono::seconds kMaxHolderRetryDelay{5};
+
+// Links between daemons.
+inline constexpr size_t kMaxPeerBodyBytes = 2 * 1024 * 1024;
+/// Values in one message. The decoder uses 24 bytes for each.
+inline constexpr size_t kMaxPeerMessageItems = 256 * 1024;
+/// Bodies of requests to one peer that have not been sent whole.
+inline constexpr size_t kMaxPeerQueuedBytes = 4 * 1024 * 1024;
+/// Partly received requests and unsent replies of one connection.
+inline constexpr size_t kMaxPeerConnectionBytes = 8 * 1024 * 1024;
+inline constexpr unsigned kMaxPeerConnections = 1024;
+inline constexpr unsigned kMaxPeerStreams = 1024;
+inline constexpr std::chrono::seconds kPeerIdleTimeout{60};
+/// A client that has neither heard nor sent anything for this long sends a
+/// PING; a server waits longer, so that usually only one side does.
+inline constexpr std::chrono::milliseconds kPeerPingDelay{1000};
+inline constexpr std::chrono::milliseconds kPeerServerPingDelay{1500};
+/// A connection that is silent for this long is closed. With the interval of
+/// the check it stays below the 3 s within which a loss must be found.
+inline constexpr std::chrono::milliseconds kPeerSilenceTimeout{2500};
+inline constexpr std::chrono::milliseconds kPeerCheckInterval{250};
+
 // Non-idempotent calls.
 inline constexpr size_t kMaxInlineResultBytes = 64 * 1024;
 inline constexpr std::chrono::milliseconds kRecordBeforeAnswerTimeout{250};
