--- a/src/stream_token_list.h
+++ b/src/stream_token_list.h
@@ -30,9 +30,11 @@
 
   size_t size() const { return m_ends.size(); }
   bool empty() const { return m_ends.empty(); }
-  /// @returns the memory in use, without spare capacity.
-  size_t bytes() const {
-    return m_text.size() + m_ends.size() * sizeof(uint32_t);
+  /// @returns the length of all texts together.
+  size_t text_bytes() const { return m_text.size(); }
+  /// @returns the memory allocated, spare capacity included.
+  size_t memory_bytes() const {
+    return m_text.capacity() + m_ends.capacity() * sizeof(uint32_t);
   }
 
   friend bool operator==(const StreamTokenList&,
