Open the event loop under a low hard limit of descriptors

The reactor raises the descriptor limit to its own size and fails to open when the hard limit is lower. The size was always 65,536, so with a hard limit of 20,000 every program ended in an assertion at its start. The size is now at most the hard limit.

--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -5,6 +5,7 @@
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -19,9 +20,20 @@
 namespace bramleybank {
 namespace {
 
-constexpr int kMaxDescriptors = 65536;
+constexpr size_t kMaxDescriptors = 65536;
 constexpr Duration kMaxWait = std::chrono::seconds(1);
 
+/// @returns the size of the reactor. It raises the process's descriptor limit
+/// to its size and fails to open when the hard limit is lower.
+size_t ReactorSize() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_max == RLIM_INFINITY) {
+    return kMaxDescriptors;
+  }
+  return std::min<size_t>(kMaxDescriptors, limit.rlim_max);
+}
+
 ACE_Time_Value ToAceTime(Duration duration) {
   const auto micros = duration.count();
   return ACE_Time_Value(static_cast<time_t>(micros / 1000000),
@@ -67,8 +79,7 @@
 }  // namespace
 
 struct EventLoop::Impl {
-  ACE_Dev_Poll_Reactor* poll_reactor =
-      new ACE_Dev_Poll_Reactor(kMaxDescriptors);
+  ACE_Dev_Poll_Reactor* poll_reactor = new ACE_Dev_Poll_Reactor(ReactorSize());
   ACE_Reactor reactor{poll_reactor, /*delete_implementation=*/true};
   std::unordered_map<int, WatchEntry> watches;
   // Handlers that were unwatched in this turn. They are kept until the turn
