Open the event loop under a low hard limit on descriptors

ACE_Dev_Poll_Reactor raises RLIMIT_NOFILE to the size that it is given. With a hard limit below 65,536 setrlimit() fails with EINVAL and the reactor stays closed, so the constructor's assertion ended every program that uses an event loop (seen with a hard limit of 20,000).

The size is now the lower of 65,536 and the hard limit.

--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -5,6 +5,7 @@
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -22,6 +23,18 @@
 constexpr int kMaxDescriptors = 65536;
 constexpr Duration kMaxWait = std::chrono::seconds(1);
 
+/// The reactor raises the process's limit to the size that it is given, and
+/// cannot be opened when the hard limit is lower.
+int DescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_max == RLIM_INFINITY) {
+    return kMaxDescriptors;
+  }
+  return static_cast<int>(
+      std::min<rlim_t>(limit.rlim_max, static_cast<rlim_t>(kMaxDescriptors)));
+}
+
 ACE_Time_Value ToAceTime(Duration duration) {
   const auto micros = duration.count();
   return ACE_Time_Value(static_cast<time_t>(micros / 1000000),
@@ -68,7 +81,7 @@
 
 struct EventLoop::Impl {
   ACE_Dev_Poll_Reactor* poll_reactor =
-      new ACE_Dev_Poll_Reactor(kMaxDescriptors);
+      new ACE_Dev_Poll_Reactor(DescriptorLimit());
   ACE_Reactor reactor{poll_reactor, /*delete_implementation=*/true};
   std::unordered_map<int, WatchEntry> watches;
   // Handlers that were unwatched in this turn. They are kept until the turn
