--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -59,8 +59,12 @@
 inline constexpr size_t kMaxPeerMessageItems = 256 * 1024;
 /// Bodies of requests to one peer that have not been sent whole.
 inline constexpr size_t kMaxPeerQueuedBytes = 4 * 1024 * 1024;
-/// Partly received requests and unsent replies of one connection.
-inline constexpr size_t kMaxPeerConnectionBytes = 8 * 1024 * 1024;
+inline constexpr size_t kMaxPeerOpenCalls = 16 * 1024;
+/// Requests that a server has received in part, over all connections.
+inline constexpr size_t kMaxPeerServerBytes = 32 * 1024 * 1024;
+/// Unsent replies of one connection; further requests on it are refused.
+inline constexpr size_t kMaxPeerUnsentReplyBytes = 8 * 1024 * 1024;
+inline constexpr size_t kMaxPeerPathBytes = 256;
 inline constexpr unsigned kMaxPeerConnections = 1024;
 inline constexpr unsigned kMaxPeerStreams = 1024;
 inline constexpr std::chrono::seconds kPeerIdleTimeout{60};
--- /dev/null
+++ b/src/peer_server.h
@@ -0,0 +1,66 @@
+// Serves requests of other daemons over HTTP/2.
+#ifndef BRAMLEYBANK_SRC_PEER_SERVER_H_
+#define BRAMLEYBANK_SRC_PEER_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "bramleybank/limits.h"
+#include "bramleybank/result_code.h"
+
+namespace bramleybank {
+
+class EventLoop;
+
+/// Bounds of one server.
+struct PeerServerOptions {
+  /// Larger requests are refused with status 413.
+  size_t max_body_bytes = kMaxPeerBodyBytes;
+  /// Requests beyond this sum of partly received bodies are refused with 503.
+  size_t max_received_bytes = kMaxPeerServerBytes;
+  unsigned max_connections = kMaxPeerConnections;
+};
+
+/// Accepts connections and hands whole requests to a handler. Several requests
+/// of one connection may be open, and be answered in any order.
+class PeerServer {
+ public:
+  /// Sends the reply; later calls, and calls after the connection is lost,
+  /// have no effect. May be called within the handler or later.
+  using ReplyFn = std::function<void(int status, std::string body)>;
+  /// @param body valid during the call only.
+  using Handler = std::function<
+      void(const std::string& path, std::string_view body, ReplyFn reply)>;
+
+  explicit PeerServer(EventLoop* loop, const PeerServerOptions& options = {});
+  /// Closes all connections.
+  ~PeerServer();
+  PeerServer(const PeerServer&) = delete;
+  PeerServer& operator=(const PeerServer&) = delete;
+
+  /// Listens on an IPv4 address. Port 0 takes a free port.
+  /// @param handler must not destroy the server.
+  /// @returns the port, or nothing with last_reason() set.
+  std::optional<uint16_t> Start(const std::string& ip,
+                                uint16_t port,
+                                Handler handler);
+
+  size_t open_connections() const;
+  /// Bytes on the wire since the start, above TCP.
+  uint64_t bytes_sent() const;
+  uint64_t bytes_received() const;
+  const Reason& last_reason() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_PEER_SERVER_H_
