--- a/src/config_sync.cc
+++ b/src/config_sync.cc
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "log_event.h"
+
 namespace bramleybank {
 namespace {
 
@@ -140,6 +142,7 @@
 }
 
 void ConfigSync::OnRows(const std::vector<ConfigLogRow>& rows) {
+  m_platform_down = false;
   for (const ConfigLogRow& row : rows) {
     Reason error;
     std::optional<ConfigChange> change = ParseConfigChange(row.value, &error);
@@ -184,6 +187,10 @@
 
 void ConfigSync::OnPlatformFailed() {
   ++m_counters.platform_failures;
+  if (!m_platform_down) {
+    m_platform_down = true;
+    LogLine(LogEventId::kPlatformUnreachable).Field("for", "configuration");
+  }
   if (!m_ready) {
     AskAnyPeer();
   }
@@ -242,6 +249,10 @@
 
 void ConfigSync::Refuse(const Reason& reason) {
   ++m_counters.refused;
+  // The same row is read again with every poll.
+  if (reason != m_last_reason) {
+    LogLine(LogEventId::kConfigRefused).Field("reason", reason.detail);
+  }
   m_last_reason = reason;
 }
 
@@ -258,6 +269,8 @@
   }
   m_any_announced = true;
   m_announced = m_log->number();
+  LogLine(LogEventId::kConfigInForce)
+      .Field("number", static_cast<long long>(m_announced));
   m_hooks.on_config(m_log->Snapshot());
 }
 
--- a/src/config_sync.h
+++ b/src/config_sync.h
@@ -133,6 +133,8 @@
   // Rows are missing before the next ones of the log, or nothing is loaded.
   bool m_needs_snapshot = true;
   bool m_ready = false;
+  // Since the last failure of the platform nothing was read from it.
+  bool m_platform_down = false;
   uint64_t m_announced = 0;
   bool m_any_announced = false;
   Counters m_counters;
--- a/tests/config_fake_platform.h
+++ b/tests/config_fake_platform.h
@@ -88,6 +88,9 @@
     }
   }
 
+  /// Loses all answers.
+  void Drop() { m_answers.clear(); }
+
   std::map<std::string, std::string> rows;
   std::string snapshot;
   bool down = false;
--- a/tests/unit_config_log.cc
+++ b/tests/unit_config_log.cc
@@ -124,6 +124,11 @@
   CHECK(log.Load(
       {.number = 8, .endpoints = {}, .services = {}, .customers = {}}));
   CHECK(log.Snapshot()->number == 8);
+  // Changes from before a jump do not lead to the number after it.
+  CHECK(log.Apply(AddCustomer("a", "9", 9)) == ConfigApply::kApplied);
+  CHECK(log.Load(
+      {.number = 20, .endpoints = {}, .services = {}, .customers = {}}));
+  CHECK(log.AnswerFrom(19).snapshot->number == 20);
 }
 
 TEST_CASE("a snapshot that was handed out does not change") {
--- a/tests/unit_config_sync.cc
+++ b/tests/unit_config_sync.cc
@@ -143,7 +143,8 @@
   SUBCASE("silent") {
     daemon.silent_platform = true;
   }
-  daemon.Run(seconds(10));
+  // A platform that does not answer is not waited for until its time limit.
+  daemon.Run(seconds(2));
   REQUIRE_FALSE(daemon.in_force.empty());
   CHECK(daemon.in_force.front() == 1400);
   // The platform comes back with its older snapshot.
@@ -153,12 +154,28 @@
   CHECK(daemon.log.number() == 1400);
 }
 
+TEST_CASE("a request whose answer never comes is given up") {
+  ConfigFakePlatform platform;
+  Daemon daemon(&platform);
+  daemon.silent_platform = true;
+  daemon.Run(seconds(1));
+  platform.Drop();
+  daemon.silent_platform = false;
+  daemon.Run(seconds(6));
+  CHECK(daemon.sync.is_ready());
+  CHECK(daemon.sync.counters().platform_failures == 1);
+}
+
 TEST_CASE("a platform that fails after the snapshot does not make ready") {
   ConfigFakePlatform platform;
   Daemon daemon(&platform);
   daemon.log.Load(*LogAt(1000).Snapshot());
   platform.down = true;
+  // A peer that has nothing itself proves nothing.
+  ConfigLog empty;
+  daemon.peers["10.0.0.2:1"] = &empty;
   daemon.Run(seconds(10));
+  CHECK(daemon.peer_requests > 0);
   CHECK_FALSE(daemon.sync.is_ready());
   CHECK(daemon.in_force.empty());
   // Nor does it pass its old configuration on.
