Let polls and first tokens inform outlier ejection

A daemon with little traffic saw the lost endpoints as most of those it used and took that for its own fault; and each probe cost a caller's request. Change: failed polls of the load report count like failed connects, answered ones count as used and allow the probe; two failed connects eject; a first token ends a probe. A first token that is late on an endpoint known to be busy is no failure any more (OutcomeOfLateToken), because an overload ejected up to a third of the endpoints.

--- a/src/route_endpoint_table.cc
+++ b/src/route_endpoint_table.cc
@@ -274,6 +274,13 @@
   FreeIfUnused(static_cast<uint32_t>(state - m_endpoints.data()));
 }
 
+EndOutcome EndpointTable::OutcomeOfLateToken(EndpointHandle endpoint) const {
+  const EndpointState* state = Get(endpoint);
+  return state != nullptr && EstimateQueue(*state) > Duration::zero()
+             ? EndOutcome::kCancelled
+             : EndOutcome::kStalled;
+}
+
 void EndpointTable::OnReport(EndpointHandle endpoint,
                              const LoadReport& report) {
   EndpointState* state = Mutable(endpoint);
--- a/src/route_endpoint_table.h
+++ b/src/route_endpoint_table.h
@@ -56,6 +56,7 @@
 
 /// First token of an attempt, with what was expected when it was placed.
 struct FirstTokenSample {
+  /// For an attempt that is given up without a token, the wait so far.
   Duration wait{};
   Duration estimated_wait{};
   /// Parts of the estimate that the engine's prefill does not cause.
@@ -154,6 +155,10 @@
                EndOutcome outcome,
                OutputClass output,
                Duration held);
+  /// @returns the outcome to report for an attempt that was given up before its
+  /// first token: a stall, or kCancelled when the endpoint is known to be busy.
+  /// Otherwise an overload would eject endpoints and so grow.
+  EndOutcome OutcomeOfLateToken(EndpointHandle endpoint) const;
   void OnReport(EndpointHandle endpoint, const LoadReport& report);
   void OnCacheEvent(EndpointHandle endpoint, const CacheEvent& event);
 
--- a/src/route_outlier.cc
+++ b/src/route_outlier.cc
@@ -6,7 +6,12 @@
 namespace bramleybank {
 namespace {
 
-constexpr uint16_t kConsecutiveFailures = 3;
+constexpr int kFailurePoints = 1;
+// A connect that fails is rarely the request's fault.
+constexpr int kConnectPoints = 2;
+constexpr int kEjectionPoints = 3;
+// Without polls a probe costs a caller's request, so it comes later.
+constexpr int kUnpolledFactor = 4;
 // An endpoint that fails now and then is caught by its share of failures.
 constexpr double kErrorShare = 0.5;
 constexpr double kMinErrorSamples = 8;
@@ -37,7 +42,11 @@
   if (state == nullptr || !state->is_ejected) {
     return EndpointHealth::kUsable;
   }
-  const bool is_over = m_now() >= state->ejected_until;
+  const TimePoint now = m_now();
+  const bool is_polled = state->failed_poll_at > now - kOutlierWindow;
+  const bool is_over = now >= state->ejected_until &&
+                       (state->answered_poll_at > state->ejected_at ||
+                        (!is_polled && now >= state->probe_unpolled_at));
   return is_over && !state->probe_in_flight ? EndpointHealth::kProbe
                                             : EndpointHealth::kEjected;
 }
@@ -48,6 +57,17 @@
   }
 }
 
+void OutlierDetector::OnFirstToken(NameId group, EndpointHandle endpoint) {
+  State& state = m_groups[group][endpoint.value()];
+  state.last_news = m_now();
+  state.last_working = m_now();
+  if (state.is_ejected && state.probe_in_flight) {
+    state.is_ejected = false;
+    state.errors = {};
+    state.probe_in_flight = false;
+  }
+}
+
 void OutlierDetector::OnEnded(NameId group_id,
                               EndpointHandle endpoint,
                               EndOutcome outcome) {
@@ -57,15 +77,34 @@
   if (outcome == EndOutcome::kSuccess) {
     OnSuccess(&state);
   } else if (IsFailure(outcome)) {
-    OnFailure(group_id, &group, &state);
+    OnFailure(group_id, &group, &state,
+              outcome == EndOutcome::kConnectFailed ? kConnectPoints
+                                                    : kFailurePoints);
   } else {
     state.probe_in_flight = false;
   }
 }
 
+void OutlierDetector::OnPoll(NameId group_id,
+                             EndpointHandle endpoint,
+                             bool is_answered) {
+  Group& group = m_groups[group_id];
+  State& state = group[endpoint.value()];
+  state.last_news = m_now();
+  if (is_answered) {
+    state.answered_poll_at = m_now();
+    return;
+  }
+  state.failed_poll_at = m_now();
+  if (!state.is_ejected) {
+    OnFailure(group_id, &group, &state, kConnectPoints);
+  }
+}
+
 void OutlierDetector::OnSuccess(State* state) {
+  state->last_working = m_now();
   state->errors.Add(0, m_now());
-  state->consecutive_failures = 0;
+  state->failure_points = 0;
   // Streams opened before the ejection may still end well; only the probe
   // shows that the endpoint takes new work.
   if (state->is_ejected && state->probe_in_flight) {
@@ -78,12 +117,15 @@
   state->probe_in_flight = false;
 }
 
-void OutlierDetector::OnFailure(NameId group_id, Group* group, State* state) {
+void OutlierDetector::OnFailure(NameId group_id,
+                                Group* group,
+                                State* state,
+                                int points) {
   const TimePoint now = m_now();
   state->last_failure = now;
   state->errors.Add(1, now);
-  state->consecutive_failures = static_cast<uint16_t>(
-      std::min<int>(state->consecutive_failures + 1, UINT16_MAX));
+  state->failure_points = static_cast<uint16_t>(
+      std::min<int>(state->failure_points + points, UINT16_MAX));
   if (state->is_ejected) {
     if (state->probe_in_flight) {
       state->probe_in_flight = false;
@@ -91,7 +133,7 @@
     }
     return;
   }
-  const bool triggered = state->consecutive_failures >= kConsecutiveFailures ||
+  const bool triggered = state->failure_points >= kEjectionPoints ||
                          (state->errors.Weight(now) >= kMinErrorSamples &&
                           state->errors.Get() >= kErrorShare);
   if (IsObserverFault(*group)) {
@@ -112,7 +154,10 @@
   for (const auto& [endpoint, state] : group) {
     if (state.last_news > since) {
       ++used;
-      failing += state.consecutive_failures > 0 && state.last_failure > since;
+      failing += state.failure_points > 0 && state.last_failure > since &&
+                         state.last_failure >= state.last_working
+                     ? 1
+                     : 0;
     }
   }
   return failing * 2 > used;
@@ -136,6 +181,7 @@
   state->is_ejected = true;
   state->ejected_at = now;
   state->ejected_until = now + length;
+  state->probe_unpolled_at = now + (length * kUnpolledFactor);
   state->ejections = std::min<uint8_t>(state->ejections + 1, kMaxExponent);
   ++m_total_ejections;
 }
--- a/src/route_outlier.h
+++ b/src/route_outlier.h
@@ -21,7 +21,9 @@
   kProbe,
 };
 
-/// Ejects endpoints after repeated failures, each time for twice as long. At
+/// Ejects endpoints after 3 failures or 2 failed connects without a success
+/// between, or when half of the recent requests fail; each time for twice as
+/// long. At
 /// most a third of a group is ejected. When more than half of the endpoints
 /// that were used lately fail at once, the fault is likely on the observer's
 /// side: nothing is ejected, and ejections of the same window are taken back.
@@ -36,7 +38,14 @@
 
   /// Reports a started attempt; needed so that a probe stays single.
   void OnStarted(NameId group, EndpointHandle endpoint);
+  /// Shows that the endpoint is reached and works, long before its streams end.
+  /// It ends a probe, but a failure after it ejects at once.
+  void OnFirstToken(NameId group, EndpointHandle endpoint);
   void OnEnded(NameId group, EndpointHandle endpoint, EndOutcome outcome);
+  /// Result of `GET /load`. A failed poll counts like a failed connect, so that
+  /// a lost endpoint is found without a caller's request; an answered one
+  /// allows the probe after an ejection, but doesn't make up for failures.
+  void OnPoll(NameId group, EndpointHandle endpoint, bool is_answered);
   /// Forgets endpoints without news and without an ejection; call it now and
   /// then.
   void Sweep();
@@ -51,20 +60,27 @@
   struct State {
     TimePoint last_news;
     TimePoint last_failure;
+    // Last first token or success.
+    TimePoint last_working;
     TimePoint ejected_at;
     TimePoint ejected_until;
+    // Probes start here when the endpoint is not polled.
+    TimePoint probe_unpolled_at;
+    TimePoint answered_poll_at;
+    TimePoint failed_poll_at;
     // Successes and failures of the recent past.
     DecayingMean errors;
     // Exponent of the next ejection's length.
     uint8_t ejections = 0;
-    uint16_t consecutive_failures = 0;
+    // Points of the failures since the last success.
+    uint16_t failure_points = 0;
     bool is_ejected = false;
     bool probe_in_flight = false;
   };
   using Group = std::unordered_map<uint64_t, State>;
 
   void OnSuccess(State* state);
-  void OnFailure(NameId group_id, Group* group, State* state);
+  void OnFailure(NameId group_id, Group* group, State* state, int points);
   bool IsObserverFault(const Group& group) const;
   void TakeBack(Group* group);
   void Eject(State* state);
--- a/tests/unit_route_endpoint_table.cc
+++ b/tests/unit_route_endpoint_table.cc
@@ -79,6 +79,15 @@
   CHECK(f.table.EstimateLoad(f.State("a:1")) == doctest::Approx(5));
 }
 
+TEST_CASE("a late first token of a busy endpoint is no failure") {
+  Fixture f({EngineAt("a:1")});
+  const EndpointHandle a = f.table.Find("a:1");
+  f.table.OnReport(a, {.running = 2, .slots = 8});
+  CHECK(f.table.OutcomeOfLateToken(a) == EndOutcome::kStalled);
+  f.table.OnReport(a, {.running = 8, .waiting = 3, .slots = 8});
+  CHECK(f.table.OutcomeOfLateToken(a) == EndOutcome::kCancelled);
+}
+
 TEST_CASE("an older report does not replace a newer one") {
   Fixture f({EngineAt("a:1")});
   const EndpointHandle a = f.table.Find("a:1");
