--- /dev/null
+++ b/bench/model_engine.h
@@ -0,0 +1,71 @@
+// An engine of the model: slots, a queue, and a cache of prompt prefixes.
+#ifndef BRAMLEYBANK_BENCH_MODEL_ENGINE_H_
+#define BRAMLEYBANK_BENCH_MODEL_ENGINE_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <vector>
+
+#include "route_prefix_cache.h"
+
+namespace bramleybank {
+
+/// One attempt as the engine sees it.
+struct ModelJob {
+  int request = 0;
+  bool is_ended = false;
+};
+using JobPtr = std::shared_ptr<ModelJob>;
+
+/// Engine whose jobs the model starts and ends.
+struct ModelEngine {
+  static constexpr size_t kPrefixesCached = 20;
+
+  bool is_alive = true;
+  std::vector<JobPtr> running;
+  std::deque<JobPtr> waiting;
+  // Prefixes, the last used first.
+  std::deque<int> cached;
+  std::vector<CacheEvent> events;
+
+  static std::vector<uint64_t> PrefixHashes(int prefix, size_t blocks) {
+    std::vector<uint64_t> hashes;
+    for (uint64_t i = 0; i < blocks; ++i) {
+      hashes.push_back(((static_cast<uint64_t>(prefix) * 64) + i + 1) *
+                       0x9e3779b97f4a7c15ULL);
+    }
+    return hashes;
+  }
+
+  /// Reads a prompt's prefix.
+  /// @returns whether it was cached.
+  bool UsePrefix(int prefix, const std::vector<uint64_t>& hashes) {
+    const auto it = std::ranges::find(cached, prefix);
+    const bool is_cached = it != cached.end();
+    if (is_cached) {
+      cached.erase(it);
+    } else {
+      for (const uint64_t hash : hashes) {
+        Log(CacheChange::kStored, hash);
+      }
+    }
+    cached.push_front(prefix);
+    if (cached.size() > kPrefixesCached) {
+      // Without its first block the rest of a prefix is of no use.
+      Log(CacheChange::kEvicted, PrefixHashes(cached.back(), 1).front());
+      cached.pop_back();
+    }
+    return is_cached;
+  }
+
+ private:
+  void Log(CacheChange change, uint64_t hash) {
+    events.push_back({events.size() + 1, change, hash});
+  }
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_BENCH_MODEL_ENGINE_H_
--- /dev/null
+++ b/bench/policy_model.cc
@@ -0,0 +1,476 @@
+// Engines with slots, queues and prefix caches; daemons with stale reports.
+#include "policy_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <tuple>
+
+#include "model_daemon.h"
+#include "model_engine.h"
+#include "route_subset.h"
+#include "stream_stall_detector.h"
+
+namespace bramleybank {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double kShortWorkS = 2;
+constexpr double kLongWorkS = 30;
+constexpr double kLongShare = 0.07;
+constexpr double kPrefillTokensPerS = 8000;
+constexpr double kMeanPrefillS = 0.15;
+constexpr double kTokensPerWorkS = 30;
+constexpr int kPrefixes = 200;
+constexpr uint32_t kPrefixBlocks = 16;
+constexpr auto kReportInterval = 1s;
+
+Duration Seconds(double value) {
+  return Duration(static_cast<int64_t>(value * 1e6));
+}
+
+struct Request {
+  RequestOutcome outcome;
+  ModelDaemon* daemon = nullptr;
+  OutputClass output = OutputClass::kShort;
+  double work_left_s = 0;
+  uint32_t prompt_tokens = 0;
+  int prefix = 0;
+  std::vector<uint64_t> hashes;
+  Pick pick;
+  int engine = 0;
+  JobPtr job;
+  Duration first_estimate{};
+  TimePoint arrived;
+  TimePoint attempt_started;
+  TimePoint token_at;
+  std::vector<EndpointHandle> avoid;
+};
+
+class Model {
+ public:
+  explicit Model(const ModelRun& run) : m_run(run), m_random(run.seed) {
+    MakeDaemons();
+    ScheduleArrival();
+    if (run.domain_lost_at_s >= 0) {
+      At(Seconds(run.domain_lost_at_s), [this] { LoseDomain(); });
+    }
+  }
+
+  std::vector<RequestOutcome> Run() {
+    const TimePoint end = m_start + Seconds(m_run.length_s);
+    while (!m_events.empty() && m_events.top().at <= end) {
+      Event event = m_events.top();
+      m_events.pop();
+      m_now = event.at;
+      event.run();
+    }
+    std::vector<RequestOutcome> outcomes;
+    for (const Request& request : m_requests) {
+      outcomes.push_back(request.outcome);
+    }
+    return outcomes;
+  }
+
+ private:
+  struct Event {
+    TimePoint at;
+    uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Event& other) const {
+      return std::tie(other.at, other.order) < std::tie(at, order);
+    }
+  };
+
+  void At(Duration delay, std::function<void()> run) {
+    m_events.push({m_now + delay, ++m_order, std::move(run)});
+  }
+  double Uniform() {
+    return std::uniform_real_distribution<double>()(m_random);
+  }
+  double Exponential(double mean) {
+    return std::exponential_distribution<double>(1 / mean)(m_random);
+  }
+  double SinceStart() const {
+    return std::chrono::duration<double>(m_now - m_start).count();
+  }
+  static std::string DomainName(int i) {
+    return "d" + std::to_string(i % kModelDomains);
+  }
+  static std::string RegionName(int i) {
+    return "r" + std::to_string(i % kModelDomains / 2);
+  }
+
+  void MakeDaemons() {
+    std::vector<EndpointConfig> engines;
+    std::vector<SubsetMember> members;
+    for (int i = 0; i < kModelEngines; ++i) {
+      EndpointConfig config;
+      config.address = "engine" + std::to_string(i);
+      config.group = "m";
+      config.region = RegionName(i);
+      config.failure_domain = DomainName(i);
+      engines.push_back(config);
+    }
+    for (int i = 0; i < m_run.daemons; ++i) {
+      members.push_back({std::to_string(i), RegionName(i), DomainName(i)});
+    }
+    for (const SubsetMember& member : members) {
+      auto daemon = std::make_unique<ModelDaemon>(
+          m_run, [this] { return m_now; }, [this] { return m_random(); });
+      ModelDaemon* d = daemon.get();
+      d->region = member.region;
+      d->domain = member.failure_domain;
+      d->table.SetConfig(engines);
+      d->table.SetPreferred("m",
+                            SubsetChooser(member).Choose(members, engines));
+      d->choose = [d, kind = m_run.policy.picker](const RouteQuery& query) {
+        return kind == PickerKind::kEstimate ? d->estimate.Choose(query)
+               : kind == PickerKind::kRoundRobin
+                   ? d->round_robin.Choose(query)
+                   : d->least_reported.Choose(query);
+      };
+      m_daemons.push_back(std::move(daemon));
+      for (int i = 0; i < kModelEngines; ++i) {
+        At(Seconds(Uniform()), [this, d, i] { Poll(d, i); });
+      }
+    }
+  }
+
+  // Reports arrive 0.2 to 1.2 s after they were made; one in ten is lost.
+  void Poll(ModelDaemon* daemon, int index) {
+    At(kReportInterval, [this, daemon, index] { Poll(daemon, index); });
+    const ModelEngine& engine = m_engines[index];
+    if (!engine.is_alive) {
+      At(kConnectTimeout, [daemon, index] {
+        const EndpointHandle handle = HandleOf(daemon, index);
+        daemon->outliers.OnPoll(daemon->table.Get(handle)->group, handle,
+                                false);
+      });
+      return;
+    }
+    if (Uniform() < 0.1) {
+      return;
+    }
+    const Duration lag = 200ms + Seconds(Uniform());
+    const LoadReport report{
+        .running = static_cast<uint32_t>(engine.running.size()),
+        .waiting = static_cast<uint32_t>(engine.waiting.size()),
+        .slots = kModelSlots,
+        .age = lag};
+    // The engine keeps its last 256 events only, so slow readers see gaps.
+    const size_t first =
+        engine.events.size() - std::min<size_t>(256, engine.events.size());
+    At(lag, [=, this, last = engine.events.size()] {
+      const EndpointHandle handle = HandleOf(daemon, index);
+      daemon->table.OnReport(handle, report);
+      const EndpointState* state = daemon->table.Get(handle);
+      daemon->outliers.OnPoll(state->group, handle, true);
+      const size_t seen =
+          state->cache != nullptr ? state->cache->last_sequence() : 0;
+      for (size_t i = std::max(first, seen); i < last; ++i) {
+        daemon->table.OnCacheEvent(handle, m_engines[index].events[i]);
+      }
+    });
+  }
+  static EndpointHandle HandleOf(ModelDaemon* daemon, int index) {
+    return daemon->table.Find("engine" + std::to_string(index));
+  }
+
+  void ScheduleArrival() {
+    const double work =
+        (kShortWorkS * (1 - kLongShare)) + (kLongWorkS * kLongShare);
+    const double capacity =
+        kModelEngines * kModelSlots / (work + kMeanPrefillS);
+    const double rate = capacity * m_run.load(SinceStart());
+    At(Seconds(Exponential(1 / rate)), [this] {
+      Arrive();
+      ScheduleArrival();
+    });
+  }
+
+  void Arrive() {
+    Request& request = m_requests.emplace_back();
+    const int id = static_cast<int>(m_requests.size()) - 1;
+    request.arrived = m_now;
+    request.outcome.arrived_s = SinceStart();
+    request.daemon = m_daemons[m_random() % m_daemons.size()].get();
+    const bool is_long = Uniform() < kLongShare;
+    request.output = is_long ? OutputClass::kLong : OutputClass::kShort;
+    request.outcome.work_s = Exponential(is_long ? kLongWorkS : kShortWorkS);
+    request.work_left_s = request.outcome.work_s;
+    request.outcome.is_small_customer = Uniform() < m_run.small_share;
+    // Low numbers are asked for more often.
+    request.prefix = static_cast<int>(kPrefixes * std::pow(Uniform(), 3));
+    request.hashes = ModelEngine::PrefixHashes(request.prefix, kPrefixBlocks);
+    request.prompt_tokens = (kPrefixBlocks * kPrefixBlockTokens) +
+                            static_cast<uint32_t>(Exponential(500));
+    Admit(id);
+  }
+
+  std::optional<Pick> Choose(const Request& request) {
+    return request.daemon->choose({.group = "m",
+                                   .prompt_tokens = request.prompt_tokens,
+                                   .prefix_hashes = request.hashes,
+                                   .output = request.output,
+                                   .region = request.daemon->region,
+                                   .failure_domain = request.daemon->domain,
+                                   .avoid_endpoints = request.avoid});
+  }
+
+  void Admit(int id) {
+    Request& request = m_requests[id];
+    ModelDaemon& daemon = *request.daemon;
+    const auto pick = Choose(request);
+    const auto tokens =
+        static_cast<int64_t>(request.outcome.work_s * kTokensPerWorkS) +
+        request.prompt_tokens;
+    const auto admission = daemon.limiter.Admit(
+        request.outcome.is_small_customer ? "small" : "large", tokens,
+        m_run.policy.has_fair_share && daemon.admission.is_under_pressure());
+    const bool is_in_time = !m_run.policy.has_admission ||
+                            (pick && daemon.admission.Admit(pick->estimate));
+    if (!pick || !admission || !is_in_time) {
+      if (admission) {
+        daemon.limiter.Withdraw(*admission);
+      }
+      if (pick && is_in_time && m_run.policy.has_admission) {
+        daemon.admission.OnWaitEnded();
+      }
+      request.outcome.is_refused = true;
+      request.outcome.is_wrongly_refused =
+          std::ranges::any_of(m_engines, [](const ModelEngine& engine) {
+            return engine.is_alive && engine.running.size() < kModelSlots;
+          });
+      return;
+    }
+    daemon.limiter.Release(*admission);
+    daemon.retries.OnFirstTry("m");
+    daemon.retries.OnStreamOpened("m");
+    request.first_estimate = pick->estimate;
+    Start(id, *pick);
+    At(kDefaultPatience, [this, id] { LosePatience(id); });
+  }
+
+  void Start(int id, const Pick& pick) {
+    Request& request = m_requests[id];
+    request.pick = pick;
+    request.attempt_started = m_now;
+    ++request.outcome.attempts;
+    ModelDaemon& daemon = *request.daemon;
+    daemon.table.OnStarted(pick.endpoint, request.output);
+    daemon.outliers.OnStarted(pick.group, pick.endpoint);
+    request.engine =
+        std::stoi(daemon.table.Get(pick.endpoint)->address.substr(6));
+    request.job = std::make_shared<ModelJob>(ModelJob{id, false});
+    const JobPtr job = request.job;
+    if (!m_engines[request.engine].is_alive) {
+      At(kConnectTimeout, [this, job] {
+        Fail(job, EndOutcome::kConnectFailed, RetryReason::kConnectFailed);
+      });
+      return;
+    }
+    At(pick.link / 2, [this, job, engine = request.engine] {
+      if (!job->is_ended) {
+        m_engines[engine].waiting.push_back(job);
+        StartJobs(engine);
+      }
+    });
+    if (!HasToken(request)) {
+      const TimePoint deadline =
+          StallDetector(m_now, pick.estimate - pick.queue, pick.queue)
+              .Deadline();
+      At(deadline - m_now, [this, job] { CheckFirstToken(job); });
+    }
+  }
+
+  static bool HasToken(const Request& request) {
+    return request.outcome.first_token_s >= 0;
+  }
+
+  void StartJobs(int index) {
+    ModelEngine& engine = m_engines[index];
+    while (engine.is_alive && engine.running.size() < kModelSlots &&
+           !engine.waiting.empty()) {
+      const JobPtr job = engine.waiting.front();
+      engine.waiting.pop_front();
+      engine.running.push_back(job);
+      const Request& request = m_requests[job->request];
+      const uint32_t cached = engine.UsePrefix(request.prefix, request.hashes)
+                                  ? kPrefixBlocks * kPrefixBlockTokens
+                                  : 0;
+      const double prefill =
+          (request.prompt_tokens - cached) / kPrefillTokensPerS;
+      At(Seconds(prefill), [this, job] { OnFirstToken(job); });
+      At(Seconds(prefill + request.work_left_s), [this, job] {
+        if (!job->is_ended) {
+          End(job, EndOutcome::kSuccess);
+          m_requests[job->request].daemon->retries.OnStreamClosed("m");
+        }
+      });
+    }
+  }
+
+  FirstTokenSample SampleOf(const Request& request) const {
+    return {.wait = m_now - request.attempt_started,
+            .estimated_wait = request.pick.estimate,
+            .estimated_queue = request.pick.queue,
+            .link = request.pick.link,
+            .uncached_tokens = request.pick.uncached_tokens,
+            .prefix_hashes = request.hashes};
+  }
+
+  void OnFirstToken(const JobPtr& job) {
+    Request& request = m_requests[job->request];
+    if (job->is_ended || request.outcome.is_failed) {
+      return;
+    }
+    request.token_at = m_now;
+    ModelDaemon& daemon = *request.daemon;
+    daemon.table.OnFirstToken(request.pick.endpoint, SampleOf(request));
+    daemon.outliers.OnFirstToken(request.pick.group, request.pick.endpoint);
+    if (!HasToken(request)) {
+      request.outcome.first_token_s =
+          std::chrono::duration<double>(m_now - request.arrived).count();
+      EndWait(&request);
+    }
+  }
+
+  void EndWait(Request* request) {
+    AdmissionController& admission = request->daemon->admission;
+    if (m_run.policy.has_admission) {
+      admission.OnFirstToken(request->first_estimate, m_now - request->arrived);
+      admission.OnWaitEnded();
+    }
+  }
+
+  void CheckFirstToken(const JobPtr& job) {
+    Request& request = m_requests[job->request];
+    if (job->is_ended || HasToken(request)) {
+      return;
+    }
+    // Without budget the attempt goes on: its place in the queue is worth more
+    // than an error.
+    if (request.daemon->retries.TryRetry("m", RetryReason::kStalled)) {
+      GiveUp(job,
+             request.daemon->table.OutcomeOfLateToken(request.pick.endpoint));
+      Again(job->request);
+    }
+  }
+
+  /// Ends an attempt without a token; its wait so far still tells something.
+  void GiveUp(const JobPtr& job, EndOutcome outcome) {
+    const Request& request = m_requests[job->request];
+    FirstTokenSample sample = SampleOf(request);
+    sample.prefix_hashes = {};
+    sample.uncached_tokens = 0;
+    request.daemon->table.OnFirstToken(request.pick.endpoint, sample);
+    End(job, outcome);
+  }
+
+  void LosePatience(int id) {
+    Request& request = m_requests[id];
+    if (!HasToken(request) && !request.outcome.is_failed) {
+      if (!request.job->is_ended) {
+        GiveUp(request.job, EndOutcome::kCancelled);
+      }
+      FailRequest(&request);
+    }
+  }
+
+  void FailRequest(Request* request) {
+    request->outcome.is_failed = true;
+    request->daemon->retries.OnStreamClosed("m");
+    if (!HasToken(*request)) {
+      EndWait(request);
+    }
+  }
+
+  void Fail(const JobPtr& job, EndOutcome outcome, RetryReason reason) {
+    Request& request = m_requests[job->request];
+    if (job->is_ended) {
+      return;
+    }
+    if (request.token_at > request.attempt_started) {
+      const double done =
+          std::chrono::duration<double>(m_now - request.token_at).count();
+      request.work_left_s = std::max(0.0, request.work_left_s - done);
+    }
+    End(job, outcome);
+    RetryBudget& retries = request.daemon->retries;
+    const bool is_allowed = HasToken(request) ? retries.TryResume("m", reason)
+                                              : retries.TryRetry("m", reason);
+    if (!is_allowed) {
+      FailRequest(&request);
+      return;
+    }
+    Again(job->request);
+  }
+
+  void Again(int id) {
+    Request& request = m_requests[id];
+    request.avoid.push_back(request.pick.endpoint);
+    const int retry = request.outcome.attempts - 1;
+    At(request.daemon->retries.Backoff(retry), [this, id] {
+      Request& again = m_requests[id];
+      if (again.outcome.is_failed) {
+        return;
+      }
+      if (const auto pick = Choose(again)) {
+        Start(id, *pick);
+      } else {
+        FailRequest(&again);
+      }
+    });
+  }
+
+  void End(const JobPtr& job, EndOutcome outcome) {
+    job->is_ended = true;
+    const Request& request = m_requests[job->request];
+    ModelDaemon& daemon = *request.daemon;
+    daemon.table.OnEnded(request.pick.endpoint, outcome, request.output,
+                         m_now - request.token_at);
+    daemon.outliers.OnEnded(request.pick.group, request.pick.endpoint, outcome);
+    ModelEngine& engine = m_engines[request.engine];
+    std::erase(engine.running, job);
+    std::erase(engine.waiting, job);
+    StartJobs(request.engine);
+  }
+
+  void LoseDomain() {
+    for (int i = 0; i < kModelEngines; i += kModelDomains) {
+      ModelEngine& engine = m_engines[i];
+      engine.is_alive = false;
+      std::vector<JobPtr> jobs = engine.running;
+      jobs.insert(jobs.end(), engine.waiting.begin(), engine.waiting.end());
+      for (const JobPtr& job : jobs) {
+        At(kMinStallTimeout, [this, job] {
+          Fail(job, EndOutcome::kEarlyEnd, RetryReason::kEarlyEnd);
+        });
+      }
+    }
+  }
+
+  const ModelRun& m_run;
+  std::mt19937_64 m_random;
+  const TimePoint m_start{std::chrono::hours(1)};
+  TimePoint m_now = m_start;
+  uint64_t m_order = 0;
+  std::priority_queue<Event> m_events;
+  std::vector<ModelEngine> m_engines{kModelEngines};
+  std::vector<std::unique_ptr<ModelDaemon>> m_daemons;
+  std::deque<Request> m_requests;
+};
+
+}  // namespace
+
+std::vector<RequestOutcome> RunModel(const ModelRun& run) {
+  return Model(run).Run();
+}
+
+}  // namespace bramleybank
