Carry streams over the loss of daemons with copies and membership

Cause: a stream was lost with its daemon; configuration was polled whole; the daemons did not know each other. Change: DaemonCluster connects membership, peer links, configuration log and stream copies; StreamCopyLink sends copies, holds those of others and claims them for a caller that comes back; operator paths for configuration changes and confirmations; process tests for daemon loss, daemon and engine together, loss of the copy holder, paused daemon, frozen engine, repeated engine loss, no engine left, caller gone, planned stop, hand-over and leaving endpoint.

--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -1,7 +1,6 @@
 // Wiring of the daemon.
 #include "daemon.h"
 
-#include <algorithm>
 #include <cassert>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -10,16 +9,19 @@
 #include "bramleybank/limits.h"
 #include "bramleybank/version.h"
 #include "config_snapshot.h"
+#include "daemon_cluster.h"
 #include "daemon_drain.h"
 #include "daemon_settings.h"
 #include "event_loop.h"
 #include "http_caller_api.h"
 #include "http_client.h"
+#include "http_config_api.h"
 #include "http_operator_api.h"
 #include "http_refusal.h"
 #include "http_server.h"
 #include "log_event.h"
 #include "metric_registry.h"
+#include "platform_http_table.h"
 #include "route_director.h"
 #include "route_load_poller.h"
 #include "stream_service.h"
@@ -27,7 +29,6 @@
 namespace bramleybank {
 namespace {
 
-constexpr Duration kConfigPollInterval = std::chrono::seconds(2);
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -38,6 +39,7 @@
         settings(daemon_settings),
         random_engine(std::random_device{}()),
         client(loop),
+        table(loop, &client, settings.platform_url),
         director(
             {.id = settings.PeerAddress(),
              .region = settings.region,
@@ -53,16 +55,20 @@
         caller_server(loop, HttpServerOptions{}),
         operator_server(loop, HttpServerOptions{}),
         drain(settings.drain_time, [this] { return loop->Now(); }) {
-    streams = std::make_unique<StreamService>(
-        MakeEnvironment(),
-        StreamRecoveryHooks{
-            .claim_copy = nullptr,
-            .release_owner = nullptr,
-            .describe_engine =
-                [this](auto address) { return director.Describe(address); },
-        });
+    cluster = std::make_unique<DaemonCluster>(loop, &client, &table, &metrics,
+                                              settings, MakeClusterHooks());
+    StreamEnvironment environment = MakeEnvironment();
+    if (settings.copy_enabled) {
+      cluster->ConnectCopies(&environment);
+    }
+    StreamRecoveryHooks recovery = cluster->MakeRecoveryHooks();
+    recovery.describe_engine = [this](std::string_view address) {
+      return director.Describe(address);
+    };
+    streams = std::make_unique<StreamService>(std::move(environment),
+                                              std::move(recovery));
     caller_api = std::make_unique<HttpCallerApi>(
-        CallerApiHooks{.config = [this] { return config ? &*config : nullptr; },
+        CallerApiHooks{.config = [this] { return config.get(); },
                        .is_draining = [this] { return drain.is_draining(); },
                        .admit =
                            [this](const GenerationRequest& request) {
@@ -77,6 +83,8 @@
             .status = [this] { return Status(); },
             .update_gauges = [this] { UpdateGauges(); }},
         &metrics);
+    config_api = std::make_unique<HttpConfigApi>(cluster.get(), &metrics);
+    config_api->AddRoutes(operator_api.get());
   }
 
   StreamEnvironment MakeEnvironment() {
@@ -124,59 +132,56 @@
             .admission = std::move(decision.admission)};
   }
 
-  void PollConfig() {
-    HttpClientRequest request;
-    request.url = settings.platform_url + "/object/config/snapshot";
-    request.total_timeout = kPlatformTimeout;
-    client.Start(request, {.on_headers = nullptr,
-                           .on_data = nullptr,
-                           .on_done = [this](const HttpOutcome& outcome) {
-                             OnConfig(outcome);
-                             loop->Schedule(kConfigPollInterval,
-                                            [this] { PollConfig(); });
-                           }});
-  }
-
-  void OnConfig(const HttpOutcome& outcome) {
-    if (!outcome.complete || outcome.status != 200) {
-      LogLine(LogEventId::kPlatformUnreachable)
-          .Field("status", outcome.status)
-          .Field("detail", outcome.error);
-      return;
-    }
-    Reason error;
-    auto next = ParseConfigSnapshot(outcome.body, &error);
-    if (!next) {
-      LogLine(LogEventId::kConfigRefused).Field("detail", error.detail);
-      return;
-    }
-    if (!config || next->number > config->number) {
+  DaemonClusterHooks MakeClusterHooks() {
+    DaemonClusterHooks hooks;
+    hooks.random = [this] { return random_engine(); };
+    hooks.on_config = [this](std::shared_ptr<const ConfigSnapshot> next) {
       config = std::move(next);
       director.SetConfig(*config);
-      LogLine(LogEventId::kConfigInForce)
-          .Field("number", static_cast<long long>(config->number));
+    };
+    hooks.on_members = [this](const std::vector<SubsetMember>& members) {
+      director.SetMembers(members);
+    };
+    hooks.on_notice = [this](const Notice& notice) { OnNotice(notice); };
+    hooks.on_copied = [this](uint64_t generation, uint64_t position) {
+      streams->OnCopied(generation, position);
+    };
+    hooks.on_unprotected = [this](uint64_t generation) {
+      streams->OnUnprotected(generation);
+    };
+    hooks.on_superseded = [this](uint64_t generation) {
+      streams->OnSuperseded(generation);
+    };
+    hooks.release = [this](uint64_t generation) {
+      return streams->Release(generation);
+    };
+    return hooks;
+  }
+
+  void OnNotice(const Notice& notice) {
+    if (notice.kind == NoticeKind::kEndpointLeaving) {
+      director.SetLeavingNotice(notice.key, notice.active);
     }
   }
 
   std::string NotReadyReason() const {
-    if (drain.is_draining()) {
-      return "draining";
-    }
-    return config ? "" : "no configuration from the platform or a peer yet";
+    return drain.is_draining() ? "draining" : cluster->NotReadyReason();
   }
 
   std::string Status() const {
-    return nlohmann::json({{"version", kVersion},
-                           {"ip", settings.ip},
-                           {"failure_domain", settings.failure_domain},
-                           {"config_number", config ? config->number : 0},
-                           {"open_streams", streams->open_streams()},
-                           {"draining", drain.is_draining()}})
-        .dump();
+    nlohmann::json status = nlohmann::json::parse(cluster->StatusJson());
+    status["version"] = kVersion;
+    status["peer"] = settings.PeerAddress();
+    status["region"] = settings.region;
+    status["failure_domain"] = settings.failure_domain;
+    status["open_streams"] = streams->open_streams();
+    status["not_ready_reason"] = NotReadyReason();
+    return status.dump();
   }
 
   void UpdateGauges() {
     director.UpdateGauges();
+    cluster->UpdateGauges();
     metrics.SetGauge("bramleybank_open_streams",
                      static_cast<double>(streams->open_streams()));
   }
@@ -187,6 +192,7 @@
                         .exchanges = caller_server.open_exchanges()};
     const DrainStep step = drain.Next(open);
     if (step == DrainStep::kExit) {
+      cluster->Leave();
       loop->Stop();
       return;
     }
@@ -202,12 +208,16 @@
   MetricRegistry metrics;
   std::mt19937_64 random_engine;
   HttpClient client;
-  std::optional<ConfigSnapshot> config;
+  PlatformHttpTable table;
+  // In force here; nullptr before there is one.
+  std::shared_ptr<const ConfigSnapshot> config;
   RouteDirector director;
   RouteLoadPoller load_poller;
+  std::unique_ptr<DaemonCluster> cluster;
   std::unique_ptr<StreamService> streams;
   std::unique_ptr<HttpCallerApi> caller_api;
   std::unique_ptr<HttpOperatorApi> operator_api;
+  std::unique_ptr<HttpConfigApi> config_api;
   HttpServer caller_server;
   HttpServer operator_server;
   DaemonDrain drain;
@@ -247,7 +257,10 @@
     impl->reason = impl->operator_server.last_reason();
     return false;
   }
-  impl->PollConfig();
+  if (!impl->cluster->Start()) {
+    impl->reason = impl->cluster->last_reason();
+    return false;
+  }
   impl->load_poller.Start();
   return true;
 }
--- a/src/daemon_settings.cc
+++ b/src/daemon_settings.cc
@@ -33,6 +33,7 @@
   }
   settings.region = reader.RequiredString("node", "region");
   settings.failure_domain = reader.RequiredString("node", "failure_domain");
+  settings.cluster = reader.String("node", "cluster", "bramleybank");
   settings.platform_url = reader.RequiredString("platform", "url");
   if (!settings.platform_url.empty() &&
       !settings.platform_url.starts_with("http://") &&
--- a/src/daemon_settings.h
+++ b/src/daemon_settings.h
@@ -20,6 +20,8 @@
   uint16_t peer_port = 0;
   std::string region;
   std::string failure_domain;
+  /// Tells deployments that share a network apart.
+  std::string cluster;
   // [platform]
   std::string platform_url;
   // [streams]
--- /dev/null
+++ b/src/stream_copy_link.h
@@ -0,0 +1,98 @@
+// Connects streams with their copies in other daemons: sends the copies of
+// this daemon's streams, holds those of others, and resumes streams from them.
+#ifndef BRAMLEYBANK_SRC_STREAM_COPY_LINK_H_
+#define BRAMLEYBANK_SRC_STREAM_COPY_LINK_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bramleybank/handle.h"
+#include "hooks.h"
+#include "peer_server.h"
+#include "stream_copy_sender.h"
+#include "stream_copy_store.h"
+#include "stream_environment.h"
+#include "stream_service.h"
+
+namespace bramleybank {
+
+class EventLoop;
+class MetricRegistry;
+class PeerClient;
+
+/// Hooks of the link.
+struct StreamCopyLinkHooks {
+  /// @returns daemons that may hold copies, the best ones first.
+  std::function<std::vector<std::string>()> candidates;
+  RandomHook random;
+  // News for the streams of this daemon; see StreamService.
+  std::function<void(uint64_t generation, uint64_t position)> on_copied;
+  std::function<void(uint64_t generation)> on_unprotected;
+  std::function<void(uint64_t generation)> on_superseded;
+  std::function<std::optional<HeldStream>(uint64_t generation)> release;
+};
+
+/// Adapter between StreamService, the peer links and the copy decisions.
+class StreamCopyLink {
+ public:
+  StreamCopyLink(EventLoop* loop,
+                 PeerClient* client,
+                 MetricRegistry* metrics,
+                 std::string self,
+                 StreamCopyLinkHooks hooks);
+  ~StreamCopyLink();
+  StreamCopyLink(const StreamCopyLink&) = delete;
+  StreamCopyLink& operator=(const StreamCopyLink&) = delete;
+
+  void Start();
+
+  /// Sets the hooks about copies in `environment`.
+  void Connect(StreamEnvironment* environment);
+
+  // Hooks of StreamRecoveryHooks.
+  void ClaimCopy(const StreamCursor& cursor,
+                 StreamRecoveryHooks::HeldCallback callback);
+  void ReleaseOwner(const StreamCursor& cursor,
+                    StreamRecoveryHooks::HeldCallback callback);
+
+  /// Serves a request of another daemon.
+  /// @returns false when the path is not one of this link.
+  bool Handle(const std::string& path,
+              std::string_view body,
+              const PeerServer::ReplyFn& reply);
+
+  /// A daemon is known to be dead: moves the copies that it held.
+  void OnPeerLost(const std::string& peer);
+
+  void UpdateGauges();
+
+ private:
+  StreamCopySenderHooks MakeSenderHooks();
+  bool Open(const StreamCopyInfo& info, const std::vector<std::string>& tokens);
+  std::optional<std::string> ChooseHolder(const std::string& failed_peer);
+  void Send(const std::string& peer,
+            const CopyAppend& batch,
+            StreamCopySenderHooks::ReplyCallback callback);
+  void HandleAppend(std::string_view body, const PeerServer::ReplyFn& reply);
+  void HandleClaim(std::string_view body, const PeerServer::ReplyFn& reply);
+  void HandleRelease(std::string_view body, const PeerServer::ReplyFn& reply);
+  void ScheduleExpiry();
+
+  EventLoop* m_loop;
+  PeerClient* m_client;
+  MetricRegistry* m_metrics;
+  const std::string m_self;
+  const StreamCopyLinkHooks m_hooks;
+  StreamCopyStore m_store;
+  std::unique_ptr<StreamCopySender> m_sender;
+  TimerHandle m_sender_timer;
+  TimerHandle m_expiry_timer;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_STREAM_COPY_LINK_H_
--- a/tests/process_deployment.cc
+++ b/tests/process_deployment.cc
@@ -109,8 +109,9 @@
   m_engines.resize(domains * m_options.engines_per_domain);
   m_daemons.resize(domains * m_options.daemons_per_domain);
   m_platform = std::make_unique<ChildProcess>(
-      "standin_platform", "[listen]\nip = " + LoopbackIp(kPlatformHost) +
-                              "\nport = 7000\ncontrol_port = 7001\n");
+      "standin_platform",
+      "[listen]\nip = " + LoopbackIp(kPlatformHost) +
+          "\nport = 7000\ncontrol_port = 7001\n[vms]\nlag_ms = 0\n");
   for (int i = 0; i < engine_count(); ++i) {
     StartEngine(i);
   }
@@ -203,15 +204,12 @@
   WaitReady(operator_url(i) + "/readyz");
 }
 
-std::string Deployment::ConfigJson(uint64_t number,
-                                   const std::vector<int>& leaving) const {
+std::string Deployment::ConfigJson(uint64_t number) const {
   json config = {{"number", number},
                  {"endpoints", json::array()},
                  {"services", json::array()},
                  {"customers", json::array()}};
   for (int i = 0; i < engine_count(); ++i) {
-    const bool is_leaving =
-        std::find(leaving.begin(), leaving.end(), i) != leaving.end();
     config["endpoints"].push_back(
         {{"address", EngineIp(i) + ":9000"},
          {"kind", "engine"},
@@ -219,8 +217,7 @@
          {"version", "v1"},
          {"region", "region-0"},
          {"failure_domain",
-          DomainName(DomainOf(i, m_options.engines_per_domain))},
-         {"leaving", is_leaving}});
+          DomainName(DomainOf(i, m_options.engines_per_domain))}});
   }
   for (const auto& [name, routes] : m_options.services) {
     config["services"].push_back(
@@ -249,11 +246,10 @@
   return json{{"vms", vms}}.dump();
 }
 
-void Deployment::PublishConfig(uint64_t number,
-                               const std::vector<int>& leaving) {
+void Deployment::PublishConfig(uint64_t number) {
   const HttpAnswer answer =
       Send("PUT", platform_url() + "/object/config/snapshot", {},
-           ConfigJson(number, leaving));
+           ConfigJson(number));
   REQUIRE(answer.status == 200);
 }
 
@@ -263,6 +259,28 @@
   REQUIRE(answer.status == 200);
 }
 
+void Deployment::WaitMembers() {
+  for (int i = 0; i < daemon_count(); ++i) {
+    if (!m_daemons[i]->is_running()) {
+      continue;
+    }
+    WaitUntil("daemons to know each other", [&] {
+      return Metric(i, "bramleybank_members_alive") >= daemon_count();
+    });
+  }
+}
+
+HttpAnswer Deployment::ChangeConfig(int daemon, const std::string& text) const {
+  return Send("POST", operator_url(daemon) + "/config/changes", {}, text);
+}
+
+std::string Deployment::LeavingChange(int engine) const {
+  return json{{"id", "leaving-" + std::to_string(engine)},
+              {"action", "mark_leaving"},
+              {"endpoint", {{"address", EngineIp(engine) + ":9000"}}}}
+      .dump();
+}
+
 double Deployment::Metric(int daemon, const std::string& series) const {
   return MetricValue(operator_url(daemon) + "/metrics", series);
 }
--- a/tests/process_deployment.h
+++ b/tests/process_deployment.h
@@ -54,7 +54,13 @@
   void StartEngine(int i);
   void WaitDaemonReady(int i);
   /// Writes a configuration made from the options with this number.
-  void PublishConfig(uint64_t number, const std::vector<int>& leaving = {});
+  void PublishConfig(uint64_t number);
+  /// Waits until every running daemon knows all others.
+  void WaitMembers();
+  /// Sends a change to the operator port of a daemon. @returns its answer.
+  HttpAnswer ChangeConfig(int daemon, const std::string& json) const;
+  /// @returns the change that marks an engine as leaving.
+  std::string LeavingChange(int engine) const;
   /// Sends JSON to the control path of an engine or the platform.
   static void Control(const std::string& url, const std::string& json);
   double Metric(int daemon, const std::string& series) const;
@@ -63,8 +69,7 @@
   std::string DaemonIp(int i) const;
   std::string EngineIp(int i) const;
   std::string ServiceIp(int i) const;
-  std::string ConfigJson(uint64_t number,
-                         const std::vector<int>& leaving) const;
+  std::string ConfigJson(uint64_t number) const;
   std::string VmListJson() const;
   int DomainOf(int index, int per_domain) const { return index / per_domain; }
 
--- /dev/null
+++ b/tests/process_recovery.cc
@@ -0,0 +1,254 @@
+// Guards the promise that output goes on, whole, when daemons are lost, alone
+// or together with the engine, pause or stop, and when engines freeze.
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "process_deployment.h"
+
+namespace bramleybank::testing {
+namespace {
+
+void CheckWhole(const CallerResult& result, int tokens) {
+  CAPTURE(result.error);
+  CAPTURE(result.status);
+  CAPTURE(result.connections);
+  CHECK(result.done);
+  CHECK(result.faults == "");
+  CHECK(result.texts.size() == static_cast<size_t>(tokens));
+}
+
+TEST_CASE("a daemon that dies in the middle does not break the answer") {
+  Deployment deployment({});
+  deployment.WaitMembers();
+  CallerOptions options;
+  options.on_token = [&](const CallerResult& result) {
+    if (result.texts.size() == 10) {
+      deployment.daemon(0).Kill();
+    }
+  };
+  const CallerResult result = RunCaller(deployment, options);
+  CheckWhole(result, 40);
+  CHECK(result.connections > 1);
+  // The engine's own stream went on; no new attempt was needed.
+  CHECK(deployment.engine_of(result.event_ids.back()) ==
+        deployment.engine_of(result.event_ids[9]));
+}
+
+TEST_CASE("daemon and engine lost together: the copy carries the stream") {
+  Deployment deployment({});
+  deployment.WaitMembers();
+  int killed_engine = -1;
+  CallerOptions options;
+  options.on_token = [&](const CallerResult& result) {
+    if (result.texts.size() == 10) {
+      killed_engine = deployment.engine_of(result.event_ids.back());
+      REQUIRE(deployment.copy_holder_of(result.event_ids.back()) > 0);
+      deployment.engine(killed_engine).Kill();
+      deployment.daemon(0).Kill();
+    }
+  };
+  const CallerResult result = RunCaller(deployment, options);
+  CheckWhole(result, 40);
+  CHECK(deployment.engine_of(result.event_ids.back()) != killed_engine);
+}
+
+TEST_CASE("daemon, engine and then the next daemon are lost") {
+  Deployment deployment({.domains = 3, .daemons_per_domain = 2});
+  deployment.WaitMembers();
+  CallerOptions options;
+  options.max_tokens = 80;
+  options.on_token = [&](const CallerResult& result) {
+    const size_t count = result.texts.size();
+    if (count == 10) {
+      deployment.engine(deployment.engine_of(result.event_ids.back())).Kill();
+      deployment.daemon(0).Kill();
+    } else if (count == 50) {
+      deployment.daemon(1).Kill();
+    }
+  };
+  CheckWhole(RunCaller(deployment, options), 80);
+}
+
+TEST_CASE("the copy holder dies, then daemon and engine") {
+  Deployment deployment({.domains = 3, .daemons_per_domain = 2});
+  deployment.WaitMembers();
+  int first_holder = -1;
+  CallerOptions options;
+  options.max_tokens = 200;
+  options.on_token = [&](const CallerResult& result) {
+    const size_t count = result.texts.size();
+    const int holder = deployment.copy_holder_of(result.event_ids.back());
+    if (count == 10) {
+      first_holder = holder;
+      deployment.daemon(holder).Kill();
+    } else if (count == 150) {
+      REQUIRE(holder >= 0);
+      CHECK(holder != first_holder);
+      deployment.engine(deployment.engine_of(result.event_ids.back())).Kill();
+      deployment.daemon(0).Kill();
+    }
+  };
+  CheckWhole(RunCaller(deployment, options), 200);
+}
+
+TEST_CASE("a daemon that was paused does not disturb its former stream") {
+  Deployment deployment({});
+  deployment.WaitMembers();
+  CallerOptions options;
+  options.max_tokens = 300;
+  options.leave_after = 20;
+  // The caller loses patience with a daemon that is paused in the middle.
+  options.on_token = [&](const CallerResult& result) {
+    if (result.texts.size() == 20) {
+      deployment.daemon(0).Pause();
+    }
+  };
+  CallerResult first = RunCaller(deployment, options);
+  CHECK(first.faults == "");
+  const std::string last_id = first.event_ids[19];
+  const nlohmann::json body = {{"model", "writer"},
+                               {"stream", true},
+                               {"max_tokens", 300},
+                               {"prompt", options.prompt}};
+  StreamReader reader(deployment.caller_url(1) + "/v1/completions",
+                      {{"Last-Event-ID", last_id}}, body.dump());
+  reader.WaitForEvents(50);
+  deployment.daemon(0).Continue();
+  reader.WaitForEnd();
+  const auto events = reader.Events();
+  // 280 tokens, the finish event and [DONE].
+  CHECK(events.size() == 282);
+  CHECK(events.back().data == "[DONE]");
+}
+
+TEST_CASE("an engine that freezes is replaced, and its late output dropped") {
+  Deployment deployment({});
+  int frozen = -1;
+  CallerOptions options;
+  options.max_tokens = 60;
+  options.on_token = [&](const CallerResult& result) {
+    const size_t count = result.texts.size();
+    if (count == 20) {
+      frozen = deployment.engine_of(result.event_ids.back());
+      deployment.engine(frozen).Pause();
+    } else if (count == 30) {
+      deployment.engine(frozen).Continue();
+    }
+  };
+  const CallerResult result = RunCaller(deployment, options);
+  CheckWhole(result, 60);
+  CHECK(result.connections == 1);
+  CHECK(deployment.engine_of(result.event_ids.back()) != frozen);
+}
+
+TEST_CASE("an engine that dies again and again during the resume") {
+  Deployment deployment({.domains = 3, .engines_per_domain = 2});
+  int kills = 0;
+  CallerOptions options;
+  options.max_tokens = 100;
+  options.on_token = [&](const CallerResult& result) {
+    if (result.texts.size() % 20 == 0 && kills < 4) {
+      ++kills;
+      deployment.engine(deployment.engine_of(result.event_ids.back())).Kill();
+    }
+  };
+  CheckWhole(RunCaller(deployment, options), 100);
+  CHECK(kills == 4);
+}
+
+TEST_CASE("when no engine is left the caller is told how far it got") {
+  Deployment deployment({.domains = 1, .engines_per_domain = 1});
+  CallerOptions options;
+  options.on_token = [&](const CallerResult& result) {
+    if (result.texts.size() == 10) {
+      deployment.engine(0).Kill();
+    }
+  };
+  const CallerResult result = RunCaller(deployment, options);
+  CHECK_FALSE(result.done);
+  CHECK(result.faults == "");
+  const auto error = nlohmann::json::parse(result.error);
+  CHECK(error["error"]["position"] == result.texts.size());
+  CHECK(error["error"]["outcome"] == "unknown");
+}
+
+TEST_CASE("a caller that leaves has its work cancelled") {
+  Deployment deployment({.domains = 1});
+  CallerOptions options;
+  options.max_tokens = 100000;
+  options.leave_after = 5;
+  RunCaller(deployment, options);
+  WaitUntil("the engine to cancel the stream", [&] {
+    const auto stats = nlohmann::json::parse(
+        Send("GET", deployment.engine_url(0) + "/stats").body);
+    return stats.at("streams_cancelled").get<int>() == 1;
+  });
+}
+
+TEST_CASE("a planned stop cuts off no request") {
+  Deployment deployment({});
+  deployment.WaitMembers();
+  CallerOptions options;
+  options.max_tokens = 400;
+  options.on_token = [&](const CallerResult& result) {
+    if (result.texts.size() == 10) {
+      deployment.daemon(0).Terminate();
+      WaitUntil("readiness to fail", [&] {
+        return Send("GET", deployment.operator_url(0) + "/readyz").status !=
+               200;
+      });
+      const HttpAnswer refused =
+          Send("POST", deployment.caller_url(0) + "/v1/completions", {},
+               R"({"model":"writer","prompt":"p"})");
+      CHECK(refused.status == 503);
+      CHECK(refused.body.find("\"not_run\"") != std::string::npos);
+      CHECK(refused.body.find("\"draining\"") != std::string::npos);
+    }
+  };
+  const CallerResult result = RunCaller(deployment, options);
+  CheckWhole(result, 400);
+  CHECK(result.connections == 1);
+  CHECK(deployment.daemon(0).WaitExit() == 0);
+}
+
+TEST_CASE("a stream longer than the drain is handed over") {
+  Deployment deployment({.engine_settings = "token_interval_ms = 10\n",
+                         .daemon_settings = "[drain]\ntime_s = 35\n"});
+  deployment.WaitMembers();
+  CallerOptions options;
+  options.max_tokens = 4000;
+  options.on_token = [&](const CallerResult& result) {
+    if (result.texts.size() == 10) {
+      deployment.daemon(0).Terminate();
+    }
+  };
+  const CallerResult result = RunCaller(deployment, options);
+  CheckWhole(result, 4000);
+  CHECK(result.connections > 1);
+  CHECK(deployment.daemon(0).WaitExit() == 0);
+}
+
+TEST_CASE("a leaving engine gets no new work") {
+  Deployment deployment({});
+  deployment.WaitMembers();
+  const HttpAnswer answer =
+      deployment.ChangeConfig(1, deployment.LeavingChange(0));
+  CAPTURE(answer.body);
+  REQUIRE(answer.status == 200);
+  WaitUntil("the change to be in force", [&] {
+    const HttpAnswer state = Send(
+        "GET", deployment.operator_url(0) + "/config/confirmations?number=2");
+    return state.body.find("\"in_force\":true") != std::string::npos;
+  });
+  for (int i = 0; i < 30; ++i) {
+    const CallerResult result =
+        RunCaller(deployment, {.max_tokens = 3, .first_daemon = i % 3});
+    CheckWhole(result, 3);
+    CHECK(deployment.engine_of(result.event_ids.back()) != 0);
+  }
+}
+
+}  // namespace
+}  // namespace bramleybank::testing
