--- a/src/call_machine.cc
+++ b/src/call_machine.cc
@@ -277,7 +277,7 @@
 }
 
 void CallMachine::WaitForClaimant() {
-  m_deadline = m_start + kCallWaitTimeout;
+  m_deadline = m_start + m_options.wait_timeout;
   if (is_late()) {
     RefuseUnclaimed(ResultCode::kOutcomeUnknown, RefusalOutcome::kUnknown);
     return;
--- a/src/call_machine.h
+++ b/src/call_machine.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "bramleybank/limits.h"
 #include "call_row.h"
 #include "chart_machine.h"
 #include "hooks.h"
@@ -74,6 +75,8 @@
   /// Chooses an endpoint away from the addresses given, or nothing.
   std::function<std::optional<std::string>(const std::vector<std::string>&)>
       choose_endpoint;
+  /// Limit on waiting for the result of another daemon's claim.
+  Duration wait_timeout = kCallWaitTimeout;
 };
 
 /// One call. Each input returns the actions that follow from it. At most one
--- a/src/call_machine_background.cc
+++ b/src/call_machine_background.cc
@@ -67,14 +67,9 @@
     return;
   }
   const auto row = ParseCallRow(result.row.value);
-  if (!row || row->claim != m_claim) {
-    FinishRecording("abandon");
-  } else if (row->state == CallRowState::kClaimed) {
-    m_claim_version = result.row.version;
-    WriteResult();
-  } else {
-    FinishRecording("recorded");
-  }
+  const bool recorded =
+      row && row->claim == m_claim && row->state == m_result.state;
+  FinishRecording(recorded ? "recorded" : "abandon");
 }
 
 void CallMachine::FinishRecording(std::string_view event) {
@@ -116,14 +111,8 @@
     }
     return;
   }
-  if (result.status == TableReadStatus::kNotFound) {
-    Release(kNoRow);
-    return;
-  }
   const auto row = ParseCallRow(result.row.value);
-  const bool own_claim =
-      row && row->claim == m_claim && row->state == CallRowState::kClaimed;
-  if (own_claim || result.row.version == m_base_version) {
+  if (row && row->claim == m_claim && row->state == CallRowState::kClaimed) {
     Release(result.row.version);
   }
   // Another row: the claim write expects a version that is gone.
