Serve calls to plain services through the daemon

Cause: the caller port knew only generations. Change: CallRunner with the platform's table and objects, endpoints chosen by RouteDirector, retries from its budget, drain waits for open calls.

--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -8,6 +8,7 @@
 
 #include "bramleybank/limits.h"
 #include "bramleybank/version.h"
+#include "call_runner.h"
 #include "config_snapshot.h"
 #include "daemon_cluster.h"
 #include "daemon_drain.h"
@@ -21,6 +22,7 @@
 #include "http_server.h"
 #include "log_event.h"
 #include "metric_registry.h"
+#include "platform_http_objects.h"
 #include "platform_http_table.h"
 #include "route_director.h"
 #include "route_load_poller.h"
@@ -52,6 +54,8 @@
             &client,
             [this] { return random_engine(); },
             &director),
+        objects(&client, settings.platform_url),
+        calls(loop, &client, &table, &objects, &metrics, MakeCallOptions()),
         caller_server(loop, HttpServerOptions{}),
         operator_server(loop, HttpServerOptions{}),
         drain(settings.drain_time, [this] { return loop->Now(); }) {
@@ -74,8 +78,10 @@
                            [this](const GenerationRequest& request) {
                              return Admit(request);
                            },
-                       .serve_call = nullptr,
-                       .show_call = nullptr},
+                       .serve_call =
+                           [this](const auto& request, const auto& responder) {
+                             calls.Handle(request, responder);
+                           }},
         streams.get(), &metrics);
     operator_api = std::make_unique<HttpOperatorApi>(
         OperatorApiHooks{
@@ -132,6 +138,26 @@
             .admission = std::move(decision.admission)};
   }
 
+  CallRunnerOptions MakeCallOptions() {
+    CallRunnerOptions options;
+    options.owner =
+        settings.PeerAddress() + "/" + std::to_string(random_engine());
+    options.snapshot = [this] { return config; };
+    options.choose_endpoint = [this](const EndpointQuery& query) {
+      return director.ChooseService(query.service, query.avoid);
+    };
+    options.allow_retry = [this](const std::string& service) {
+      return director.AllowServiceRetry(service);
+    };
+    options.on_endpoint_result = [this](const std::string& address,
+                                        bool answered) {
+      director.OnServiceResult(address, answered);
+    };
+    options.random = [this] { return random_engine(); };
+    options.clock = [this] { return loop->Now(); };
+    return options;
+  }
+
   DaemonClusterHooks MakeClusterHooks() {
     DaemonClusterHooks hooks;
     hooks.random = [this] { return random_engine(); };
@@ -188,7 +214,7 @@
 
   void PollDrain() {
     const OpenWork open{.streams = streams->open_streams(),
-                        .calls = 0,
+                        .calls = calls.open_calls(),
                         .exchanges = caller_server.open_exchanges()};
     const DrainStep step = drain.Next(open);
     if (step == DrainStep::kExit) {
@@ -215,6 +241,8 @@
   RouteLoadPoller load_poller;
   std::unique_ptr<DaemonCluster> cluster;
   std::unique_ptr<StreamService> streams;
+  PlatformHttpObjects objects;
+  CallRunner calls;
   std::unique_ptr<HttpCallerApi> caller_api;
   std::unique_ptr<HttpOperatorApi> operator_api;
   std::unique_ptr<HttpConfigApi> config_api;
--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -38,13 +38,10 @@
   return static_cast<int>(std::min<rlim_t>(kMaxDescriptors, limit.rlim_max));
 }
 
-/// Rounds up to whole milliseconds: epoll_wait() counts in them and ACE rounds
-/// down, so that the last part of each wait would be spent polling.
 ACE_Time_Value ToAceTime(Duration duration) {
-  const auto millis =
-      std::chrono::ceil<std::chrono::milliseconds>(duration).count();
-  return ACE_Time_Value(static_cast<time_t>(millis / 1000),
-                        static_cast<suseconds_t>(millis % 1000 * 1000));
+  const auto micros = duration.count();
+  return ACE_Time_Value(static_cast<time_t>(micros / 1000000),
+                        static_cast<suseconds_t>(micros % 1000000));
 }
 
 /// Forwards reactor upcalls of one descriptor to its callback.
--- a/src/http_caller_api.cc
+++ b/src/http_caller_api.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "bramleybank/limits.h"
+#include "call_runner.h"
 #include "http_refusal.h"
 #include "http_request.h"
 #include "http_responder.h"
@@ -35,7 +36,8 @@
                              StreamService* streams,
                              MetricRegistry* metrics)
     : m_hooks(std::move(hooks)), m_streams(streams), m_metrics(metrics) {
-  assert(m_hooks.config && m_hooks.is_draining && m_hooks.admit);
+  assert(m_hooks.config && m_hooks.is_draining && m_hooks.admit &&
+         m_hooks.serve_call);
   assert(streams != nullptr && metrics != nullptr);
 }
 
@@ -52,9 +54,9 @@
     HandleGeneration(GenerationKind::kChat, request, responder);
   } else if (path == "/v1/models") {
     HandleModels(responder);
-  } else if (path.starts_with("/v1/calls/") && m_hooks.show_call) {
-    m_hooks.show_call(request, responder);
-  } else if (path.starts_with("/svc/") && m_hooks.serve_call) {
+  } else if (path.starts_with("/v1/calls/")) {
+    m_hooks.serve_call(request, responder);
+  } else if (CallRunner::Handles(path)) {
     if (!RefuseWhenNotServing(responder)) {
       m_hooks.serve_call(request, responder);
     }
--- a/src/http_caller_api.h
+++ b/src/http_caller_api.h
@@ -41,7 +41,6 @@
       std::function<void(const HttpRequest&,
                          const std::shared_ptr<HttpResponder>&)>;
   CallHandler serve_call;
-  CallHandler show_call;
 };
 
 /// Handler of the caller port.
--- a/src/route_director.cc
+++ b/src/route_director.cc
@@ -367,11 +367,23 @@
   if (!pick) {
     return std::nullopt;
   }
+  if (avoid.empty()) {
+    m_budget.OnFirstTry(service);
+  }
   return m_table.Get(pick->endpoint)->address;
 }
 
-void RouteDirector::OnServiceFirstTry(std::string_view service) {
-  m_budget.OnFirstTry(service);
+void RouteDirector::OnServiceResult(std::string_view address, bool answered) {
+  const EndpointHandle handle = m_table.Find(address);
+  const EndpointState* state = m_table.Get(handle);
+  if (state == nullptr) {
+    return;
+  }
+  // Start and end are reported together: a call whose caller leaves has no
+  // result, and must not hold the probe of an ejected endpoint for ever.
+  m_outliers.OnStarted(state->group, handle);
+  m_outliers.OnEnded(state->group, handle,
+                     answered ? EndOutcome::kSuccess : EndOutcome::kEarlyEnd);
 }
 
 bool RouteDirector::AllowServiceRetry(std::string_view service) {
--- a/src/route_director.h
+++ b/src/route_director.h
@@ -71,8 +71,10 @@
   std::optional<std::string> ChooseService(
       std::string_view service,
       const std::vector<std::string>& avoid);
+  /// Takes a retry of a service call from the budget.
   bool AllowServiceRetry(std::string_view service);
-  void OnServiceFirstTry(std::string_view service);
+  /// Result of one exchange with an endpoint of a service.
+  void OnServiceResult(std::string_view address, bool answered);
 
   /// Result of polling an endpoint's load; nothing when it did not answer.
   void OnLoadReport(std::string_view address,
