Model engines that cancel late in bench_policy

Cause: with engines that free cancelled work at once extra attempts cost nothing, so the model did not show what the retry budget is for.

--- a/bench/bench_policy.cc
+++ b/bench/bench_policy.cc
@@ -28,6 +28,8 @@
 // Each figure of the model is taken over the runs with this and the next seeds.
 constexpr int kSeeds = 3;
 constexpr double kWarmUpS = 20;
+// Engines that find out late that work was cancelled; "slow_cancel" in names.
+constexpr double kCancelLagS = 2;
 
 struct Figure {
   std::string name;
@@ -140,14 +142,18 @@
   }
 }
 
-void PrintGoodput(double load) {
-  ModelRun run{.policy = {}, .seed = kSeed, .load = Steady(load)};
+void PrintGoodput(double load, double cancel_lag_s) {
+  ModelRun run{.policy = {},
+               .seed = kSeed,
+               .load = Steady(load),
+               .cancel_lag_s = cancel_lag_s};
   const auto own = AfterWarmUp(run);
   run.policy.has_admission = false;
   run.policy.retries = kUnlimitedRetries;
   const auto open = AfterWarmUp(run);
   char at[64];
-  std::snprintf(at, sizeof(at), "_load_%.1f", load);
+  std::snprintf(at, sizeof(at), "_load_%.1f%s", load,
+                cancel_lag_s > 0 ? "_slow_cancel" : "");
   const char* baseline = "no admission, unlimited retries";
   Print({std::string("goodput") + at, Goodput(own, run.length_s),
          "share of all slots", std::min(1.0, load) * 0.9,
@@ -221,8 +227,14 @@
       .policy = {}, .seed = kSeed, .length_s = 140, .load = [](double t) {
         return t >= 20 && t < 50 ? 2.0 : 0.7;
       }};
+  ModelRun lost_lag = lost;
+  lost_lag.cancel_lag_s = kCancelLagS;
+  ModelRun surge_lag = surge;
+  surge_lag.cancel_lag_s = kCancelLagS;
   for (const auto& [name, base, since_s] :
-       {Case{"domain_loss", lost, 40}, Case{"surge_ends", surge, 50}}) {
+       {Case{"domain_loss", lost, 40}, Case{"surge_ends", surge, 50},
+        Case{"domain_loss_slow_cancel", lost_lag, 40},
+        Case{"surge_ends_slow_cancel", surge_lag, 50}}) {
     ModelRun unlimited = base;
     unlimited.policy.retries = kUnlimitedRetries;
     ModelRun open = unlimited;
@@ -423,7 +435,8 @@
     PrintFirstToken(daemons, 0.9);
   }
   for (const double load : {0.7, 1.0, 1.5, 3.0}) {
-    PrintGoodput(load);
+    PrintGoodput(load, 0);
+    PrintGoodput(load, kCancelLagS);
   }
   PrintRecovery();
   PrintSmallCustomer();
--- a/bench/policy_model.cc
+++ b/bench/policy_model.cc
@@ -436,10 +436,13 @@
     daemon.table.OnEnded(request.pick.endpoint, outcome, request.output,
                          m_now - request.token_at);
     daemon.outliers.OnEnded(request.pick.group, request.pick.endpoint, outcome);
-    ModelEngine& engine = m_engines[request.engine];
-    std::erase(engine.running, job);
-    std::erase(engine.waiting, job);
-    StartJobs(request.engine);
+    const bool is_cancelled = outcome != EndOutcome::kSuccess;
+    At(Seconds(is_cancelled ? m_run.cancel_lag_s : 0),
+       [this, job, index = request.engine] {
+         std::erase(m_engines[index].running, job);
+         std::erase(m_engines[index].waiting, job);
+         StartJobs(index);
+       });
   }
 
   void LoseDomain() {
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -29,6 +29,8 @@
   std::function<double(double)> load;
   /// When a quarter of the engines, one failure domain, is lost; below 0 never.
   double domain_lost_at_s = -1;
+  /// Time that cancelled work goes on to hold its slot or place in the queue.
+  double cancel_lag_s = 0;
   /// Part of the requests that the small customer sends.
   double small_share = 0;
 };
