Give admissions back as not run, and wait on without retry budget

Cause: a request refused after the customer's limits had admitted it still counted in its rate; a stalled first token without retry budget ended the request although the engine could still answer. Change: AdmissionLease tells the limiter whether the request ran; the runner takes a retry from the budget before it gives up an attempt without output, and waits on when there is none.

--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -105,6 +105,10 @@
                                          EngineRefusal* refusal) {
       return routes->Choose(query, refusal);
     };
+    environment.take_retry = [routes](std::string_view model,
+                                      AttemptLoss loss) {
+      return routes->TakeRetry(model, loss);
+    };
     environment.adopt_engine = [routes](std::string_view address) {
       return routes->Adopt(address);
     };
@@ -135,7 +139,7 @@
         request.customer, request.prompt.size(), request.max_tokens);
     return {.refusal = std::move(decision.refusal),
             .retry_after_s = decision.retry_after_s,
-            .admission = std::move(decision.admission)};
+            .lease = std::move(decision.lease)};
   }
 
   CallRunnerOptions MakeCallOptions() {
--- a/src/http_caller_api.cc
+++ b/src/http_caller_api.cc
@@ -131,7 +131,7 @@
            decision.retry_after_s);
     return;
   }
-  m_streams->Create(*std::move(generation), responder, decision.admission);
+  m_streams->Create(*std::move(generation), responder, decision.lease);
 }
 
 void HttpCallerApi::HandleReconnect(GenerationRequest generation,
--- a/src/http_caller_api.h
+++ b/src/http_caller_api.h
@@ -13,6 +13,7 @@
 
 namespace bramleybank {
 
+class AdmissionLease;
 class HttpResponder;
 class MetricRegistry;
 class StreamService;
@@ -25,7 +26,7 @@
   /// Seconds after which another try makes sense; 0 without advice.
   int retry_after_s = 0;
   /// Keeps an admitted request counted until it is destroyed.
-  std::shared_ptr<const void> admission;
+  std::shared_ptr<AdmissionLease> lease;
 };
 
 /// Hooks of the caller port.
--- a/src/route_director.cc
+++ b/src/route_director.cc
@@ -10,6 +10,7 @@
 
 #include "bramleybank/limits.h"
 #include "config_snapshot.h"
+#include "limit_admission_lease.h"
 #include "metric_registry.h"
 
 namespace bramleybank {
@@ -77,7 +78,7 @@
       m_outliers(m_clock,
                  [this](NameId group) -> size_t {
                    const EndpointGroup* found = m_table.FindGroup(group);
-                   return found == nullptr ? 0 : found->size;
+                   return found == nullptr ? 0 : found->preferred_size;
                  }),
       m_picker(&m_table, &m_outliers, random),
       m_subset(m_self),
@@ -139,11 +140,17 @@
     decision.retry_after_s = ToSecondsRoundedUp(m_customers.retry_after());
     return decision;
   }
-  decision.admission = std::shared_ptr<const void>(
-      nullptr, [director = std::weak_ptr(m_self_reference),
-                released = *std::move(admission)](const void*) {
-        if (const auto self = director.lock()) {
-          (*self)->m_customers.Release(released);
+  decision.lease = std::make_shared<AdmissionLease>(
+      [director = std::weak_ptr(m_self_reference),
+       admitted = *std::move(admission)](bool ran) {
+        const auto self = director.lock();
+        if (!self) {
+          return;
+        }
+        if (ran) {
+          (*self)->m_customers.Release(admitted);
+        } else {
+          (*self)->m_customers.Withdraw(admitted);
         }
       });
   return decision;
@@ -155,6 +162,9 @@
     m_budget.OnFirstTry(query.model);
     return true;
   }
+  if (query.has_budget) {
+    return true;
+  }
   const RetryReason reason = RetryReasonOf(query.loss);
   const bool is_granted = query.has_output
                               ? m_budget.TryResume(query.model, reason)
@@ -166,6 +176,13 @@
   return is_granted;
 }
 
+bool RouteDirector::TakeRetry(std::string_view model, AttemptLoss loss) {
+  const RetryReason reason = RetryReasonOf(loss);
+  const bool is_granted = m_budget.TryRetry(model, reason);
+  CountRetry(NameOf(reason), is_granted);
+  return is_granted;
+}
+
 void RouteDirector::CountRetry(std::string_view reason, bool is_granted) {
   m_metrics->Count(is_granted ? "bramleybank_retries_total"
                               : "bramleybank_retries_refused_total",
@@ -315,6 +332,12 @@
   EndAdmissionWait(&attempt);
   if (outcome == EndOutcome::kStalled && !attempt.first_token) {
     outcome = m_table.OutcomeOfLateToken(attempt.pick.endpoint);
+    m_table.OnFirstToken(attempt.pick.endpoint,
+                         {.wait = m_clock() - attempt.started,
+                          .estimated_wait = attempt.pick.estimate,
+                          .estimated_queue = attempt.pick.queue,
+                          .link = attempt.pick.link,
+                          .uncached_tokens = attempt.pick.uncached_tokens});
   }
   const Duration held =
       attempt.first_token ? m_clock() - *attempt.first_token : Duration::zero();
--- a/src/route_director.h
+++ b/src/route_director.h
@@ -24,6 +24,7 @@
 
 namespace bramleybank {
 
+class AdmissionLease;
 class MetricRegistry;
 struct ConfigSnapshot;
 
@@ -32,8 +33,8 @@
   /// Set when the request is refused.
   std::optional<Reason> refusal;
   int retry_after_s = 0;
-  /// Gives the admission back when it is destroyed.
-  std::shared_ptr<const void> admission;
+  /// Set when the request is admitted.
+  std::shared_ptr<AdmissionLease> lease;
 };
 
 /// Owner of the endpoint table, the limits and the budgets of one daemon.
@@ -55,6 +56,7 @@
                          uint64_t max_tokens);
 
   // Attempts of generations; see StreamEnvironment.
+  bool TakeRetry(std::string_view model, AttemptLoss loss);
   std::optional<EngineChoice> Choose(const EngineQuery& query,
                                      EngineRefusal* refusal);
   std::optional<EngineChoice> Adopt(std::string_view address);
--- a/src/stream_environment.h
+++ b/src/stream_environment.h
@@ -42,6 +42,8 @@
   /// from the retry budget, and those of a stream with output from its reserve.
   bool is_first = true;
   bool has_output = false;
+  /// The retry was granted by `take_retry`.
+  bool has_budget = false;
   /// Why the attempt before was lost.
   AttemptLoss loss = AttemptLoss::kRefused;
 
@@ -100,6 +102,8 @@
   /// back through `on_engine_end`.
   std::function<std::optional<EngineChoice>(const EngineQuery&, EngineRefusal*)>
       choose_engine;
+  /// Takes a retry of a request without output from the budget.
+  std::function<bool(std::string_view model, AttemptLoss loss)> take_retry;
   /// Takes a ticket for an engine that runs the stream already. @returns
   /// nothing when the configuration does not know the engine.
   std::function<std::optional<EngineChoice>(std::string_view address)>
--- a/src/stream_runner.cc
+++ b/src/stream_runner.cc
@@ -13,6 +13,7 @@
 #include "http_refusal.h"
 #include "http_responder.h"
 #include "http_sse_parser.h"
+#include "limit_admission_lease.h"
 #include "log_event.h"
 #include "metric_registry.h"
 #include "stream_cursor.h"
@@ -58,7 +59,7 @@
                            StreamStart start,
                            std::optional<StreamBinding> binding,
                            std::shared_ptr<HttpResponder> responder,
-                           std::shared_ptr<const void> admission,
+                           std::shared_ptr<AdmissionLease> lease,
                            std::function<void()> on_over)
     : m_environment(environment),
       m_request(std::move(request)),
@@ -69,7 +70,7 @@
           [loop = environment->loop] { return loop->Now(); },
           environment->random)),
       m_on_over(std::move(on_over)),
-      m_admission(std::move(admission)),
+      m_lease(std::move(lease)),
       m_request_time(environment->loop->Now()) {
   if (m_binding) {
     m_engine = m_binding->engine;
@@ -131,6 +132,7 @@
   query.resumed_tokens = m_session->received();
   query.is_first = m_session->resumes() == 0;
   query.has_output = m_session->received() > 0;
+  query.has_budget = std::exchange(m_has_budget, false);
   query.loss = m_last_loss;
   return m_environment->choose_engine(query, refusal);
 }
@@ -315,6 +317,17 @@
     ArmStallTimer();
     return;
   }
+  if (m_session->received() == 0) {
+    // Without budget the request goes on waiting for its first token: a
+    // refused retry would end it although the engine may still answer.
+    if (!m_environment->take_retry(m_request.model, AttemptLoss::kStalled)) {
+      m_stall_detector = std::make_unique<StallDetector>(
+          m_environment->loop->Now(), Duration{0}, Duration{0});
+      ArmStallTimer();
+      return;
+    }
+    m_has_budget = true;
+  }
   OnLost(m_session->attempt(), AttemptLoss::kStalled, "no token in time");
 }
 
@@ -542,6 +555,9 @@
 void StreamRunner::Do(const GiveUpStream& action) {
   RetireTransfer();
   m_finished = true;
+  if (!m_may_have_run && m_lease) {
+    m_lease->MarkNotRun();
+  }
   LogLine(LogEventId::kStreamGivenUp)
       .Field("generation", FormatGeneration(generation()))
       .Field("code", static_cast<int>(action.reason.code))
--- a/src/stream_runner.h
+++ b/src/stream_runner.h
@@ -20,6 +20,7 @@
 
 namespace bramleybank {
 
+class AdmissionLease;
 class EngineTransfer;
 class HttpResponder;
 class StreamFormat;
@@ -41,7 +42,7 @@
 class StreamRunner {
  public:
   /// @param binding set when the stream has output already.
-  /// @param admission kept until the stream is over.
+  /// @param lease kept until the stream is over.
   /// @param on_over called once, not inside a method of the runner, when
   /// nothing is left to do.
   StreamRunner(const StreamEnvironment* environment,
@@ -49,7 +50,7 @@
                StreamStart start,
                std::optional<StreamBinding> binding,
                std::shared_ptr<HttpResponder> responder,
-               std::shared_ptr<const void> admission,
+               std::shared_ptr<AdmissionLease> lease,
                std::function<void()> on_over);
   ~StreamRunner();
   StreamRunner(const StreamRunner&) = delete;
@@ -123,7 +124,7 @@
   std::function<void()> m_on_over;
 
   // Keeps the request counted against its customer's limits.
-  std::shared_ptr<const void> m_admission;
+  std::shared_ptr<AdmissionLease> m_lease;
 
   // Engine of the current or last attempt.
   std::string m_engine;
@@ -132,6 +133,8 @@
   AttemptLoss m_last_loss = AttemptLoss::kRefused;
   int m_retry_after_s = 1;
   bool m_is_counted_open = false;
+  // The next attempt was granted by the retry budget already.
+  bool m_has_budget = false;
   // Engines that this stream has lost, the latest last.
   std::vector<std::string> m_lost_engines;
   TimePoint m_request_time;
--- a/src/stream_service.cc
+++ b/src/stream_service.cc
@@ -52,14 +52,13 @@
 
 void StreamService::Create(GenerationRequest request,
                            std::shared_ptr<HttpResponder> responder,
-                           std::shared_ptr<const void> admission) {
+                           std::shared_ptr<AdmissionLease> lease) {
   StreamStart start;
   start.generation = m_environment.random();
   const uint64_t generation = start.generation;
-  Add(std::make_unique<StreamRunner>(&m_environment, std::move(request),
-                                     std::move(start), std::nullopt,
-                                     std::move(responder), std::move(admission),
-                                     MakeOverCallback(generation)));
+  Add(std::make_unique<StreamRunner>(
+      &m_environment, std::move(request), std::move(start), std::nullopt,
+      std::move(responder), std::move(lease), MakeOverCallback(generation)));
 }
 
 void StreamService::Resume(GenerationRequest request,
--- a/src/stream_service.h
+++ b/src/stream_service.h
@@ -19,6 +19,7 @@
 
 namespace bramleybank {
 
+class AdmissionLease;
 class HttpResponder;
 
 /// What another daemon holds of a stream.
@@ -58,10 +59,10 @@
   StreamService& operator=(const StreamService&) = delete;
 
   /// Starts a generation.
-  /// @param admission kept until the stream is over.
+  /// @param lease kept until the stream is over.
   void Create(GenerationRequest request,
               std::shared_ptr<HttpResponder> responder,
-              std::shared_ptr<const void> admission);
+              std::shared_ptr<AdmissionLease> lease);
   /// Goes on after the position in the cursor.
   void Resume(GenerationRequest request,
               const StreamCursor& cursor,
