Run no server after its end

Cause: the destructor of HttpServer aborts open exchanges, which posts a run of the library; the loop then ran it on freed memory. The platform stand-in crashed when it was told to refuse connections while a request was open. Change: a posted run checks that the server still exists. Conclusion: a server can be closed with open exchanges; the test "a write counts as not written only if that is certain" crashes the stand-in without the change.

--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -113,6 +113,9 @@
   TimerHandle timeout_timer;
   TimerHandle close_check_timer;
   std::unordered_set<Exchange*> exchanges;
+  // Expires with the server; a posted run must not outlive it. Aborting open
+  // exchanges in the destructor posts one.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 /// One request and its answer; lives until the library reports the end of the
@@ -481,7 +484,10 @@
   if (std::exchange(pump_posted, true)) {
     return;
   }
-  loop->Post([this] {
+  loop->Post([this, weak = std::weak_ptr<bool>(alive)] {
+    if (weak.expired()) {
+      return;
+    }
     pump_posted = false;
     Pump();
   });
