--- a/src/platform_http_table.h
+++ b/src/platform_http_table.h
@@ -19,7 +19,7 @@
 struct HttpOutcome;
 
 /// PlatformTable that speaks the protocol of section 9.1 of the design page.
-/// Requests end after kPlatformTimeout.
+/// Requests end after kPlatformTimeout. Keys and values must be UTF-8.
 class PlatformHttpTable : public PlatformTable {
  public:
   /// @param base_url `http://ip:port` of the platform.
--- a/tests/process_calls.cc
+++ b/tests/process_calls.cc
@@ -308,23 +308,28 @@
 
 TEST_CASE_FIXTURE(Deployment, "a claimant paused before dispatch") {
   const Daemon other(12);
-  const Daemon daemon(11,
-                      {.step = CallStep::kClaimAnswered, .signal = SIGSTOP});
-  auto paused = daemon.BookLater("k1");
-  daemon.WaitStopped();
-  auto waiting = other.BookLater("k1");
-  std::this_thread::sleep_for(kCallClaimTimeout);
-  daemon.Continue();
-  CheckRefusal(paused.get(), "call_given_up", "not_run");
-  daemon.WaitNoOpenCalls();
-  // The other daemon waited for the claim and takes it over once released, or
-  // had given up waiting.
-  const HttpAnswer answer = waiting.get();
-  if (answer.status != 201) {
-    CheckRefusal(answer, "outcome_unknown", "unknown");
-    CHECK(other.Book("k1").status == 201);
+  const std::chrono::milliseconds longest = kWaitTimeout + kCallClaimTimeout;
+  for (const std::chrono::milliseconds pause : {kCallClaimTimeout, longest}) {
+    const std::string key = "pause" + std::to_string(pause.count());
+    CAPTURE(key);
+    const Daemon daemon(11,
+                        {.step = CallStep::kClaimAnswered, .signal = SIGSTOP});
+    auto paused = daemon.BookLater(key);
+    daemon.WaitStopped();
+    auto waiting = other.BookLater(key);
+    std::this_thread::sleep_for(pause);
+    daemon.Continue();
+    CheckRefusal(paused.get(), "call_given_up", "not_run");
+    daemon.WaitNoOpenCalls();
+    // The other daemon takes the claim over once it is released, unless it
+    // has given up waiting.
+    const HttpAnswer answer = waiting.get();
+    if (answer.status != 201) {
+      CheckRefusal(answer, "outcome_unknown", "unknown");
+      CHECK(other.Book(key).status == 201);
+    }
+    CHECK(Runs(key) == 1);
   }
-  CHECK(Runs("k1") == 1);
 }
 
 TEST_CASE_FIXTURE(Deployment, "two daemons get the same key at once") {
@@ -436,6 +441,27 @@
   CHECK(Runs("k1") == 1);
 }
 
+TEST_CASE_FIXTURE(Deployment, "the caller leaves while it waits for a claim") {
+  {
+    const Daemon lost(12, {.step = CallStep::kClaimAnswered});
+    lost.Book("k1");
+  }
+  const Daemon daemon(11);
+  {
+    StreamReader caller(
+        daemon.Url("/svc/desk/bookings"),
+        {{"Idempotency-Key", "k1"}, {"X-Customer", "household 7"}}, "pan");
+    WaitUntil("the call",
+              [&] { return Send("GET", daemon.Url("/open")).body == "1"; });
+  }
+  daemon.WaitNoOpenCalls();
+  // The wait ended with the caller and not at its limit.
+  CHECK(MetricValue(daemon.Url("/metrics"),
+                    "bramleybank_refusals_total{reason=\"outcome_unknown\"}") ==
+        0);
+  CHECK(Runs("k1") == 0);
+}
+
 TEST_CASE_FIXTURE(Deployment, "an answer is lost after the request was sent") {
   const Daemon daemon(11);
   size_t requests = 0;
--- a/tests/unit_call_machine.cc
+++ b/tests/unit_call_machine.cc
@@ -181,6 +181,19 @@
   CHECK(Find(actions, Kind::kWriteRow)->expected_version == 4);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a table that fails while another claim is known") {
+  machine.Start();
+  machine.OnWriteResult(kUnknownWrite);
+  machine.OnReadResult(Found(Row(CallRowState::kClaimed, "other"), 1));
+  machine.OnTimer(CallTimer::kBackoff);
+  // The other claimant may run the call, so not_run would be wrong.
+  CHECK(Find(machine.OnReadResult(kUnavailableRead), Kind::kRefuse) == nullptr);
+  now += kCallWaitTimeout;
+  machine.OnTimer(CallTimer::kBackoff);
+  CheckRefused(machine.OnReadResult(kUnavailableRead),
+               ResultCode::kOutcomeUnknown, RefusalOutcome::kUnknown);
+}
+
 TEST_CASE_FIXTURE(Fixture, "after a pause the call is not dispatched") {
   machine.Start();
   now += kCallClaimTimeout;
