Shorten the fault proxy

Change: settings and faults in one file, one receive path for datagrams of both ways, one end-of-connection path; addresses of a pair are separate keys.

--- a/tests/process_fault_proxy.cc
+++ b/tests/process_fault_proxy.cc
@@ -78,9 +78,10 @@
  public:
   Setup()
       : m_proxy("fault_proxy",
-                "[control]\nip=" + LoopbackIp(1) + "\n[pairs]\nnames=a\n[a]\n" +
-                    "listen=" + LoopbackIp(2) +
-                    ":9000\ntarget=" + LoopbackIp(3) + ":9000\n"),
+                "[control]\nip=" + LoopbackIp(1) +
+                    "\n[pairs]\nnames=a\n[a]\nport=9000\ntarget_port=9000\n" +
+                    "ip=" + LoopbackIp(2) + "\ntarget_ip=" + LoopbackIp(3) +
+                    "\n"),
         m_listener(socket(AF_INET, SOCK_STREAM, 0)),
         m_udp(socket(AF_INET, SOCK_DGRAM, 0)) {
     m_listener.Bind(Address(LoopbackIp(3), 9000));
--- a/tools/fault_proxy.cc
+++ b/tools/fault_proxy.cc
@@ -1,6 +1,6 @@
 // Proxy between any two processes that injects faults into TCP and UDP.
-// POST /control `{"pair": "<name>" (all without it), "reset_all": bool, and the
-// fields of ApplyProxyFaults()}`; GET /stats.
+// POST /control `{"pair": "<name>" (all without it), and the fields of
+// ProxyPairServer::Control()}`; GET /stats.
 #include <cerrno>
 #include <csignal>
 #include <cstring>
@@ -12,9 +12,8 @@
 
 #include "config_ini_reader.h"
 #include "event_loop.h"
-#include "fault_proxy_faults.h"
+#include "fault_proxy_config.h"
 #include "fault_proxy_pair.h"
-#include "fault_proxy_settings.h"
 #include "http_request.h"
 #include "http_responder.h"
 #include "http_server.h"
@@ -27,7 +26,7 @@
 using nlohmann::json;
 using Pairs = std::vector<std::unique_ptr<ProxyPairServer>>;
 
-/// @returns what is wrong, or nothing when the message was applied.
+/// @returns what is wrong, or an empty text.
 std::string Control(const json& message, const Pairs& pairs) {
   std::string error = "no such pair";
   const bool named = message.is_object() && message.contains("pair");
@@ -35,15 +34,10 @@
     if (named && message["pair"] != pair->name()) {
       continue;
     }
-    ProxyFaults faults = pair->faults();
-    if (!ApplyProxyFaults(message, &faults, &error)) {
+    error = pair->Control(message);
+    if (!error.empty()) {
       return error;
     }
-    pair->SetFaults(faults);
-    if (message.contains("reset_all") && message["reset_all"] == true) {
-      pair->ResetAll();
-    }
-    error.clear();
   }
   return error;
 }
@@ -88,7 +82,7 @@
     }
   }
   HttpServer server(&loop, HttpServerOptions());
-  if (!server.Start(settings.control_ip, settings.control_port,
+  if (!server.Start(settings.ip, settings.port,
                     [&](const HttpRequest& request,
                         const std::shared_ptr<HttpResponder>& responder) {
                       Handle(request, responder.get(), pairs);
--- a/tools/fault_proxy_connection.h
+++ b/tools/fault_proxy_connection.h
@@ -10,36 +10,31 @@
 #include <string>
 
 #include "bramleybank/handle.h"
-#include "fault_proxy_faults.h"
-#include "hooks.h"
+#include "fault_proxy_config.h"
 
 namespace bramleybank {
 
 class EventLoop;
 
-/// Figures of one pair, indexed by ProxyWay.
-struct ProxyFigures {
+/// What the connections of a pair share with it.
+struct ProxyShared {
+  EventLoop* loop = nullptr;
+  RandomHook random;
+  ProxyFaults faults{};
+  /// Bytes forwarded each way.
   std::array<uint64_t, 2> tcp_bytes{};
-  std::array<uint64_t, 2> udp_bytes{};
-  uint64_t connections = 0;
-  uint64_t datagrams_dropped = 0;
+
+  /// @returns the delay of something forwarded now.
+  Duration DrawDelay() const;
 };
 
 /// Forwards bytes between a client and a target under the pair's faults.
 class ProxyConnection {
  public:
-  /// What a connection shares with its pair; outlives the connection.
-  struct Shared {
-    EventLoop* loop = nullptr;
-    const ProxyFaults* faults = nullptr;
-    ProxyFigures* figures = nullptr;
-    RandomHook random;
-  };
-
   /// Takes over both sockets; the target's may still be connecting. A target
   /// of -1 leaves the connection half open.
-  /// @param on_end called once, not from the constructor; destroy then.
-  ProxyConnection(const Shared* shared,
+  /// @param on_end called once from the event loop; destroys the object.
+  ProxyConnection(ProxyShared* shared,
                   int client_fd,
                   int target_fd,
                   std::function<void()> on_end);
@@ -49,15 +44,14 @@
 
   /// Ends the connection with a TCP reset on both sides.
   void Reset();
-  /// Goes on after the pair's faults have changed.
-  void OnFaultsChanged();
+  /// Forwards what is due; called after the faults have changed.
+  void Pump(size_t way);
 
  private:
+  /// Bytes, or without any the end of the stream.
   struct Part {
     TimePoint due;
     std::string bytes;
-    // End of the stream; without bytes.
-    bool is_end = false;
   };
   struct Pipe {
     std::deque<Part> parts;
@@ -67,19 +61,18 @@
     // When the link has carried what it was given, at limited bandwidth.
     TimePoint busy_until;
     TimerHandle timer;
-    bool read_end = false;
-    bool blocked = false;
+    bool has_ended = false;
+    bool is_blocked = false;
   };
 
-  void OnReady(size_t side, bool readable);
   void Read(size_t side);
-  void Queue(Pipe* pipe, std::string bytes, bool is_end);
-  void Pump(size_t way);
+  void Queue(size_t way, std::string bytes);
+  /// @returns whether the next part may be sent.
   bool SendFront(size_t way);
-  void UpdateWatch(size_t side);
+  void UpdateWatches();
   void End();
 
-  const Shared* m_shared;
+  ProxyShared* m_shared;
   // Client and target; way w leads from side w to side 1 - w.
   std::array<int, 2> m_fds;
   std::array<Pipe, 2> m_pipes;
