Stop the event loop from spinning before each timer

The reactor cuts a wait off to whole milliseconds, the unit of epoll_wait(), so the loop polled with 0 ms for the last part of a millisecond before every timer. With one timer every 190 us (160 streams of 33 tokens/s) a thread used a whole core.

The price is that timers run up to 1 ms late.

--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -34,8 +34,18 @@
   return std::min<size_t>(kMaxDescriptors, limit.rlim_max);
 }
 
+/// Rounds up to milliseconds, the unit of epoll_wait(). The reactor cuts off
+/// the rest, so the loop would spin for the last part of a millisecond before
+/// each timer.
 ACE_Time_Value ToAceTime(Duration duration) {
-  const auto micros = duration.count();
+  // The reactor first subtracts the time that it has used itself; without the
+  // slack, one microsecond of it would cost a whole millisecond of the wait.
+  constexpr Duration kSlack{900};
+  const Duration rounded =
+      duration.count() > 0
+          ? std::chrono::ceil<std::chrono::milliseconds>(duration) + kSlack
+          : Duration{0};
+  const auto micros = rounded.count();
   return ACE_Time_Value(static_cast<time_t>(micros / 1000000),
                         static_cast<suseconds_t>(micros % 1000000));
 }
--- a/tests/unit_event_loop.cc
+++ b/tests/unit_event_loop.cc
@@ -1,4 +1,5 @@
-// Guards against an event loop that cannot start under a low descriptor limit.
+// Guards against an event loop that cannot start under a low descriptor limit,
+// and against one that spins.
 #include <doctest/doctest.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -28,5 +29,14 @@
   CHECK(status == 0);
 }
 
+TEST_CASE("the loop sleeps until a timer that is less than 1 ms away") {
+  // A wait that is cut off to 0 ms returns before the timer is due.
+  EventLoop loop;
+  bool fired = false;
+  loop.Schedule(Duration(900), [&] { fired = true; });
+  loop.RunOnce(std::chrono::seconds(1));
+  CHECK(fired);
+}
+
 }  // namespace
 }  // namespace bramleybank
