Let every daemon find out about a large loss by itself

When a third of 380 members was cut off, 20 s sufficed for most, but a few daemons still held one to three of the lost members live after 240 s (trial on a scratch copy). They had missed the suspicion, and a death that is older than 10 s changes nothing by hearsay; they had to wait for their own round of probes.

A member that others hold dead for long is now probed next. Suspect and dead members get only the claim that they must refute, no other news, which used up transmissions and bytes for nothing.

--- a/src/member_protocol.cc
+++ b/src/member_protocol.cc
@@ -176,6 +176,7 @@
       m_table.Merge(news.info, news.age, SuspicionTime() / 2, now);
   if (merge.accused) {
     Accuse(news.info.peer, news);
+    ProbeNext(news.info.peer);
   }
   ApplyMerge(news.info.peer, merge, was_gone);
 }
@@ -331,6 +332,11 @@
   }
 }
 
+void MemberProtocol::ProbeNext(const std::string& peer) {
+  std::erase(m_round, peer);
+  m_round.push_back(peer);
+}
+
 void MemberProtocol::SendIndirect(TimePoint now) {
   for (const std::string& relay : RandomLive(kIndirectProbes, m_probe.peer())) {
     Send(relay, kPingRequest, m_probe.sequence(), m_probe.peer(), now);
--- a/src/member_protocol.h
+++ b/src/member_protocol.h
@@ -113,6 +113,9 @@
 
   void TickProbe(TimePoint now);
   void StartProbe(TimePoint now);
+  /// Moves a member to the front of the round. Who has missed the news of a
+  /// death finds out by itself, long before its round comes to that member.
+  void ProbeNext(const std::string& peer);
   void SendIndirect(TimePoint now);
   void OnProbeFailed(TimePoint now);
   void TickSuspicions(TimePoint now);
--- a/src/member_sender.cc
+++ b/src/member_sender.cc
@@ -42,12 +42,14 @@
     writer.Add(*send.claim);
   } else if (accused) {
     Write(send.to, &writer, now);
+  } else {
+    // Only members that are taken for alive get other news: transmissions to
+    // dead ones would use up the count, and the bytes, of the news.
+    m_queue.Take(TransmissionLimit(),
+                 [&](const MemberGossipQueue::Subject& subject) {
+                   return Write(subject, &writer, now);
+                 });
   }
-  m_queue.Take(
-      TransmissionLimit(), [&](const MemberGossipQueue::Subject& subject) {
-        return (accused && subject == MemberGossipQueue::Subject(send.to)) ||
-               Write(subject, &writer, now);
-      });
   Emit(send.to, writer);
 }
 
--- a/tests/unit_member_message.cc
+++ b/tests/unit_member_message.cc
@@ -52,6 +52,15 @@
   CHECK(writer.Finish().size() <= 400);
 }
 
+TEST_CASE("a datagram above the size limit is malformed") {
+  MemberMessageWriter writer(kHeader, {}, 2 * kMaxMemberDatagramBytes);
+  while (writer.Add(MemberNews{kMember, {}})) {
+  }
+  MemberMessage read;
+  CHECK(DecodeMemberMessage(writer.Finish(), &read) ==
+        MemberDecodeResult::kMalformed);
+}
+
 // What a later release may send: more fields everywhere, a state and a kind
 // that this one does not know.
 std::string LaterDatagram(uint32_t lowest_reader) {
--- a/tests/unit_member_parts.cc
+++ b/tests/unit_member_parts.cc
@@ -16,6 +16,11 @@
 using Step = MemberProbe::Step;
 
 TEST_CASE("timeouts grow when most members do not answer, not when one does") {
+  MemberHealth fresh;
+  fresh.OnProbe(false);
+  fresh.OnProbe(false);
+  // Two results say nothing about the group.
+  CHECK(fresh.multiplier() == 1);
   MemberHealth health;
   for (int i = 0; i < 20; ++i) {
     health.OnProbe(i % 3 != 0);
--- a/tests/unit_member_protocol_rules.cc
+++ b/tests/unit_member_protocol_rules.cc
@@ -102,6 +102,36 @@
   CHECK(lone.Accuses(alive.peer));
 }
 
+TEST_CASE("a member that others hold dead for long is probed next") {
+  Lone lone;
+  lone.Meet(40);
+  const MemberInfo dead = Lone::Other(Lone::Peer(3), MemberState::kDead);
+  lone.Receive(Lone::Other(Lone::Peer(4), MemberState::kAlive),
+               {{dead, minutes(1)}});
+  const auto sent = lone.Run(50);
+  CHECK(std::ranges::any_of(sent, [&](const auto& datagram) {
+    const MemberHeader& header = datagram.second.header;
+    return datagram.first == dead.peer && header.sequence > 0 &&
+           header.kind == MemberMessageKind::kPing;
+  }));
+}
+
+TEST_CASE("a suspect gets no other news") {
+  Lone lone;
+  lone.Meet(40);
+  const MemberInfo suspect = Lone::Other(Lone::Peer(3), MemberState::kSuspect);
+  lone.Receive(Lone::Other(Lone::Peer(4), MemberState::kAlive),
+               {{suspect, {}}});
+  size_t datagrams = 0;
+  for (const auto& [to, message] : lone.Run(100)) {
+    if (to == suspect.peer && message.header.kind == MemberMessageKind::kPing) {
+      ++datagrams;
+      CHECK(message.members.size() == 1);
+    }
+  }
+  CHECK(datagrams > 0);
+}
+
 TEST_CASE("a member that is dead here and sends news is told so") {
   Lone lone;
   const MemberInfo from = Lone::Other("10.0.0.2:1", MemberState::kAlive);
