--- a/tests/process_peer_link.cc
+++ b/tests/process_peer_link.cc
@@ -11,6 +11,7 @@
 #include <cstring>
 #include <deque>
 #include <map>
+#include <thread>
 
 #include "event_loop.h"
 #include "peer_client.h"
@@ -196,6 +197,17 @@
   CHECK(WaitReply() == PeerReply{PeerStatus::kOk, 200, "long"});
 }
 
+TEST_CASE_FIXTURE(LinkFixture, "a pause of this process loses no connection") {
+  StartServer();
+  Call("/held");
+  RunUntil("the call", [&] { return held.size() == 1; });
+  // Both ends are held up, so the silence is nobody's fault.
+  std::this_thread::sleep_for(kPeerSilenceTimeout + kPeerPingDelay);
+  loop.RunOnce(Duration(0));
+  held[0](200, "after the pause");
+  CHECK(WaitReply().status == PeerStatus::kOk);
+}
+
 TEST_CASE_FIXTURE(LinkFixture, "a call without an answer times out alone") {
   StartServer();
   Call("/held", {}, std::chrono::milliseconds(30));
