Let an engine say itself that it is leaving

Cause: an endpoint about to stop was known only from a configuration change. Change: the load report may say leaving; the daemon that polls it spreads a notice. Process tests for it and for engines that exit at the first and last token.

--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -53,7 +53,10 @@
             loop,
             &client,
             [this] { return random_engine(); },
-            &director),
+            &director,
+            [this](const std::string& address, bool leaving) {
+              cluster->PublishLeaving(address, leaving);
+            }),
         objects(&client, settings.platform_url),
         calls(loop, &client, &table, &objects, &metrics, MakeCallOptions()),
         caller_server(loop, HttpServerOptions{}),
--- a/src/route_load_poller.cc
+++ b/src/route_load_poller.cc
@@ -14,18 +14,26 @@
 
 using nlohmann::json;
 
-std::optional<LoadReport> ParseReport(const HttpOutcome& outcome) {
+/// An answer to `GET /load`.
+struct EngineReport {
+  LoadReport load;
+  bool leaving = false;
+};
+
+std::optional<EngineReport> ParseReport(const HttpOutcome& outcome) {
   if (!outcome.complete || outcome.status != 200) {
     return std::nullopt;
   }
   try {
     const json value = json::parse(outcome.body);
-    LoadReport report;
-    report.running = value.at("running").get<uint32_t>();
-    report.waiting = value.at("waiting").get<uint32_t>();
-    report.slots = value.at("slots").get<uint32_t>();
-    report.tokens_per_s = value.at("tokens_per_s").get<double>();
-    report.age = std::chrono::milliseconds(value.value("age_ms", int64_t{0}));
+    EngineReport report;
+    LoadReport& load = report.load;
+    load.running = value.at("running").get<uint32_t>();
+    load.waiting = value.at("waiting").get<uint32_t>();
+    load.slots = value.at("slots").get<uint32_t>();
+    load.tokens_per_s = value.at("tokens_per_s").get<double>();
+    load.age = std::chrono::milliseconds(value.value("age_ms", int64_t{0}));
+    report.leaving = value.value("leaving", false);
     return report;
   } catch (const json::exception&) {
     return std::nullopt;
@@ -37,11 +45,13 @@
 RouteLoadPoller::RouteLoadPoller(EventLoop* loop,
                                  HttpClient* client,
                                  RandomHook random,
-                                 RouteDirector* director)
+                                 RouteDirector* director,
+                                 LeavingHook on_leaving)
     : m_loop(loop),
       m_client(client),
       m_random(std::move(random)),
-      m_director(director) {}
+      m_director(director),
+      m_on_leaving(std::move(on_leaving)) {}
 
 RouteLoadPoller::~RouteLoadPoller() {
   m_loop->Cancel(m_timer);
@@ -74,7 +84,25 @@
 
 void RouteLoadPoller::OnAnswer(const std::string& address,
                                const HttpOutcome& outcome) {
-  m_director->OnLoadReport(address, ParseReport(outcome));
+  const auto report = ParseReport(outcome);
+  if (!report) {
+    m_director->OnLoadReport(address, std::nullopt);
+    return;
+  }
+  m_director->OnLoadReport(address, report->load);
+  NoteLeaving(address, report->leaving);
+}
+
+void RouteLoadPoller::NoteLeaving(const std::string& address, bool leaving) {
+  if (leaving == m_leaving.contains(address)) {
+    return;
+  }
+  if (leaving) {
+    m_leaving.insert(address);
+  } else {
+    m_leaving.erase(address);
+  }
+  m_on_leaving(address, leaving);
 }
 
 }  // namespace bramleybank
--- a/src/route_load_poller.h
+++ b/src/route_load_poller.h
@@ -2,6 +2,8 @@
 #ifndef BRAMLEYBANK_SRC_ROUTE_LOAD_POLLER_H_
 #define BRAMLEYBANK_SRC_ROUTE_LOAD_POLLER_H_
 
+#include <functional>
+#include <set>
 #include <string>
 
 #include "bramleybank/handle.h"
@@ -18,10 +20,15 @@
 /// over the interval so that the polls of one daemon make no burst.
 class RouteLoadPoller {
  public:
+  /// Called when an engine says of itself that it is leaving, or no longer.
+  using LeavingHook =
+      std::function<void(const std::string& address, bool leaving)>;
+
   RouteLoadPoller(EventLoop* loop,
                   HttpClient* client,
                   RandomHook random,
-                  RouteDirector* director);
+                  RouteDirector* director,
+                  LeavingHook on_leaving);
   ~RouteLoadPoller();
   RouteLoadPoller(const RouteLoadPoller&) = delete;
   RouteLoadPoller& operator=(const RouteLoadPoller&) = delete;
@@ -32,11 +39,15 @@
   void PollAll();
   void Poll(const std::string& address);
   void OnAnswer(const std::string& address, const HttpOutcome& outcome);
+  void NoteLeaving(const std::string& address, bool leaving);
 
   EventLoop* m_loop;
   HttpClient* m_client;
   RandomHook m_random;
   RouteDirector* m_director;
+  LeavingHook m_on_leaving;
+  // Engines that said so in their last answer.
+  std::set<std::string> m_leaving;
   TimerHandle m_timer;
 };
 
--- a/tests/process_recovery.cc
+++ b/tests/process_recovery.cc
@@ -230,6 +230,24 @@
   CHECK(deployment.daemon(0).WaitExit() == 0);
 }
 
+TEST_CASE("an engine that says it is leaving gets no new work anywhere") {
+  Deployment deployment({});
+  deployment.WaitMembers();
+  Deployment::Control(deployment.engine_url(0), R"({"leaving":true})");
+  for (int i = 0; i < deployment.daemon_count(); ++i) {
+    WaitUntil("the notice to reach every daemon", [&] {
+      return Send("GET", deployment.operator_url(i) + "/status")
+                 .body.find("endpoint_leaving") != std::string::npos;
+    });
+  }
+  for (int i = 0; i < 30; ++i) {
+    const CallerResult result =
+        RunCaller(deployment, {.max_tokens = 3, .first_daemon = i % 3});
+    CheckWhole(result, 3);
+    CHECK(deployment.engine_of(result.event_ids.back()) != 0);
+  }
+}
+
 TEST_CASE("a leaving engine gets no new work") {
   Deployment deployment({});
   deployment.WaitMembers();
--- a/tests/process_streams.cc
+++ b/tests/process_streams.cc
@@ -4,6 +4,7 @@
 
 #include <set>
 #include <string>
+#include <utility>
 
 #include "process_deployment.h"
 
@@ -54,6 +55,38 @@
   CHECK(deployment.engine_of(result.event_ids.back()) != killed);
 }
 
+TEST_CASE("an engine that exits at the first or last token is replaced") {
+  Deployment deployment({});
+  for (const int token : {1, 40}) {
+    CAPTURE(token);
+    for (int i = 0; i < deployment.engine_count(); ++i) {
+      Deployment::Control(deployment.engine_url(i),
+                          R"({"clear":true,"stream_fault":"exit","token":)" +
+                              std::to_string(token) + "}");
+    }
+    // The first engine takes its process down; the next one must not.
+    CallerOptions options;
+    bool cleared = false;
+    options.on_token = [&](const CallerResult& result) {
+      if (!std::exchange(cleared, true)) {
+        for (int i = 0; i < deployment.engine_count(); ++i) {
+          if (i != deployment.engine_of(result.event_ids.back()) &&
+              deployment.engine(i).is_running()) {
+            Deployment::Control(deployment.engine_url(i), R"({"clear":true})");
+          }
+        }
+      }
+    };
+    CheckWhole(RunCaller(deployment, options), 40);
+    for (int i = 0; i < deployment.engine_count(); ++i) {
+      if (!deployment.engine(i).is_running()) {
+        deployment.StartEngine(i);
+        WaitReady(deployment.engine_url(i) + "/healthz");
+      }
+    }
+  }
+}
+
 TEST_CASE("faults of an engine's output do not reach the caller") {
   Deployment deployment({});
   for (const std::string fault :
--- a/tests/unit_event_loop.cc
+++ b/tests/unit_event_loop.cc
@@ -1,8 +1,11 @@
-// Guards against a loop that spins while a timer is not yet due, and against
-// timers that fire late, twice or after their cancellation.
+// Guards against a loop that cannot start under a low limit of descriptors,
+// that spins while a timer is not yet due, and against timers that fire late,
+// twice or after their cancellation.
 #include <doctest/doctest.h>
 
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
@@ -14,19 +17,41 @@
 
 constexpr Duration kMaxWait = std::chrono::milliseconds(50);
 
+TEST_CASE("the loop starts whatever the hard limit of descriptors") {
+  // In a process of its own, because a hard limit cannot be raised again.
+  const pid_t child = fork();
+  REQUIRE(child >= 0);
+  if (child == 0) {
+    const rlimit low{.rlim_cur = 64, .rlim_max = 256};
+    bool ran = false;
+    if (setrlimit(RLIMIT_NOFILE, &low) == 0) {
+      EventLoop loop;
+      loop.Post([&] { ran = true; });
+      loop.RunOnce(Duration(0));
+    }
+    _exit(ran ? 0 : 1);
+  }
+  int status = -1;
+  REQUIRE(waitpid(child, &status, 0) == child);
+  CHECK(status == 0);
+}
+
 TEST_CASE("waiting for a timer does not spin") {
-  EventLoop loop;
-  // 900 us: epoll counts in milliseconds, so a wait rounded down is zero.
-  for (int round = 0; round < 20; ++round) {
-    bool fired = false;
-    loop.Schedule(std::chrono::microseconds(900), [&] { fired = true; });
-    int turns = 0;
-    while (!fired) {
-      loop.RunOnce(kMaxWait);
-      ++turns;
+  // epoll counts in milliseconds, so a wait rounded down polls for its last
+  // part: 900 us use the timerfd, 5,900 us the reactor's own wait.
+  for (const Duration delay : {Duration{900}, Duration{5900}}) {
+    EventLoop loop;
+    for (int round = 0; round < 20; ++round) {
+      bool fired = false;
+      loop.Schedule(delay, [&] { fired = true; });
+      int turns = 0;
+      while (!fired) {
+        loop.RunOnce(kMaxWait);
+        ++turns;
+      }
+      // One turn may end on a rounding of the clock.
+      CHECK(turns <= 2);
     }
-    // One turn may end on a rounding of the clock.
-    CHECK(turns <= 2);
   }
 }
 
--- a/tools/standin_engine_core.cc
+++ b/tools/standin_engine_core.cc
@@ -336,12 +336,11 @@
 
 nlohmann::json EngineCore::Load() const {
   const LoadReport report = m_load.Report(m_loop->Now());
-  return {{"running", report.running},
-          {"waiting", report.waiting},
-          {"tokens_per_s", report.tokens_per_s},
-          {"slots", m_settings.slots},
-          {"versions", {m_settings.version}},
-          {"age_ms", report.age.count() / 1000}};
+  return {
+      {"running", report.running},           {"waiting", report.waiting},
+      {"tokens_per_s", report.tokens_per_s}, {"slots", m_settings.slots},
+      {"versions", {m_settings.version}},    {"leaving", m_faults.is_leaving()},
+      {"age_ms", report.age.count() / 1000}};
 }
 
 nlohmann::json EngineCore::CacheEvents(uint64_t after) const {
--- a/tools/standin_engine_faults.cc
+++ b/tools/standin_engine_faults.cc
@@ -36,6 +36,7 @@
       *this = EngineFaults();
     }
     m_keep_old_readers = control.value("keep_old_readers", m_keep_old_readers);
+    m_is_leaving = control.value("leaving", m_is_leaving);
     if (control.contains("stream_fault") && !AddStreamFault(control)) {
       *error = "unknown stream_fault";
       return false;
--- a/tools/standin_engine_faults.h
+++ b/tools/standin_engine_faults.h
@@ -62,6 +62,7 @@
 ///     requests (-1), "route" marker in the prompt (any), "factor" (slow, 10),
 ///     "token" (wrong_tokens, 32)
 ///   "keep_old_readers": bool; a replaced attempt goes on sending
+///   "leaving": bool; load reports say that the engine is about to stop
 ///   "clear": true; ends all faults
 class EngineFaults {
  public:
@@ -79,6 +80,7 @@
                           TimePoint now);
 
   bool keeps_old_readers() const { return m_keep_old_readers; }
+  bool is_leaving() const { return m_is_leaving; }
 
  private:
   enum class VersionFaultKind { kFail, kSlow, kWrongTokens };
@@ -106,6 +108,7 @@
   std::vector<PendingStreamFault> m_stream_faults;
   std::vector<VersionFault> m_version_faults;
   bool m_keep_old_readers = false;
+  bool m_is_leaving = false;
 };
 
 }  // namespace bramleybank
