Bound the buffer and the idle limit of forwarded answers

Cause: found on review: an answer with both a length and a transfer coding was buffered without a bound, and output that drained after the end of a transfer restarted its idle limit. Change: such an answer streams; the end of a transfer ends its pause. The service stand-in cannot send such an answer, so no test shows it.

--- a/src/call_forward.cc
+++ b/src/call_forward.cc
@@ -26,8 +26,9 @@
   if (method == "HEAD" || status == 204 || status == 304) {
     return true;
   }
+  // A length beside a transfer coding says nothing about the body.
   const auto length = FindHeader(headers, "Content-Length");
-  return length &&
+  return length && !FindHeader(headers, "Transfer-Encoding") &&
          std::strtoull(length->c_str(), nullptr, 10) <= kMaxInlineResultBytes;
 }
 
@@ -142,6 +143,8 @@
 
 void CallForward::OnDone(const HttpOutcome& outcome) {
   m_transfer = TransferHandle();
+  // Output that drains later restarts neither the transfer nor its limit.
+  m_paused = false;
   m_context->loop->Cancel(std::exchange(m_idle_timer, TimerHandle()));
   Report(outcome.complete);
   if (!outcome.complete) {
