Say what not_run means while the table is down

Cause: a repeated call is refused with not_run while the platform's table is down, although an earlier request with the same key may have run; a caller that took a new key then would run the call twice. Conclusion: the refusal stays true of the request; the advice keeps the promise.

--- a/src/result_code.cc
+++ b/src/result_code.cc
@@ -59,7 +59,8 @@
     {kCallGivenUp, "call_given_up", 503,
      "The call was given up before it was sent."},
     {kPlatformDown, "platform_down", 503,
-     "The platform's table cannot be reached."},
+     "The platform's table cannot be reached. This request was not sent; one "
+     "sent earlier with the same key may have run, so repeat with that key."},
     {kPlatformConflict, "platform_conflict", 409,
      "A conditional write found another version."},
     {kPlatformAnswerLost, "platform_answer_lost", 503,
