Keep the tokens of a stream packed and repeat a lost refusal

Cause: each token took a std::string of 32 bytes in the session, beside the packed list of the copy; a caller that came back after the refusal of its stream was lost with its connection got no answer. Change: the session, the copies and the engine's request share StreamTokenList; a stream that was given up repeats its refusal to a returning caller.

--- a/src/stream_copy_link.cc
+++ b/src/stream_copy_link.cc
@@ -26,30 +26,13 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpBadRequest = 400;
 
-std::vector<std::string> ToStrings(const StreamTokenList& tokens) {
-  std::vector<std::string> texts;
-  texts.reserve(tokens.size());
-  for (size_t i = 0; i < tokens.size(); ++i) {
-    texts.emplace_back(tokens[i]);
-  }
-  return texts;
-}
-
-StreamTokenList ToTokenList(const std::vector<std::string>& texts) {
-  StreamTokenList tokens;
-  for (const std::string& text : texts) {
-    tokens.Append(text);
-  }
-  return tokens;
-}
-
 HeldStream ToHeld(const CopyClaimReply& reply, const std::string& holder) {
   return {.attempt = reply.attempt,
           .version = reply.identity.version,
           .adapter = reply.identity.adapter,
           .engine = reply.identity.engine,
           .copy_holder = holder,
-          .tokens = ToStrings(reply.tokens)};
+          .tokens = reply.tokens};
 }
 
 }  // namespace
@@ -141,7 +124,7 @@
 
 void StreamCopyLink::Connect(StreamEnvironment* environment) {
   environment->open_copy = [this](const StreamCopyInfo& info,
-                                  const std::vector<std::string>& tokens) {
+                                  const StreamTokenList& tokens) {
     return Open(info, tokens);
   };
   environment->update_copy = [this](const StreamCopyInfo& info) {
@@ -163,7 +146,7 @@
 }
 
 bool StreamCopyLink::Open(const StreamCopyInfo& info,
-                          const std::vector<std::string>& tokens) {
+                          const StreamTokenList& tokens) {
   CopiedStream stream;
   stream.generation = info.generation;
   stream.attempt = info.attempt;
@@ -172,7 +155,7 @@
                      .version = info.version,
                      .adapter = info.adapter,
                      .engine = info.engine};
-  stream.tokens = ToTokenList(tokens);
+  stream.tokens = tokens;
   // A copy that this daemon held itself would be lost together with it.
   if (info.holder != m_self) {
     stream.holder = info.holder;
@@ -233,7 +216,7 @@
                                        .adapter = released->identity.adapter,
                                        .engine = released->identity.engine,
                                        .copy_holder = {},
-                                       .tokens = ToStrings(released->tokens)});
+                                       .tokens = released->tokens});
                  });
 }
 
@@ -286,7 +269,7 @@
     answer.identity.version = held->version;
     answer.identity.adapter = held->adapter;
     answer.identity.engine = held->engine;
-    answer.tokens = ToTokenList(held->tokens);
+    answer.tokens = held->tokens;
   }
   reply(kHttpOk, EncodePeerMessage(answer));
 }
--- a/src/stream_copy_link.h
+++ b/src/stream_copy_link.h
@@ -72,7 +72,7 @@
 
  private:
   StreamCopySenderHooks MakeSenderHooks();
-  bool Open(const StreamCopyInfo& info, const std::vector<std::string>& tokens);
+  bool Open(const StreamCopyInfo& info, const StreamTokenList& tokens);
   std::optional<std::string> ChooseHolder(const std::string& failed_peer);
   void Send(const std::string& peer,
             const CopyAppend& batch,
--- a/src/stream_engine_transfer.cc
+++ b/src/stream_engine_transfer.cc
@@ -9,6 +9,7 @@
 #include "bramleybank/limits.h"
 #include "http_client.h"
 #include "stream_cursor.h"
+#include "stream_token_list.h"
 
 namespace bramleybank {
 namespace {
@@ -27,7 +28,7 @@
 
 HttpClientRequest MakeRequest(const EngineAttempt& attempt,
                               const GenerationRequest& generation,
-                              const std::vector<std::string>& tokens) {
+                              const StreamTokenList& tokens) {
   HttpClientRequest request;
   request.connect_timeout = kConnectTimeout;
   request.headers = {{"X-Request-Id", FormatGeneration(attempt.generation)},
@@ -54,7 +55,7 @@
 EngineTransfer::EngineTransfer(HttpClient* client,
                                const EngineAttempt& attempt,
                                const GenerationRequest& request,
-                               const std::vector<std::string>& tokens,
+                               const StreamTokenList& tokens,
                                EngineCallbacks callbacks)
     : m_client(client),
       m_attempt(attempt),
--- a/src/stream_engine_transfer.h
+++ b/src/stream_engine_transfer.h
@@ -17,6 +17,7 @@
 namespace bramleybank {
 
 class HttpClient;
+class StreamTokenList;
 struct HttpOutcome;
 
 /// A token as the engine names it.
@@ -69,7 +70,7 @@
   EngineTransfer(HttpClient* client,
                  const EngineAttempt& attempt,
                  const GenerationRequest& request,
-                 const std::vector<std::string>& tokens,
+                 const StreamTokenList& tokens,
                  EngineCallbacks callbacks);
   ~EngineTransfer();
   EngineTransfer(const EngineTransfer&) = delete;
--- a/src/stream_environment.h
+++ b/src/stream_environment.h
@@ -14,6 +14,7 @@
 #include "hooks.h"
 #include "route_endpoint_table.h"
 #include "stream_session.h"
+#include "stream_token_list.h"
 
 namespace bramleybank {
 
@@ -122,8 +123,7 @@
 
   /// Starts the copy of a stream; `tokens` are those from position 1 on.
   /// @returns whether a daemon could be chosen that holds it.
-  std::function<bool(const StreamCopyInfo&,
-                     const std::vector<std::string>& tokens)>
+  std::function<bool(const StreamCopyInfo&, const StreamTokenList& tokens)>
       open_copy;
   /// Tokens from now on belong to a new attempt on another engine.
   std::function<void(const StreamCopyInfo&)> update_copy;
--- a/src/stream_request.cc
+++ b/src/stream_request.cc
@@ -5,6 +5,9 @@
 
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
+
+#include "stream_token_list.h"
 
 namespace bramleybank {
 namespace {
@@ -90,9 +93,13 @@
 }
 
 std::string AddResumeTokens(const std::string& body,
-                            const std::vector<std::string>& tokens) {
+                            const StreamTokenList& tokens) {
   json value = json::parse(body);
-  value["resume_tokens"] = tokens;
+  json texts = json::array();
+  for (size_t i = 0; i < tokens.size(); ++i) {
+    texts.push_back(tokens[i]);
+  }
+  value["resume_tokens"] = std::move(texts);
   return value.dump();
 }
 
--- a/src/stream_request.h
+++ b/src/stream_request.h
@@ -6,12 +6,13 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "bramleybank/result_code.h"
 
 namespace bramleybank {
 
+class StreamTokenList;
+
 enum class GenerationKind { kCompletion, kChat };
 
 /// The fields of a request that the daemon itself needs. The body goes to the
@@ -44,7 +45,7 @@
 /// @returns the body with `resume_tokens` added, for an attempt that goes on
 /// after tokens that were already passed on.
 std::string AddResumeTokens(const std::string& body,
-                            const std::vector<std::string>& tokens);
+                            const StreamTokenList& tokens);
 
 }  // namespace bramleybank
 
--- a/src/stream_runner.cc
+++ b/src/stream_runner.cc
@@ -425,6 +425,10 @@
   if (auto actions = m_session->OnCallerBack(position)) {
     Apply(*actions);
   }
+  if (m_given_up && m_responder) {
+    // The refusal was lost with the caller's former connection.
+    SendGiveUp(*m_given_up);
+  }
   return true;
 }
 
@@ -573,6 +577,7 @@
     EndSoon(true);
     return;
   }
+  m_given_up = action;
   SendGiveUp(action);
 }
 
--- a/src/stream_runner.h
+++ b/src/stream_runner.h
@@ -147,6 +147,8 @@
   bool m_output_started = false;
   bool m_output_paused = false;
   bool m_finished = false;
+  // Set when the stream was given up while it had a caller.
+  std::optional<GiveUpStream> m_given_up;
   bool m_is_over = false;
   bool m_has_copy = false;
   // Text of an answer that is not streamed.
--- a/src/stream_service.h
+++ b/src/stream_service.h
@@ -16,6 +16,7 @@
 #include "stream_environment.h"
 #include "stream_request.h"
 #include "stream_runner.h"
+#include "stream_token_list.h"
 
 namespace bramleybank {
 
@@ -32,7 +33,7 @@
   /// Peer that holds the copy; empty when the tokens came from the owner.
   std::string copy_holder;
   /// Tokens from position 1 on; none when only the attempt number is known.
-  std::vector<std::string> tokens;
+  StreamTokenList tokens;
 
   friend bool operator==(const HeldStream&, const HeldStream&) = default;
 };
--- a/src/stream_session.cc
+++ b/src/stream_session.cc
@@ -57,7 +57,7 @@
     // The tokens before the caller's position are not known here, so the
     // stream can go on only from its own engine.
     m_base = m_delivered;
-    m_tokens.clear();
+    m_tokens = {};
   }
   m_copied = m_base;
 }
@@ -120,7 +120,7 @@
   if (index > received() + 1) {
     return ReplaceAttempt(AttemptLoss::kGap);
   }
-  m_tokens.emplace_back(text);
+  m_tokens.Append(text);
   m_attempts_without_progress = 0;
   m_interrupted_since.reset();
   StreamActions actions;
@@ -285,8 +285,8 @@
       m_protected ? std::min(m_copied, received()) : received();
   while (m_delivered < limit) {
     ++m_delivered;
-    actions->emplace_back(
-        DeliverToken{m_delivered, m_tokens[m_delivered - m_base - 1]});
+    actions->emplace_back(DeliverToken{
+        m_delivered, std::string(m_tokens[m_delivered - m_base - 1])});
   }
 }
 
--- a/src/stream_session.h
+++ b/src/stream_session.h
@@ -8,10 +8,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "hooks.h"
 #include "stream_action.h"
+#include "stream_token_list.h"
 
 namespace bramleybank {
 
@@ -53,7 +53,7 @@
   /// Position that the caller has; 0 for a new stream.
   uint64_t delivered = 0;
   /// Tokens from position 1 on, from a copy; may reach beyond `delivered`.
-  std::vector<std::string> tokens;
+  StreamTokenList tokens;
   /// Whether the engine's own stream is tried first.
   bool attach = false;
   /// Whether tokens wait for the acknowledgement of their copy.
@@ -111,7 +111,7 @@
   uint64_t delivered() const { return m_delivered; }
   /// First position held is base() + 1.
   uint64_t base() const { return m_base; }
-  const std::vector<std::string>& tokens() const { return m_tokens; }
+  const StreamTokenList& tokens() const { return m_tokens; }
   bool is_over() const;
   bool is_attempt_running() const;
   /// @returns whether tokens wait for their copy.
@@ -136,7 +136,7 @@
 
   // Invariant: m_base <= m_delivered <= received().
   uint64_t m_base = 0;
-  std::vector<std::string> m_tokens;
+  StreamTokenList m_tokens;
   uint64_t m_delivered = 0;
   uint64_t m_copied = 0;
   bool m_protected = false;
