--- a/tools/fault_proxy.cc
+++ b/tools/fault_proxy.cc
@@ -1,18 +1,17 @@
 // Proxy between any two processes that injects faults into TCP and UDP.
+// Settings: `[control] ip=, port=`, `[pairs] names=a,b`, and for each
+// name a section `[<name>] ip=, port=, target_ip=, target_port=`.
 // POST /control `{"pair": "<name>" (all without it), and the fields of
 // ProxyPairServer::Control()}`; GET /stats.
-#include <cerrno>
+#include <arpa/inet.h>
+
 #include <csignal>
-#include <cstring>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
-#include <string>
-#include <vector>
+#include <sstream>
 
 #include "config_ini_reader.h"
 #include "event_loop.h"
-#include "fault_proxy_config.h"
 #include "fault_proxy_pair.h"
 #include "http_request.h"
 #include "http_responder.h"
@@ -26,86 +25,90 @@
 using nlohmann::json;
 using Pairs = std::vector<std::unique_ptr<ProxyPairServer>>;
 
-/// @returns what is wrong, or an empty text.
-std::string Control(const json& message, const Pairs& pairs) {
-  std::string error = "no such pair";
-  const bool named = message.is_object() && message.contains("pair");
-  for (const auto& pair : pairs) {
-    if (named && message["pair"] != pair->name()) {
-      continue;
-    }
-    error = pair->Control(message);
-    if (!error.empty()) {
-      return error;
-    }
+sockaddr_in ReadAddress(IniReader* ini,
+                        const std::string& section,
+                        const std::string& prefix) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  const std::string ip = ini->Ip(section, prefix + "ip", "127.0.0.1");
+  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+  const int64_t port = ini->Int(section, prefix + "port", 0, 1, 65535);
+  if (port == 0) {
+    ini->AddError(section, prefix + "port", "a port");
   }
-  return error;
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  return address;
 }
 
-void Handle(const HttpRequest& request,
-            HttpResponder* responder,
-            const Pairs& pairs) {
+void HandleRequest(const HttpRequest& request,
+                   HttpResponder* responder,
+                   const Pairs& pairs) {
   json answer = json::object();
-  int status = 200;
+  int status = 404;
   if (request.method == "POST" && request.path == "/control") {
-    const std::string error =
-        Control(json::parse(request.body, nullptr, false), pairs);
-    if (!error.empty()) {
-      status = 400;
-      answer["error"] = error;
+    const json message = json::parse(request.body, nullptr, false);
+    const bool is_named = message.is_object() && message.contains("pair");
+    std::string error = "no such pair";
+    for (const auto& pair : pairs) {
+      if (!is_named || message["pair"] == pair->name()) {
+        error = pair->Control(message);
+      }
     }
+    answer["error"] = error;
+    status = error.empty() ? 200 : 400;
   } else if (request.method == "GET" && request.path == "/stats") {
     for (const auto& pair : pairs) {
       answer[pair->name()] = pair->Stats();
     }
-  } else {
-    status = 404;
+    status = 200;
   }
-  responder->Respond(status, {{"Content-Type", "application/json"}},
-                     answer.dump() + "\n");
+  responder->Respond(status, {}, answer.dump() + "\n");
 }
 
-int RefuseStart(const std::string& detail) {
-  LogLine(LogEventId::kSettingRefused).Field("detail", detail);
-  return 1;
-}
+}  // namespace
+}  // namespace bramleybank
+
+int main(int argc, char** argv) {
+  using namespace bramleybank;
+  const ToolOptions options = ParseToolOptions(
+      argc, argv, "Fault-injecting TCP and UDP proxy of bramleybank.");
+  IniReader ini(options.config);
+  const std::string ip = ini.Ip("control", "ip", "127.0.0.1");
+  const int64_t port = ini.Int("control", "port", 9900, 0, 65535);
+  std::vector<ProxyPair> specs;
+  std::istringstream names(ini.RequiredString("pairs", "names"));
+  for (std::string name; std::getline(names, name, ',');) {
+    specs.push_back({.name = name,
+                     .listen = ReadAddress(&ini, name, ""),
+                     .target = ReadAddress(&ini, name, "target_")});
+  }
+  ExitOnSettingErrors(options, ini.Finish());
+  StartLogging(argv[0]);
 
-int Run(const ProxySettings& settings) {
   EventLoop loop;
-  std::mt19937_64 random(settings.seed);
+  std::mt19937_64 random;
   Pairs pairs;
-  for (const ProxyPair& pair : settings.pairs) {
+  std::string fault;
+  for (const ProxyPair& pair : specs) {
     pairs.push_back(std::make_unique<ProxyPairServer>(
         &loop, pair, [&random] { return random(); }));
     if (!pairs.back()->Start()) {
-      return RefuseStart(pair.name + ": " + std::strerror(errno));
+      fault = "cannot bind the address of " + pair.name;
     }
   }
   HttpServer server(&loop, HttpServerOptions());
-  if (!server.Start(settings.ip, settings.port,
-                    [&](const HttpRequest& request,
-                        const std::shared_ptr<HttpResponder>& responder) {
-                      Handle(request, responder.get(), pairs);
-                    })) {
-    return RefuseStart(server.last_reason().detail);
+  const auto handle = [&](const HttpRequest& request, const auto& responder) {
+    HandleRequest(request, responder.get(), pairs);
+  };
+  if (!server.Start(ip, static_cast<uint16_t>(port), handle)) {
+    fault = server.last_reason().detail;
+  }
+  if (!fault.empty()) {
+    LogLine(LogEventId::kSettingRefused).Field("detail", fault);
+    return 1;
   }
   LogLine(LogEventId::kStarted).Field("program", "fault_proxy");
   loop.RunOnSignal(SIGTERM, [&] { loop.Stop(); });
-  loop.RunOnSignal(SIGINT, [&] { loop.Stop(); });
   loop.Run();
   return 0;
 }
-
-}  // namespace
-}  // namespace bramleybank
-
-int main(int argc, char** argv) {
-  using namespace bramleybank;
-  const ToolOptions options = ParseToolOptions(
-      argc, argv, "Fault-injecting TCP and UDP proxy of bramleybank.");
-  std::vector<SettingError> errors;
-  const ProxySettings settings = ReadProxySettings(options.config, &errors);
-  ExitOnSettingErrors(options, errors);
-  StartLogging(argv[0]);
-  return Run(settings);
-}
--- a/tools/fault_proxy_connection.cc
+++ b/tools/fault_proxy_connection.cc
@@ -65,8 +65,8 @@
 void ProxyConnection::Read(size_t side) {
   std::string bytes(kReadBytes, '\0');
   const ssize_t count = recv(m_fds[side], bytes.data(), bytes.size(), 0);
-  if (m_ended || count < 0) {
-    if (!m_ended && errno != EAGAIN && errno != EINTR) {
+  if (count < 0) {
+    if (errno != EAGAIN && errno != EINTR) {
       Reset();
     }
     return;
@@ -127,13 +127,12 @@
     }
     return false;
   }
-  uint64_t size = bytes.size();
-  const int64_t limit = m_shared->faults.truncate_after;
-  const bool truncates = way == kToClient && limit >= 0;
-  if (truncates) {
-    const auto bound = static_cast<uint64_t>(limit);
-    size = std::min(size, bound - std::min(bound, pipe.sent));
-  }
+  // Without truncation the limit of -1 becomes the largest number.
+  const uint64_t bound =
+      way == kToClient ? static_cast<uint64_t>(m_shared->faults.truncate_after)
+                       : UINT64_MAX;
+  const size_t size =
+      std::min<uint64_t>(bytes.size(), bound - std::min(bound, pipe.sent));
   const ssize_t count = send(fd, bytes.data(), size, MSG_NOSIGNAL);
   if (count < 0) {
     pipe.is_blocked = errno == EAGAIN || errno == EINTR;
@@ -150,7 +149,7 @@
   if (bytes.empty()) {
     pipe.parts.pop_front();
   }
-  if (truncates && std::cmp_greater_equal(pipe.sent, limit)) {
+  if (pipe.sent >= bound) {
     End();
   }
   return !m_ended;
--- a/tools/fault_proxy_connection.h
+++ b/tools/fault_proxy_connection.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "bramleybank/handle.h"
-#include "fault_proxy_config.h"
+#include "fault_proxy_faults.h"
 
 namespace bramleybank {
 
--- a/tools/fault_proxy_config.h
+++ b/tools/fault_proxy_faults.h
@@ -1,42 +1,16 @@
-// Settings of the proxy, and the faults of one pair, which may change while it
-// runs.
-#ifndef BRAMLEYBANK_TOOLS_FAULT_PROXY_CONFIG_H_
-#define BRAMLEYBANK_TOOLS_FAULT_PROXY_CONFIG_H_
-
-#include <netinet/in.h>
+// Faults of one pair of the proxy; they may change while it runs.
+#ifndef BRAMLEYBANK_TOOLS_FAULT_PROXY_FAULTS_H_
+#define BRAMLEYBANK_TOOLS_FAULT_PROXY_FAULTS_H_
 
 #include <array>
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
-#include <vector>
 
 #include "hooks.h"
 
 namespace bramleybank {
 
-struct SettingError;
-
-/// One forwarded address, over TCP and UDP.
-struct ProxyPair {
-  std::string name;
-  sockaddr_in listen{};
-  sockaddr_in target{};
-};
-
-/// `[control] ip=, port=, seed=`, `[pairs] names=a,b`, and for each name a
-/// section `[<name>] ip=, port=, target_ip=, target_port=`.
-struct ProxySettings {
-  std::string ip;
-  uint16_t port = 0;
-  uint64_t seed = 0;
-  std::vector<ProxyPair> pairs;
-};
-
-/// @param errors set to all faults of the file.
-ProxySettings ReadProxySettings(const std::string& file,
-                                std::vector<SettingError>* errors);
-
 /// Way of the bytes through the proxy, as an index.
 inline constexpr size_t kToTarget = 0;
 inline constexpr size_t kToClient = 1;
@@ -75,4 +49,4 @@
 
 }  // namespace bramleybank
 
-#endif  // BRAMLEYBANK_TOOLS_FAULT_PROXY_CONFIG_H_
+#endif  // BRAMLEYBANK_TOOLS_FAULT_PROXY_FAULTS_H_
--- a/tools/fault_proxy_pair.cc
+++ b/tools/fault_proxy_pair.cc
@@ -5,7 +5,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <cerrno>
 #include <nlohmann/json.hpp>
 
 #include "event_loop.h"
@@ -13,7 +12,6 @@
 namespace bramleybank {
 namespace {
 
-constexpr int kBacklog = 1024;
 constexpr size_t kMaxDatagramBytes = 65536;
 constexpr size_t kMaxFlows = 1024;
 constexpr int kOn = 1;
@@ -52,8 +50,9 @@
 
 bool ProxyPairServer::Start() {
   m_udp_fd = NewSocket(SOCK_DGRAM);
-  m_shared.loop->Watch(m_udp_fd, true, false,
-                       [this](IoReady) { Receive(kToTarget, m_udp_fd, {}); });
+  m_shared.loop->Watch(m_udp_fd, true, false, [this](IoReady) {
+    Receive(kToTarget, m_udp_fd, m_pair.target);
+  });
   return bind(m_udp_fd, AsSockaddr(m_pair.listen), sizeof(sockaddr_in)) == 0 &&
          Listen();
 }
@@ -63,7 +62,7 @@
   m_shared.loop->Watch(m_listen_fd, true, false, [this](IoReady) { Accept(); });
   return bind(m_listen_fd, AsSockaddr(m_pair.listen), sizeof(sockaddr_in)) ==
              0 &&
-         listen(m_listen_fd, kBacklog) == 0;
+         listen(m_listen_fd, SOMAXCONN) == 0;
 }
 
 void ProxyPairServer::Accept() {
@@ -75,21 +74,16 @@
   setsockopt(client, IPPROTO_TCP, TCP_NODELAY, &kOn, sizeof(kOn));
   const ProxyFaults& faults = m_shared.faults;
   int target = -1;
-  bool is_reset = faults.reset_new;
-  if (!is_reset && !faults.half_open) {
+  if (!faults.reset_new && !faults.half_open) {
     target = NewSocket(SOCK_STREAM);
-    is_reset =
-        connect(target, AsSockaddr(m_pair.target), sizeof(sockaddr_in)) != 0 &&
-        errno != EINPROGRESS;
+    // A failure shows when the connection reads from the socket.
+    (void)connect(target, AsSockaddr(m_pair.target), sizeof(sockaddr_in));
   }
   const uint64_t id = ++m_accepted;
-  const auto& connection =
-      m_connections
-          .emplace(id, std::make_unique<ProxyConnection>(
-                           &m_shared, client, target,
-                           [this, id] { m_connections.erase(id); }))
-          .first->second;
-  if (is_reset) {
+  auto& connection = m_connections[id];
+  connection = std::make_unique<ProxyConnection>(
+      &m_shared, client, target, [this, id] { m_connections.erase(id); });
+  if (faults.reset_new) {
     connection->Reset();
   }
 }
@@ -117,20 +111,20 @@
   return error;
 }
 
-int ProxyPairServer::FlowOf(const UdpSource& source) {
-  const auto it = m_flows.find(source);
+int ProxyPairServer::FlowOf(const sockaddr_in& source) {
+  const std::pair key{source.sin_addr.s_addr, source.sin_port};
+  const auto it = m_flows.find(key);
   if (it != m_flows.end() || m_flows.size() >= kMaxFlows) {
     return it != m_flows.end() ? it->second : -1;
   }
-  const int fd = NewSocket(SOCK_DGRAM);
+  const int fd = m_flows[key] = NewSocket(SOCK_DGRAM);
   m_shared.loop->Watch(fd, true, false, [this, source, fd](IoReady) {
     Receive(kToClient, fd, source);
   });
-  m_flows.emplace(source, fd);
   return fd;
 }
 
-void ProxyPairServer::Receive(size_t way, int fd, const UdpSource& source) {
+void ProxyPairServer::Receive(size_t way, int fd, const sockaddr_in& to) {
   std::string bytes(kMaxDatagramBytes, '\0');
   sockaddr_in from{};
   socklen_t length = sizeof(from);
@@ -143,22 +137,14 @@
     return;
   }
   bytes.resize(static_cast<size_t>(count));
-  int out = m_udp_fd;
-  sockaddr_in to = from;
-  if (way == kToTarget) {
-    out = FlowOf({from.sin_addr.s_addr, from.sin_port});
-    to = m_pair.target;
-  } else {
-    to.sin_addr.s_addr = source.first;
-    to.sin_port = source.second;
-  }
-  m_shared.loop->Schedule(
-      m_shared.DrawDelay(), [this, way, out, to, bytes = std::move(bytes)] {
-        if (sendto(out, bytes.data(), bytes.size(), MSG_NOSIGNAL,
-                   AsSockaddr(to), sizeof(to)) >= 0) {
-          m_udp_bytes[way] += bytes.size();
-        }
-      });
+  const int out = way == kToTarget ? FlowOf(from) : m_udp_fd;
+  const auto deliver = [this, way, out, to, bytes = std::move(bytes)] {
+    if (sendto(out, bytes.data(), bytes.size(), MSG_NOSIGNAL, AsSockaddr(to),
+               sizeof(to)) >= 0) {
+      m_udp_bytes[way] += bytes.size();
+    }
+  };
+  m_shared.loop->Schedule(m_shared.DrawDelay(), deliver);
 }
 
 nlohmann::json ProxyPairServer::Stats() const {
--- a/tools/fault_proxy_pair.h
+++ b/tools/fault_proxy_pair.h
@@ -2,6 +2,8 @@
 #ifndef BRAMLEYBANK_TOOLS_FAULT_PROXY_PAIR_H_
 #define BRAMLEYBANK_TOOLS_FAULT_PROXY_PAIR_H_
 
+#include <netinet/in.h>
+
 #include <array>
 #include <cstdint>
 #include <map>
@@ -9,11 +11,17 @@
 #include <string>
 #include <utility>
 
-#include "fault_proxy_config.h"
 #include "fault_proxy_connection.h"
 
 namespace bramleybank {
 
+/// One forwarded address, over TCP and UDP.
+struct ProxyPair {
+  std::string name;
+  sockaddr_in listen{};
+  sockaddr_in target{};
+};
+
 /// Forwards one address. Lives as long as the event loop runs.
 class ProxyPairServer {
  public:
@@ -22,7 +30,7 @@
   ProxyPairServer(const ProxyPairServer&) = delete;
   ProxyPairServer& operator=(const ProxyPairServer&) = delete;
 
-  /// @returns false when an address is not free; errno tells why.
+  /// @returns false when the address cannot be bound.
   bool Start();
   /// Takes a control message; see ApplyProxyFaults(). "reset_all" resets all
   /// connections.
@@ -33,13 +41,11 @@
   const std::string& name() const { return m_pair.name; }
 
  private:
-  // Source of datagrams: address and port in network order.
-  using UdpSource = std::pair<uint32_t, uint16_t>;
-
   bool Listen();
   void Accept();
-  void Receive(size_t way, int fd, const UdpSource& source);
-  int FlowOf(const UdpSource& source);
+  /// Forwards one datagram from `fd` to `to`.
+  void Receive(size_t way, int fd, const sockaddr_in& to);
+  int FlowOf(const sockaddr_in& source);
 
   ProxyPair m_pair;
   ProxyShared m_shared;
@@ -49,8 +55,8 @@
   int m_udp_fd = -1;
   uint64_t m_accepted = 0;
   std::map<uint64_t, std::unique_ptr<ProxyConnection>> m_connections;
-  // Socket towards the target for each source of datagrams.
-  std::map<UdpSource, int> m_flows;
+  // Socket towards the target for each source (address, port) of datagrams.
+  std::map<std::pair<uint32_t, uint16_t>, int> m_flows;
 };
 
 }  // namespace bramleybank
