Format the member status with foreign bytes in a name

Region and failure domain of a member come from datagrams. Bytes that are not valid UTF-8 made the JSON library throw while /status was built, which would have ended the daemon. They are replaced now; the test fails without the change.

--- a/src/member_report.cc
+++ b/src/member_report.cc
@@ -113,7 +113,9 @@
       {"in_force_everywhere", confirmations.in_force},
       {"waiting_for", PeersOf(confirmations.waiting)},
       {"unreachable", PeersOf(confirmations.unreachable)}};
-  return status.dump();
+  // Names come from other processes and need not be valid UTF-8, which dump()
+  // would report by an exception.
+  return status.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 }  // namespace bramleybank
--- a/tests/unit_member_protocol_rules.cc
+++ b/tests/unit_member_protocol_rules.cc
@@ -10,6 +10,7 @@
 
 #include "bramleybank/limits.h"
 #include "member_protocol.h"
+#include "member_report.h"
 
 namespace bramleybank {
 namespace {
@@ -212,6 +213,15 @@
   CHECK(told.size() == 42);
 }
 
+TEST_CASE("a status with foreign bytes in a name can be formatted") {
+  Lone lone;
+  MemberInfo from = Lone::Other("10.0.0.2:1", MemberState::kAlive);
+  from.region = "\xff\xfe";
+  lone.Receive(from, {});
+  CHECK(FormatMemberStatus(lone.protocol).find("10.0.0.2:1") !=
+        std::string::npos);
+}
+
 TEST_CASE("datagrams of another deployment are not heard") {
   Lone lone;
   lone.Receive(Lone::Other("10.0.0.2:1", MemberState::kAlive), {}, 5);
