Give the engine stand-in a namespace of its own

Cause: PrefixCache, CacheEvent and LoadReport exist in the stand-in and in the daemon's sources; both are linked into one program, which breaks the one definition rule. Change: namespace bramleybank::standin for the engine stand-in.

--- a/tests/unit_standin_engine.cc
+++ b/tests/unit_standin_engine.cc
@@ -10,7 +10,7 @@
 #include "standin_engine_faults.h"
 #include "standin_engine_load.h"
 
-namespace bramleybank {
+namespace bramleybank::standin {
 namespace {
 
 using nlohmann::json;
@@ -160,4 +160,4 @@
 }
 
 }  // namespace
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
--- a/tools/standin_engine.cc
+++ b/tools/standin_engine.cc
@@ -17,6 +17,7 @@
 
 int main(int argc, char** argv) {
   using namespace bramleybank;
+  using namespace bramleybank::standin;
   const ToolOptions options = ParseToolOptions(
       argc, argv, "Engine stand-in for tests and demos of bramleybank.");
   std::vector<SettingError> errors;
--- a/tools/standin_engine_batch.cc
+++ b/tools/standin_engine_batch.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cassert>
 
-namespace bramleybank {
+namespace bramleybank::standin {
 
 BatchModel::BatchModel(const BatchSettings& settings) : m_settings(settings) {
   assert(settings.slots > 0 && settings.knee > 0);
@@ -58,4 +58,4 @@
   return m_prefill_free;
 }
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
--- a/tools/standin_engine_batch.h
+++ b/tools/standin_engine_batch.h
@@ -12,7 +12,7 @@
 
 #include "hooks.h"
 
-namespace bramleybank {
+namespace bramleybank::standin {
 
 /// Speed and size of one engine.
 struct BatchSettings {
@@ -62,6 +62,6 @@
   TimePoint m_prefill_free;
 };
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
 
 #endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_BATCH_H_
--- a/tools/standin_engine_cache.cc
+++ b/tools/standin_engine_cache.cc
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-namespace bramleybank {
+namespace bramleybank::standin {
 namespace {
 
 constexpr size_t kMaxEvents = 4096;
@@ -81,4 +81,4 @@
   return events;
 }
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
--- a/tools/standin_engine_cache.h
+++ b/tools/standin_engine_cache.h
@@ -13,7 +13,7 @@
 
 #include "hooks.h"
 
-namespace bramleybank {
+namespace bramleybank::standin {
 
 /// Prompt tokens in one block.
 inline constexpr uint64_t kCacheBlockTokens = 16;
@@ -62,6 +62,6 @@
   std::deque<CacheEvent> m_events;
 };
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
 
 #endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_CACHE_H_
--- a/tools/standin_engine_core.cc
+++ b/tools/standin_engine_core.cc
@@ -14,7 +14,7 @@
 #include "http_responder.h"
 #include "standin_engine_stream.h"
 
-namespace bramleybank {
+namespace bramleybank::standin {
 namespace {
 
 constexpr Duration kMaxLoadSampleInterval = std::chrono::milliseconds(100);
@@ -382,4 +382,4 @@
           {"role", m_role}};
 }
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
--- a/tools/standin_engine_core.h
+++ b/tools/standin_engine_core.h
@@ -21,10 +21,15 @@
 
 namespace bramleybank {
 
-class EngineStream;
 class EventLoop;
 class HttpResponder;
 
+}  // namespace bramleybank
+
+namespace bramleybank::standin {
+
+class EngineStream;
+
 /// A generation as the engine is asked for it.
 struct EngineRequest {
   std::string generation;
@@ -148,6 +153,6 @@
   uint64_t m_commands_refused = 0;
 };
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
 
 #endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_CORE_H_
--- a/tools/standin_engine_faults.cc
+++ b/tools/standin_engine_faults.cc
@@ -5,7 +5,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
-namespace bramleybank {
+namespace bramleybank::standin {
 namespace {
 
 using nlohmann::json;
@@ -138,4 +138,4 @@
   return effect;
 }
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
--- a/tools/standin_engine_faults.h
+++ b/tools/standin_engine_faults.h
@@ -10,7 +10,7 @@
 
 #include "hooks.h"
 
-namespace bramleybank {
+namespace bramleybank::standin {
 
 enum class StreamFaultKind {
   kNone,
@@ -111,6 +111,6 @@
   bool m_is_leaving = false;
 };
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
 
 #endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_FAULTS_H_
--- a/tools/standin_engine_http.cc
+++ b/tools/standin_engine_http.cc
@@ -11,7 +11,7 @@
 #include "http_responder.h"
 #include "standin_engine_core.h"
 
-namespace bramleybank {
+namespace bramleybank::standin {
 namespace {
 
 using nlohmann::json;
@@ -229,4 +229,4 @@
   }
 }
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
--- a/tools/standin_engine_http.h
+++ b/tools/standin_engine_http.h
@@ -7,10 +7,15 @@
 
 namespace bramleybank {
 
-class EngineCore;
 class HttpResponder;
 struct HttpRequest;
 
+}  // namespace bramleybank
+
+namespace bramleybank::standin {
+
+class EngineCore;
+
 /// Parses requests and answers from the core.
 class EngineHttp {
  public:
@@ -32,6 +37,6 @@
   EngineCore* m_core;
 };
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
 
 #endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_HTTP_H_
--- a/tools/standin_engine_load.cc
+++ b/tools/standin_engine_load.cc
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace bramleybank {
+namespace bramleybank::standin {
 namespace {
 
 /// Time over which the token rate is taken.
@@ -49,4 +49,4 @@
   return report;
 }
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
--- a/tools/standin_engine_load.h
+++ b/tools/standin_engine_load.h
@@ -8,7 +8,7 @@
 
 #include "hooks.h"
 
-namespace bramleybank {
+namespace bramleybank::standin {
 
 /// State of the engine at one time.
 struct LoadSample {
@@ -46,6 +46,6 @@
   std::deque<LoadSample> m_samples;
 };
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
 
 #endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_LOAD_H_
--- a/tools/standin_engine_settings.cc
+++ b/tools/standin_engine_settings.cc
@@ -5,7 +5,7 @@
 
 #include "config_ini_reader.h"
 
-namespace bramleybank {
+namespace bramleybank::standin {
 namespace {
 
 constexpr double kMaxMilliseconds = 3600000;
@@ -54,4 +54,4 @@
   return out;
 }
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
--- a/tools/standin_engine_settings.h
+++ b/tools/standin_engine_settings.h
@@ -12,6 +12,10 @@
 
 struct SettingError;
 
+}  // namespace bramleybank
+
+namespace bramleybank::standin {
+
 /// Sections [listen] and [engine] of the INI file.
 struct EngineSettings {
   std::string ip = "127.0.0.1";
@@ -44,6 +48,6 @@
 EngineSettings ReadEngineSettings(const std::string& file,
                                   std::vector<SettingError>* errors);
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
 
 #endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_SETTINGS_H_
--- a/tools/standin_engine_stream.cc
+++ b/tools/standin_engine_stream.cc
@@ -10,7 +10,7 @@
 #include "bramleybank/limits.h"
 #include "http_responder.h"
 
-namespace bramleybank {
+namespace bramleybank::standin {
 
 EngineStream::EngineStream(EngineStreamSpec spec, Hooks hooks)
     : m_spec(std::move(spec)),
@@ -202,4 +202,4 @@
   }
 }
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
--- a/tools/standin_engine_stream.h
+++ b/tools/standin_engine_stream.h
@@ -16,6 +16,10 @@
 
 class HttpResponder;
 
+}  // namespace bramleybank
+
+namespace bramleybank::standin {
+
 /// What a stream is made from.
 struct EngineStreamSpec {
   /// Hex number that names the generation.
@@ -102,6 +106,6 @@
   std::vector<std::unique_ptr<Reader>> m_readers;
 };
 
-}  // namespace bramleybank
+}  // namespace bramleybank::standin
 
 #endif  // BRAMLEYBANK_TOOLS_STANDIN_ENGINE_STREAM_H_
