Bound the rate of load polls

Cause: each preferred engine was polled once a second; with 8 models of 64 preferred engines that is 512 polls, about 150 KB/s, of the 11 KB/s that control may use. Change: at most 16 polls a second and daemon; the interval grows instead. Figures (computed from about 300 bytes a poll): 150 KB/s before, 4.8 KB/s after at the target size; unchanged below 16 engines. Conclusion: with the membership's 1.3 KB/s control stays below 11 KB/s.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -132,6 +132,9 @@
 /// Endpoints with an estimate of their prefix cache; 8 groups of 64 and some.
 inline constexpr size_t kMaxPrefixCaches = 1024;
 inline constexpr std::chrono::milliseconds kLoadPollInterval{1000};
+/// A poll costs about 300 bytes. With 8 groups of 64 endpoints, one poll of
+/// each a second would take 150 KB/s of the 11 KB/s that control may use.
+inline constexpr size_t kMaxLoadPollsPerSecond = 16;
 inline constexpr std::chrono::milliseconds kLoadPollTimeout{900};
 inline constexpr std::chrono::seconds kOutlierWindow{10};
 inline constexpr std::chrono::seconds kMinEjection{5};
--- a/src/route_load_poller.cc
+++ b/src/route_load_poller.cc
@@ -1,6 +1,7 @@
 // Load reports of engines.
 #include "route_load_poller.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -61,13 +62,21 @@
   PollAll();
 }
 
+Duration RouteLoadPoller::Interval() const {
+  const auto engines = static_cast<int64_t>(m_director->polled().size());
+  const Duration at_full_rate = Duration(std::chrono::seconds(1)) * engines /
+                                static_cast<int64_t>(kMaxLoadPollsPerSecond);
+  return std::max<Duration>(kLoadPollInterval, at_full_rate);
+}
+
 void RouteLoadPoller::PollAll() {
+  const Duration interval = Interval();
   for (const std::string& address : m_director->polled()) {
-    const Duration delay(
-        static_cast<int64_t>(m_random() % Duration(kLoadPollInterval).count()));
+    const Duration delay(static_cast<int64_t>(
+        m_random() % static_cast<uint64_t>(interval.count())));
     m_loop->Schedule(delay, [this, address] { Poll(address); });
   }
-  m_timer = m_loop->Schedule(kLoadPollInterval, [this] { PollAll(); });
+  m_timer = m_loop->Schedule(interval, [this] { PollAll(); });
 }
 
 void RouteLoadPoller::Poll(const std::string& address) {
--- a/src/route_load_poller.h
+++ b/src/route_load_poller.h
@@ -16,8 +16,9 @@
 class RouteDirector;
 struct HttpOutcome;
 
-/// Sends `GET /load` to each polled engine once per kLoadPollInterval, spread
-/// over the interval so that the polls of one daemon make no burst.
+/// Sends `GET /load` to each polled engine once per interval, at a random time
+/// in it, so that the polls of one daemon make no burst. The interval is
+/// kLoadPollInterval, or longer to stay below kMaxLoadPollsPerSecond.
 class RouteLoadPoller {
  public:
   /// Called when an engine says of itself that it is leaving, or no longer.
@@ -37,6 +38,7 @@
 
  private:
   void PollAll();
+  Duration Interval() const;
   void Poll(const std::string& address);
   void OnAnswer(const std::string& address, const HttpOutcome& outcome);
   void NoteLeaving(const std::string& address, bool leaving);
