Share the main function and ports of stand-ins and one admission decision

Cause: the stand-ins of the platform and of services had the same main function and the same handling of two ports; the limits and the caller port each had a struct for the same decision. Change: RunStandin(), StandinPorts, one AdmissionDecision. Conclusion: each piece of logic stands once.

--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -138,11 +138,8 @@
   }
 
   AdmissionDecision Admit(const GenerationRequest& request) {
-    CustomerDecision decision = director.Admit(
-        request.customer, request.prompt.size(), request.max_tokens);
-    return {.refusal = std::move(decision.refusal),
-            .retry_after_s = decision.retry_after_s,
-            .lease = std::move(decision.lease)};
+    return director.Admit(request.customer, request.prompt.size(),
+                          request.max_tokens);
   }
 
   CallRunnerOptions MakeCallOptions() {
--- a/src/http_caller_api.h
+++ b/src/http_caller_api.h
@@ -9,26 +9,16 @@
 
 #include "bramleybank/result_code.h"
 #include "config_snapshot.h"
+#include "limit_admission_lease.h"
 #include "stream_request.h"
 
 namespace bramleybank {
 
-class AdmissionLease;
 class HttpResponder;
 class MetricRegistry;
 class StreamService;
 struct HttpRequest;
 
-/// Decision about a request before any work starts.
-struct AdmissionDecision {
-  /// Set when the request is refused.
-  std::optional<Reason> refusal;
-  /// Seconds after which another try makes sense; 0 without advice.
-  int retry_after_s = 0;
-  /// Keeps an admitted request counted until it is destroyed.
-  std::shared_ptr<AdmissionLease> lease;
-};
-
 /// Hooks of the caller port.
 struct CallerApiHooks {
   /// @returns the configuration in force, or nullptr before there is one.
--- a/src/limit_admission_lease.h
+++ b/src/limit_admission_lease.h
@@ -3,8 +3,12 @@
 #define BRAMLEYBANK_SRC_LIMIT_ADMISSION_LEASE_H_
 
 #include <functional>
+#include <memory>
+#include <optional>
 #include <utility>
 
+#include "bramleybank/result_code.h"
+
 namespace bramleybank {
 
 /// Gives an admission back when it is destroyed.
@@ -27,6 +31,16 @@
   bool m_ran = true;
 };
 
+/// Decision of the customer's limits about a request.
+struct AdmissionDecision {
+  /// Set when the request is refused.
+  std::optional<Reason> refusal;
+  /// Seconds after which another try makes sense; 0 without advice.
+  int retry_after_s = 0;
+  /// Set when the request is admitted; keeps it counted until it is destroyed.
+  std::shared_ptr<AdmissionLease> lease;
+};
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_SRC_LIMIT_ADMISSION_LEASE_H_
--- a/src/route_director.cc
+++ b/src/route_director.cc
@@ -10,7 +10,6 @@
 
 #include "bramleybank/limits.h"
 #include "config_snapshot.h"
-#include "limit_admission_lease.h"
 #include "metric_registry.h"
 
 namespace bramleybank {
@@ -127,14 +126,14 @@
   }
 }
 
-CustomerDecision RouteDirector::Admit(std::string_view customer,
-                                      size_t prompt_bytes,
-                                      uint64_t max_tokens) {
+AdmissionDecision RouteDirector::Admit(std::string_view customer,
+                                       size_t prompt_bytes,
+                                       uint64_t max_tokens) {
   const auto tokens =
       static_cast<int64_t>(PromptTokens(prompt_bytes, max_tokens));
   auto admission =
       m_customers.Admit(customer, tokens, m_admission.is_under_pressure());
-  CustomerDecision decision;
+  AdmissionDecision decision;
   if (!admission) {
     decision.refusal = m_customers.last_reason();
     decision.retry_after_s = ToSecondsRoundedUp(m_customers.retry_after());
--- a/src/route_director.h
+++ b/src/route_director.h
@@ -12,6 +12,7 @@
 
 #include "hooks.h"
 #include "limit_admission.h"
+#include "limit_admission_lease.h"
 #include "limit_customer.h"
 #include "limit_divisor.h"
 #include "limit_retry_budget.h"
@@ -24,19 +25,9 @@
 
 namespace bramleybank {
 
-class AdmissionLease;
 class MetricRegistry;
 struct ConfigSnapshot;
 
-/// Result of the customer's limits.
-struct CustomerDecision {
-  /// Set when the request is refused.
-  std::optional<Reason> refusal;
-  int retry_after_s = 0;
-  /// Set when the request is admitted.
-  std::shared_ptr<AdmissionLease> lease;
-};
-
 /// Owner of the endpoint table, the limits and the budgets of one daemon.
 class RouteDirector {
  public:
@@ -51,9 +42,9 @@
   void SetLeavingNotice(std::string_view address, bool leaving);
 
   /// Applies the customer's limits.
-  CustomerDecision Admit(std::string_view customer,
-                         size_t prompt_bytes,
-                         uint64_t max_tokens);
+  AdmissionDecision Admit(std::string_view customer,
+                          size_t prompt_bytes,
+                          uint64_t max_tokens);
 
   // Attempts of generations; see StreamEnvironment.
   bool TakeRetry(std::string_view model, AttemptLoss loss);
--- a/tools/standin_listener.h
+++ b/tools/standin_listener.h
@@ -54,6 +54,62 @@
   Reason m_reason;
 };
 
+/// The address of a stand-in and a second one for control that stays open.
+class StandinPorts {
+ public:
+  /// @param control_port 0 for none; then connections are never refused.
+  StandinPorts(EventLoop* loop,
+               const std::string& ip,
+               uint16_t port,
+               uint16_t control_port)
+      : m_loop(loop),
+        m_has_control(control_port != 0),
+        m_main(loop, ip, port),
+        m_control(loop, ip, control_port) {}
+
+  /// @returns whether both addresses could be taken, else last_reason() is set.
+  bool Open(HttpServer::Handler handler) {
+    m_handler = std::move(handler);
+    if (m_has_control && !m_control.Open(m_handler)) {
+      m_reason = m_control.last_reason();
+      return false;
+    }
+    return OpenMain();
+  }
+
+  /// Refuses connections to the main address, or accepts them again.
+  void SetRefusing(bool refusing) {
+    m_refusing = refusing && m_has_control;
+    if (m_refusing) {
+      m_main.Close();
+    } else if (!OpenMain()) {
+      // The address can be taken by a closing connection for a moment.
+      m_loop->Schedule(kReopenDelay, [this] { SetRefusing(m_refusing); });
+    }
+  }
+
+  const Reason& last_reason() const { return m_reason; }
+
+ private:
+  static constexpr Duration kReopenDelay = std::chrono::milliseconds(10);
+
+  bool OpenMain() {
+    if (m_main.Open(m_handler)) {
+      return true;
+    }
+    m_reason = m_main.last_reason();
+    return false;
+  }
+
+  EventLoop* m_loop;
+  bool m_has_control;
+  bool m_refusing = false;
+  HttpServer::Handler m_handler;
+  StandinListener m_main;
+  StandinListener m_control;
+  Reason m_reason;
+};
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_TOOLS_STANDIN_LISTENER_H_
--- a/tools/standin_main.h
+++ b/tools/standin_main.h
@@ -1,72 +1,45 @@
-// Command line of the stand-ins: --config, --check-config, --version, --help.
+// Main function shared by the stand-ins of the platform and of plain services.
 #ifndef BRAMLEYBANK_TOOLS_STANDIN_MAIN_H_
 #define BRAMLEYBANK_TOOLS_STANDIN_MAIN_H_
 
-#include <getopt.h>
-
+#include <csignal>
 #include <cstdio>
-#include <string>
-#include <vector>
 
-#include "bramleybank/version.h"
 #include "config_ini_reader.h"
+#include "event_loop.h"
+#include "log_event.h"
+#include "tool_options.h"
 
 namespace bramleybank {
 
-/// What the command line asks for.
-struct StandinCommandLine {
-  /// Set when the program has nothing more to do: its exit code.
-  int exit_code = -1;
-  std::string config_file;
-  bool check_only = false;
-};
-
-/// Reads the command line; prints help, version and faults itself.
-inline StandinCommandLine ReadStandinCommandLine(int argc, char** argv) {
-  static constexpr option kOptions[] = {
-      {"config", required_argument, nullptr, 'c'},
-      {"check-config", no_argument, nullptr, 'k'},
-      {"version", no_argument, nullptr, 'v'},
-      {"help", no_argument, nullptr, 'h'},
-      {nullptr, 0, nullptr, 0}};
-  StandinCommandLine line;
-  int found = 0;
-  while ((found = getopt_long(argc, argv, "", kOptions, nullptr)) != -1) {
-    switch (found) {
-      case 'c':
-        line.config_file = optarg;
-        break;
-      case 'k':
-        line.check_only = true;
-        break;
-      case 'v':
-        std::printf("%s %s\n", argv[0], kVersion);
-        line.exit_code = 0;
-        return line;
-      case 'h':
-        std::printf(
-            "usage: %s --config=FILE [--check-config] [--version] [--help]\n",
-            argv[0]);
-        line.exit_code = 0;
-        return line;
-      default:
-        line.exit_code = 2;
-        return line;
-    }
-  }
-  if (line.config_file.empty()) {
-    std::fprintf(stderr, "%s: --config=FILE is required\n", argv[0]);
-    line.exit_code = 2;
-  }
-  return line;
-}
-
-/// Prints every fault. @returns whether there was none.
-inline bool ReportSettingErrors(const std::vector<SettingError>& errors) {
-  for (const SettingError& error : errors) {
-    std::fprintf(stderr, "%s\n", FormatSettingError(error).c_str());
+/// Runs a stand-in until SIGTERM or SIGINT.
+/// @tparam Server constructed from the loop and the settings; has Start() and
+/// last_reason().
+/// @param read_settings reads all settings from an IniReader.
+/// @returns the exit code of the process.
+template <typename Server, typename ReadSettings>
+int RunStandin(int argc,
+               char** argv,
+               const char* purpose,
+               ReadSettings read_settings) {
+  const ToolOptions options = ParseToolOptions(argc, argv, purpose);
+  IniReader reader(options.config);
+  const auto settings = read_settings(&reader);
+  ExitOnSettingErrors(options, reader.Finish());
+  StartLogging(argv[0]);
+  EventLoop loop;
+  Server server(&loop, settings);
+  if (!server.Start()) {
+    std::fprintf(stderr, "%s\n", server.last_reason().detail.c_str());
+    return 1;
   }
-  return errors.empty();
+  loop.RunOnSignal(SIGTERM, [&loop] { loop.Stop(); });
+  loop.RunOnSignal(SIGINT, [&loop] { loop.Stop(); });
+  LogLine(LogEventId::kStarted)
+      .Field("ip", settings.ip)
+      .Field("port", settings.port);
+  loop.Run();
+  return 0;
 }
 
 }  // namespace bramleybank
--- a/tools/standin_platform_server.cc
+++ b/tools/standin_platform_server.cc
@@ -57,8 +57,7 @@
                                const PlatformSettings& settings)
     : m_loop(loop),
       m_settings(settings),
-      m_listener(loop, settings.ip, settings.port),
-      m_control_listener(loop, settings.ip, settings.control_port),
+      m_ports(loop, settings.ip, settings.port, settings.control_port),
       m_write_gate(settings.writes_per_s, settings.max_queue, &SteadyNow),
       m_read_gate(settings.reads_per_s, settings.max_queue, &SteadyNow),
       m_weight_gate(settings.weight_bytes_per_s,
@@ -67,31 +66,10 @@
       m_vm_lag_ms(settings.vm_lag_ms) {}
 
 bool PlatformServer::Start() {
-  const auto handler = [this](const HttpRequest& request,
-                              const Responder& responder) {
-    Handle(request, responder);
-  };
-  if (!m_listener.Open(handler)) {
-    m_reason = m_listener.last_reason();
-    return false;
-  }
-  if (m_settings.control_port != 0 && !m_control_listener.Open(handler)) {
-    m_reason = m_control_listener.last_reason();
-    return false;
-  }
-  return true;
-}
-
-void PlatformServer::FollowDownState() {
-  if (m_settings.control_port == 0) {
-    return;
-  }
-  if (m_faults.down == PlatformDown::kRefuse) {
-    m_listener.Close();
-  } else if (!m_listener.is_open() && !Start()) {
-    // The address can be taken by a closing connection for a moment.
-    m_loop->Schedule(milliseconds(10), [this] { FollowDownState(); });
-  }
+  return m_ports.Open(
+      [this](const HttpRequest& request, const Responder& responder) {
+        Handle(request, responder);
+      });
 }
 
 void PlatformServer::Handle(const HttpRequest& request,
@@ -138,7 +116,7 @@
   // Closing a listener from inside its own handler is not allowed. The answer
   // follows, so that a refusing platform refuses once it is sent.
   m_loop->Post([this, responder] {
-    FollowDownState();
+    m_ports.SetRefusing(m_faults.down == PlatformDown::kRefuse);
     Reply(responder.get(), 200, {{"ok", true}});
   });
 }
--- a/tools/standin_platform_server.h
+++ b/tools/standin_platform_server.h
@@ -28,7 +28,7 @@
 
   /// @returns whether it listens, else last_reason() is set.
   bool Start();
-  const Reason& last_reason() const { return m_reason; }
+  const Reason& last_reason() const { return m_ports.last_reason(); }
 
  private:
   using Responder = std::shared_ptr<HttpResponder>;
@@ -55,13 +55,10 @@
   void FinishWrite(const Responder& responder, const Operation& operation);
   void RunRead(const Responder& responder, Operation operation);
   void SetVms(const nlohmann::json& vms);
-  /// Opens or closes the listening address as the faults demand.
-  void FollowDownState();
 
   EventLoop* m_loop;
   PlatformSettings m_settings;
-  StandinListener m_listener;
-  StandinListener m_control_listener;
+  StandinPorts m_ports;
   PlatformStore m_store;
   PlatformFaults m_faults;
   PlatformGate m_write_gate;
@@ -76,7 +73,6 @@
   uint64_t m_refused = 0;
   // Writes whose effect waits for their connection to close.
   uint64_t m_held = 0;
-  Reason m_reason;
 };
 
 }  // namespace bramleybank
--- a/tools/standin_service_server.cc
+++ b/tools/standin_service_server.cc
@@ -46,35 +46,13 @@
 ServiceServer::ServiceServer(EventLoop* loop, const ServiceSettings& settings)
     : m_loop(loop),
       m_settings(settings),
-      m_listener(loop, settings.ip, settings.port),
-      m_control_listener(loop, settings.ip, settings.control_port) {}
+      m_ports(loop, settings.ip, settings.port, settings.control_port) {}
 
 bool ServiceServer::Start() {
-  const auto handler = [this](const HttpRequest& request,
-                              const Responder& responder) {
-    Handle(request, responder);
-  };
-  if (!m_listener.Open(handler)) {
-    m_reason = m_listener.last_reason();
-    return false;
-  }
-  if (m_settings.control_port != 0 && !m_control_listener.Open(handler)) {
-    m_reason = m_control_listener.last_reason();
-    return false;
-  }
-  return true;
-}
-
-void ServiceServer::FollowRefuseState() {
-  if (m_settings.control_port == 0) {
-    return;
-  }
-  if (m_faults.refuse) {
-    m_listener.Close();
-  } else if (!m_listener.is_open() && !Start()) {
-    // The address can be taken by a closing connection for a moment.
-    m_loop->Schedule(milliseconds(10), [this] { FollowRefuseState(); });
-  }
+  return m_ports.Open(
+      [this](const HttpRequest& request, const Responder& responder) {
+        Handle(request, responder);
+      });
 }
 
 void ServiceServer::Handle(const HttpRequest& request,
@@ -110,7 +88,7 @@
   // Closing a listener from inside its own handler is not allowed. The answer
   // follows, so that the fault holds once it is sent.
   m_loop->Post([this, responder] {
-    FollowRefuseState();
+    m_ports.SetRefusing(m_faults.refuse);
     Reply(responder.get(), 200, R"({"ok":true})");
   });
 }
--- a/tools/standin_service_server.h
+++ b/tools/standin_service_server.h
@@ -40,7 +40,7 @@
 
   /// @returns whether it listens, else last_reason() is set.
   bool Start();
-  const Reason& last_reason() const { return m_reason; }
+  const Reason& last_reason() const { return m_ports.last_reason(); }
 
  private:
   using Responder = std::shared_ptr<HttpResponder>;
@@ -59,18 +59,14 @@
   void RunCall(const Run& run, const Responder& responder);
   /// Sends an answer with the faults of the end of an exchange.
   void Answer(int status, std::string body, const Responder& responder);
-  /// Opens or closes the listening address as the faults demand.
-  void FollowRefuseState();
 
   EventLoop* m_loop;
   ServiceSettings m_settings;
-  StandinListener m_listener;
-  StandinListener m_control_listener;
+  StandinPorts m_ports;
   ServiceFaults m_faults;
   std::vector<Run> m_runs;
   // Requests of any route but control and record, read whole.
   uint64_t m_requests = 0;
-  Reason m_reason;
 };
 
 }  // namespace bramleybank
