Give every open stream a resume within the window

Cause: the resume reserve counted the streams that were open 10 s ago plus 20. When an engine died soon after its streams began, those beyond 20 ended with retry_budget_exhausted. Ruled out: attempts used up, and no usable engine (the survivor had free slots). Change: the reserve counts each stream that was open within the window; resumed streams count from their start. Engines are polled at once when they are first preferred, because a burst before the first load report was refused as too late. Conclusion: total resumes stay below one a stream and 10 s plus 20.

--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -168,9 +168,11 @@
     hooks.on_config = [this](std::shared_ptr<const ConfigSnapshot> next) {
       config = std::move(next);
       director.SetConfig(*config);
+      load_poller.PollNew();
     };
     hooks.on_members = [this](const std::vector<SubsetMember>& members) {
       director.SetMembers(members);
+      load_poller.PollNew();
     };
     hooks.on_notice = [this](const Notice& notice) { OnNotice(notice); };
     hooks.on_copied = [this](uint64_t generation, uint64_t position) {
--- a/src/limit_retry_budget.cc
+++ b/src/limit_retry_budget.cc
@@ -52,7 +52,9 @@
 }
 
 void RetryBudget::OnStreamOpened(std::string_view route) {
-  ++Current(route).open_streams;
+  Route& current = Current(route);
+  ++current.open_streams;
+  ++Now(&current).opened;
 }
 
 void RetryBudget::OnStreamClosed(std::string_view name) {
@@ -82,12 +84,15 @@
 bool RetryBudget::TryResume(std::string_view name, RetryReason reason) {
   Route& route = Current(name);
   uint64_t resumes = 0;
+  uint64_t opened = 0;
   for (const Bucket& bucket : route.buckets) {
     resumes += bucket.resumes;
+    opened += bucket.opened;
   }
   const Bucket& oldest =
       route.buckets[static_cast<size_t>(route.tick + 1) % kBuckets];
-  const double budget = oldest.open_at_start + m_limits.resume_extra;
+  const double budget = static_cast<double>(oldest.open_at_start + opened) +
+                        m_limits.resume_extra;
   if (static_cast<double>(resumes) + 1 > budget) {
     return Refuse(reason, "the resume reserve of the route is used up");
   }
--- a/src/limit_retry_budget.h
+++ b/src/limit_retry_budget.h
@@ -35,14 +35,16 @@
   /// Retries allowed per first try of the window, and besides.
   double share = 0.1;
   double extra = 5;
-  /// Resumes allowed beyond one per stream open at the start of the window.
+  /// Resumes allowed beyond one per stream that was open in the window.
   double resume_extra = 20;
 };
 
 /// Grants retries per route, so that a fault does not multiply the load:
 /// retries and hedges together are at most 10% of the first tries of the last
 /// 10 s plus 5. Resumes of streams save work that is done and have their own
-/// reserve: the streams open at the start of the last 10 s plus 20.
+/// reserve: one for each stream that was open within the last 10 s, plus 20. So
+/// a lost engine costs no stream its answer, and streams that are lost again
+/// and again cannot more than double the load.
 class RetryBudget {
  public:
   RetryBudget(ClockHook now, RandomHook random, RetryLimits limits = {});
@@ -76,8 +78,9 @@
     uint32_t first_tries = 0;
     uint32_t retries = 0;
     uint32_t resumes = 0;
-    /// Streams that were open when the bucket began.
+    /// Streams that were open when the bucket began, and opened in it.
     uint32_t open_at_start = 0;
+    uint32_t opened = 0;
   };
   struct Route {
     // Ring, with the bucket of the present at `tick % kBuckets`.
--- a/src/route_load_poller.cc
+++ b/src/route_load_poller.cc
@@ -15,6 +15,8 @@
 
 using nlohmann::json;
 
+constexpr Duration kFirstPollSpacing = std::chrono::milliseconds(2);
+
 /// An answer to `GET /load`.
 struct EngineReport {
   LoadReport load;
@@ -79,6 +81,20 @@
   m_timer = m_loop->Schedule(interval, [this] { PollAll(); });
 }
 
+void RouteLoadPoller::PollNew() {
+  Duration delay{0};
+  std::set<std::string> polled;
+  for (const std::string& address : m_director->polled()) {
+    polled.insert(address);
+    if (m_polled.contains(address)) {
+      continue;
+    }
+    m_loop->Schedule(delay, [this, address] { Poll(address); });
+    delay += kFirstPollSpacing;
+  }
+  m_polled = std::move(polled);
+}
+
 void RouteLoadPoller::Poll(const std::string& address) {
   HttpClientRequest request;
   request.url = "http://" + address + "/load";
--- a/src/route_load_poller.h
+++ b/src/route_load_poller.h
@@ -35,6 +35,10 @@
   RouteLoadPoller& operator=(const RouteLoadPoller&) = delete;
 
   void Start();
+  /// Polls at once the engines that were not polled before; call it when the
+  /// polled engines have changed. Until its first report an engine's slots are
+  /// a guess, and a burst may be refused that it could take.
+  void PollNew();
 
  private:
   void PollAll();
@@ -48,6 +52,8 @@
   RandomHook m_random;
   RouteDirector* m_director;
   LeavingHook m_on_leaving;
+  // Engines that were polled at least once.
+  std::set<std::string> m_polled;
   // Engines that said so in their last answer.
   std::set<std::string> m_leaving;
   TimerHandle m_timer;
--- a/src/stream_environment.h
+++ b/src/stream_environment.h
@@ -115,7 +115,8 @@
   /// @returns streams that this daemon has on the engine of the ticket.
   std::function<uint32_t(EngineTicket)> streams_on;
   /// Called when a stream has got its first token, and when it is over after
-  /// that; the resume reserve counts the streams between.
+  /// that, or from the start for a resumed stream; the resume reserve counts
+  /// the streams between.
   std::function<void(std::string_view model)> on_stream_opened;
   std::function<void(std::string_view model)> on_stream_closed;
 
--- a/src/stream_runner.cc
+++ b/src/stream_runner.cc
@@ -104,6 +104,10 @@
 
 void StreamRunner::Start() {
   if (m_binding) {
+    // Counted before its first token here, so that a stream whose daemon and
+    // engine were lost together has its share of the resume reserve.
+    m_is_counted_open = true;
+    m_environment->on_stream_opened(m_request.model);
     OpenCopy();
   }
   Apply(m_session->Start());
--- a/tests/process_recovery.cc
+++ b/tests/process_recovery.cc
@@ -2,8 +2,10 @@
 // or together with the engine, pause or stop, and when engines freeze.
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "process_deployment.h"
 
@@ -158,6 +160,36 @@
   CHECK(kills == 4);
 }
 
+TEST_CASE("many young streams survive the loss of their engine") {
+  // More streams than the fixed part of the resume reserve, all younger than
+  // its window.
+  constexpr int kStreams = 80;
+  Deployment deployment({.domains = 1,
+                         .engines_per_domain = 2,
+                         .engine_settings = "token_interval_ms = 20\n"
+                                            "slots = 200\n"});
+  const std::string body =
+      R"({"model":"writer","prompt":"p","max_tokens":100,"stream":true})";
+  std::vector<std::unique_ptr<StreamReader>> readers;
+  for (int i = 0; i < kStreams; ++i) {
+    readers.push_back(std::make_unique<StreamReader>(
+        deployment.caller_url(0) + "/v1/completions", HttpHeaders{}, body));
+  }
+  for (const auto& reader : readers) {
+    reader->WaitForEvents(3);
+  }
+  deployment.engine(0).Kill();
+  for (const auto& reader : readers) {
+    reader->WaitForEnd();
+    const auto events = reader->Events();
+    CAPTURE(reader->Body().substr(0, 300));
+    REQUIRE_FALSE(events.empty());
+    CHECK(events.back().data == "[DONE]");
+    // 100 tokens, the finish event and [DONE].
+    CHECK(events.size() == 102);
+  }
+}
+
 TEST_CASE("when no engine is left the caller is told how far it got") {
   Deployment deployment({.domains = 1, .engines_per_domain = 1});
   CallerOptions options;
