--- a/src/config_ini_reader.h
+++ b/src/config_ini_reader.h
@@ -32,6 +32,9 @@
 /// returns the default; Finish() adds the keys that no getter asked for.
 class IniReader {
  public:
+  /// Section and key.
+  using Name = std::pair<std::string, std::string>;
+
   /// @param file a file that cannot be read or parsed is an error too.
   explicit IniReader(std::string file);
 
@@ -64,9 +67,10 @@
   /// @returns all errors, unknown keys included.
   std::vector<SettingError> Finish();
 
- private:
-  using Name = std::pair<std::string, std::string>;
+  /// @returns every name that a getter has asked for, present or not.
+  const std::set<Name>& known_names() const { return m_known; }
 
+ private:
   std::optional<std::string> Find(std::string_view section,
                                   std::string_view key);
   void AddValueError(std::string_view section,
--- a/src/daemon_settings.cc
+++ b/src/daemon_settings.cc
@@ -17,33 +17,38 @@
 
 }  // namespace
 
-DaemonSettings ReadDaemonSettings(const std::string& file,
-                                  std::vector<SettingError>* errors) {
-  IniReader reader(file);
+DaemonSettings ReadDaemonSettings(IniReader* reader) {
   DaemonSettings settings;
-  settings.ip = reader.Ip("node", "ip", "127.0.0.1");
-  settings.caller_port = ReadPort(&reader, "caller_port", 7101);
-  settings.operator_port = ReadPort(&reader, "operator_port", 7102);
-  settings.peer_port = ReadPort(&reader, "peer_port", 7103);
+  settings.ip = reader->Ip("node", "ip", "127.0.0.1");
+  settings.caller_port = ReadPort(reader, "caller_port", 7101);
+  settings.operator_port = ReadPort(reader, "operator_port", 7102);
+  settings.peer_port = ReadPort(reader, "peer_port", 7103);
   if (settings.caller_port == settings.operator_port ||
       settings.caller_port == settings.peer_port ||
       settings.operator_port == settings.peer_port) {
-    reader.AddError("node", "operator_port",
-                    "caller_port, operator_port and peer_port must differ");
+    reader->AddError("node", "operator_port",
+                     "caller_port, operator_port and peer_port must differ");
   }
-  settings.region = reader.RequiredString("node", "region");
-  settings.failure_domain = reader.RequiredString("node", "failure_domain");
-  settings.cluster = reader.String("node", "cluster", "bramleybank");
-  settings.platform_url = reader.RequiredString("platform", "url");
+  settings.region = reader->RequiredString("node", "region");
+  settings.failure_domain = reader->RequiredString("node", "failure_domain");
+  settings.cluster = reader->String("node", "cluster", "bramleybank");
+  settings.platform_url = reader->RequiredString("platform", "url");
   if (!settings.platform_url.empty() &&
       !settings.platform_url.starts_with("http://") &&
       !settings.platform_url.starts_with("https://")) {
-    reader.AddError("platform", "url", "an http:// or https:// URL");
+    reader->AddError("platform", "url", "an http:// or https:// URL");
   }
-  settings.copy_enabled = reader.Bool("streams", "copy", true);
+  settings.copy_enabled = reader->Bool("streams", "copy", true);
   settings.drain_time =
-      std::chrono::seconds(reader.Int("drain", "time_s", kDefaultDrainSeconds,
-                                      kMinDrainSeconds, kMaxDrainSeconds));
+      std::chrono::seconds(reader->Int("drain", "time_s", kDefaultDrainSeconds,
+                                       kMinDrainSeconds, kMaxDrainSeconds));
+  return settings;
+}
+
+DaemonSettings ReadDaemonSettings(const std::string& file,
+                                  std::vector<SettingError>* errors) {
+  IniReader reader(file);
+  DaemonSettings settings = ReadDaemonSettings(&reader);
   *errors = reader.Finish();
   return settings;
 }
--- a/src/daemon_settings.h
+++ b/src/daemon_settings.h
@@ -37,6 +37,9 @@
                          const DaemonSettings&) = default;
 };
 
+/// Reads all settings; faults are kept by the reader.
+DaemonSettings ReadDaemonSettings(IniReader* reader);
+
 /// @param errors gets every fault of the file; the settings are usable only
 /// when it stays empty.
 DaemonSettings ReadDaemonSettings(const std::string& file,
--- /dev/null
+++ b/tests/unit_settings.cc
@@ -0,0 +1,177 @@
+// Guards against settings that are taken wrongly without a word, and against
+// pages and examples that the code does not agree with.
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include "config_ini_reader.h"
+#include "config_snapshot.h"
+#include "daemon_settings.h"
+
+namespace bramleybank {
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string ReadFile(const fs::path& path) {
+  std::ifstream file(path);
+  REQUIRE(file);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// A settings file that is removed at the end of the test.
+class IniFile {
+ public:
+  explicit IniFile(const std::string& text)
+      : m_path(fs::temp_directory_path() /
+               ("unit_settings." + std::to_string(getpid()) + ".ini")) {
+    std::ofstream(m_path) << text;
+  }
+  ~IniFile() { fs::remove(m_path); }
+  IniFile(const IniFile&) = delete;
+  IniFile& operator=(const IniFile&) = delete;
+
+  std::string path() const { return m_path.string(); }
+
+ private:
+  fs::path m_path;
+};
+
+constexpr char kNode[] = "[node]\nregion = north\nfailure_domain = north-1\n";
+constexpr char kPlatform[] = "[platform]\nurl = http://127.0.0.1:7300\n";
+
+/// @returns the lines that are printed for a daemon's settings, without the
+/// name of the file.
+std::vector<std::string> DaemonFaults(const std::string& text) {
+  const IniFile file(text);
+  std::vector<SettingError> errors;
+  ReadDaemonSettings(file.path(), &errors);
+  std::vector<std::string> lines;
+  for (const SettingError& error : errors) {
+    CHECK(error.file == file.path());
+    lines.push_back(FormatSettingError(error).substr(file.path().size() + 2));
+  }
+  return lines;
+}
+
+std::set<std::string> Matches(const std::string& text, const char* pattern) {
+  std::set<std::string> found;
+  const std::regex regex(pattern);
+  for (std::sregex_iterator it(text.begin(), text.end(), regex), end; it != end;
+       ++it) {
+    found.insert((*it)[1].str());
+  }
+  return found;
+}
+
+TEST_CASE("every fault of a file is reported with what is allowed") {
+  const IniFile file(
+      "[a]\nint = 11\nword = 1x\nreal = nan\nflag = yes\nip = 1.2.3\n"
+      "empty =\ntwice = 1\ntwice = 2\nstray = 5\n");
+  IniReader reader(file.path());
+  CHECK(reader.Int("a", "int", 3, 0, 10) == 3);
+  CHECK(reader.Int("a", "word", 4, 0, 10) == 4);
+  CHECK(reader.Double("a", "real", 0.5, 0, 1) == 0.5);
+  CHECK(reader.Bool("a", "flag", true));
+  reader.Ip("a", "ip", "127.0.0.1");
+  reader.RequiredString("a", "empty");
+  reader.RequiredString("a", "absent");
+  CHECK(reader.String("a", "twice", "") == "1");
+  const std::vector<SettingError> expected = {
+      {file.path(), "a", "twice", "2", "each key once"},
+      {file.path(), "a", "int", "11", "a whole number from 0 to 10"},
+      {file.path(), "a", "word", "1x", "a whole number from 0 to 10"},
+      {file.path(), "a", "real", "nan", "a number from 0 to 1"},
+      {file.path(), "a", "flag", "yes", "true or false"},
+      {file.path(), "a", "ip", "1.2.3", "an IPv4 address"},
+      {file.path(), "a", "empty", "", "a value; the key is required"},
+      {file.path(), "a", "absent", "", "a value; the key is required"},
+      {file.path(), "a", "stray", "5", "no such key"}};
+  CHECK(reader.Finish() == expected);
+  CHECK(reader.known_names().contains({"a", "absent"}));
+  CHECK_FALSE(reader.known_names().contains({"a", "stray"}));
+}
+
+TEST_CASE("good values and defaults are taken as they are") {
+  const IniFile file("[a]\nint = 10\nreal = 0.25\nflag = false\n");
+  IniReader reader(file.path());
+  CHECK(reader.Int("a", "int", 3, 0, 10) == 10);
+  CHECK(reader.Double("a", "real", 0.5, 0, 1) == 0.25);
+  CHECK_FALSE(reader.Bool("a", "flag", true));
+  CHECK(reader.Ip("a", "ip", "127.0.0.1") == "127.0.0.1");
+  CHECK(reader.Finish().empty());
+}
+
+TEST_CASE("a file that cannot be read or parsed is a fault") {
+  CHECK(IniReader("/nonexistent.ini").Finish().size() == 1);
+  const IniFile file("[a]\nno value\n");
+  const auto errors = IniReader(file.path()).Finish();
+  REQUIRE(errors.size() == 1);
+  CHECK(errors[0].key == "line 2");
+}
+
+TEST_CASE("each rule of the daemon's settings is checked") {
+  using Lines = std::vector<std::string>;
+  const std::string node = kNode;
+  const std::string platform = kPlatform;
+  CHECK(DaemonFaults(node + platform).empty());
+  CHECK(DaemonFaults("") ==
+        Lines{"[node] region: allowed: a value; the key is required",
+              "[node] failure_domain: allowed: a value; the key is required",
+              "[platform] url: allowed: a value; the key is required"});
+  CHECK(DaemonFaults(node + "ip = here\n" + platform) ==
+        Lines{"[node] ip = \"here\": allowed: an IPv4 address"});
+  for (const std::string key : {"caller_port", "operator_port", "peer_port"}) {
+    for (const std::string value : {"0", "65536", "x"}) {
+      CHECK(DaemonFaults(node + key + " = " + value + "\n" + platform) ==
+            Lines{"[node] " + key + " = \"" + value +
+                  "\": allowed: a whole number from 1 to 65535"});
+    }
+  }
+  CHECK(DaemonFaults(node + "peer_port = 7101\n" + platform).size() == 1);
+  CHECK(DaemonFaults(node + "peer_port = 7102\n" + platform).size() == 1);
+  CHECK(DaemonFaults(node + "operator_port = 7101\n" + platform) ==
+        Lines{"[node] operator_port = \"7101\": allowed: caller_port, "
+              "operator_port and peer_port must differ"});
+  CHECK(DaemonFaults(node + "[platform]\nurl = ftp://here\n") ==
+        Lines{"[platform] url = \"ftp://here\": allowed: an http:// or "
+              "https:// URL"});
+  CHECK(DaemonFaults(node + platform + "[streams]\ncopy = 1\n") ==
+        Lines{"[streams] copy = \"1\": allowed: true or false"});
+  for (const std::string value : {"34", "3601"}) {
+    CHECK(DaemonFaults(node + platform + "[drain]\ntime_s = " + value + "\n") ==
+          Lines{"[drain] time_s = \"" + value +
+                "\": allowed: a whole number from 35 to 3600"});
+  }
+  CHECK(DaemonFaults(node + platform + "[drain]\ntime = 60\n") ==
+        Lines{"[drain] time = \"60\": allowed: no such key"});
+}
+
+TEST_CASE("docs/settings.md lists the daemon's keys, and no others") {
+  const std::string page = ReadFile(fs::path(SOURCE_DIR) / "docs/settings.md");
+  const size_t start = page.find("## bramleybankd\n");
+  REQUIRE(start != std::string::npos);
+  const std::string part =
+      page.substr(start, page.find("\n## ", start) - start);
+  const IniFile file("");
+  IniReader reader(file.path());
+  ReadDaemonSettings(&reader);
+  std::set<std::string> known;
+  for (const auto& [section, key] : reader.known_names()) {
+    known.insert(section + " | " + key);
+  }
+  std::set<std::string> listed = Matches(part, R"(\n\| ([a-z]\w* \| \w+) \|)");
+  CHECK(listed == known);
+}
+
+}  // namespace
+}  // namespace bramleybank
