--- a/tests/unit_settings.cc
+++ b/tests/unit_settings.cc
@@ -173,5 +173,27 @@
   CHECK(listed == known);
 }
 
+TEST_CASE("docs/metrics.md lists the metrics of the daemon, and no others") {
+  std::set<std::string> used;
+  for (const auto& entry :
+       fs::directory_iterator(fs::path(SOURCE_DIR) / "src")) {
+    const std::string text = ReadFile(entry.path());
+    used.merge(Matches(text, R"re("(bramleybank_\w*[a-z])")re"));
+    if (entry.path().filename() == "member_report.cc") {
+      // Names that are put together from a prefix and a part.
+      for (const std::string& name : Matches(text, R"re(set\("(\w+)")re")) {
+        used.insert("bramleybank_member_" + name);
+      }
+      for (const std::string& name :
+           Matches(text, R"re(\{"(\w+)", LogEventId)re")) {
+        used.insert("bramleybank_members_" + name);
+      }
+    }
+  }
+  CHECK(used.size() > 40);
+  const std::string page = ReadFile(fs::path(SOURCE_DIR) / "docs/metrics.md");
+  CHECK(Matches(page, R"(\n\| `(bramleybank_\w+))") == used);
+}
+
 }  // namespace
 }  // namespace bramleybank
