--- a/tests/unit_settings.cc
+++ b/tests/unit_settings.cc
@@ -195,5 +195,48 @@
   CHECK(Matches(page, R"(\n\| `(bramleybank_\w+))") == used);
 }
 
+void CheckExample(const std::string& name,
+                  const std::vector<std::string>& regions,
+                  const std::string& model,
+                  size_t model_servers,
+                  const std::string& service) {
+  const fs::path folder = fs::path(SOURCE_DIR) / "examples" / name;
+  Reason error;
+  const auto config =
+      ParseConfigSnapshot(ReadFile(folder / "config.json"), &error);
+  CAPTURE(error.detail);
+  REQUIRE(config);
+  std::set<std::string> domains;
+  size_t engines = 0;
+  size_t services = 0;
+  for (const EndpointConfig& endpoint : config->endpoints) {
+    domains.insert(endpoint.failure_domain);
+    const bool is_engine = endpoint.kind == EndpointKind::kEngine;
+    CHECK(endpoint.group == (is_engine ? model : service));
+    CHECK(std::ranges::find(regions, endpoint.region) != regions.end());
+    (is_engine ? engines : services) += 1;
+  }
+  CHECK(engines == model_servers);
+  CHECK(services == 3);
+  CHECK(config->customers.size() == 10);
+  REQUIRE(config->services.size() == 1);
+  CHECK(config->services[0].name == service);
+  CHECK_FALSE(config->services[0].non_idempotent_routes.empty());
+  for (const std::string& region : regions) {
+    std::vector<SettingError> errors;
+    const DaemonSettings settings = ReadDaemonSettings(
+        (folder / ("daemon-" + region + ".ini")).string(), &errors);
+    CHECK(errors.empty());
+    CHECK(settings.region == region);
+    CHECK(domains.contains(settings.failure_domain));
+    CHECK(settings.cluster == name);
+  }
+}
+
+TEST_CASE("the examples are accepted and have the stated sizes") {
+  CheckExample("lianhua", {"north", "central", "south"}, "writer", 36, "app");
+  CheckExample("trust", {"bagmati", "gandaki", "koshi"}, "guide", 24, "desk");
+}
+
 }  // namespace
 }  // namespace bramleybank
