Refuse an answer that outlasts the drain instead of cutting it

Cause: a generation without a stream that was still running at the end of the drain time lost its connection without a word. Figures: the new test gets 503 draining; before, the connection broke.

--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -31,6 +31,8 @@
 namespace bramleybank {
 namespace {
 
+/// Time for the last refusals to reach their callers.
+constexpr Duration kExitFlushTime = std::chrono::milliseconds(200);
 constexpr Duration kDrainPollInterval = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -225,7 +227,10 @@
     const DrainStep step = drain.Next(open);
     if (step == DrainStep::kExit) {
       cluster->Leave();
-      loop->Stop();
+      // An answer that is not streamed cannot be handed over; its caller gets
+      // a refusal rather than a broken connection.
+      streams->RefuseAllForExit();
+      loop->Schedule(kExitFlushTime, [this] { loop->Stop(); });
       return;
     }
     if (step == DrainStep::kHandOver) {
--- a/src/stream_runner.cc
+++ b/src/stream_runner.cc
@@ -609,6 +609,16 @@
   m_responder->Finish();
 }
 
+void StreamRunner::RefuseForExit() {
+  if (!m_responder || m_finished) {
+    return;
+  }
+  m_finished = true;
+  RetireTransfer();
+  SendGiveUp({{ResultCode::kDraining, "the daemon stops; send it again"},
+              m_session->delivered()});
+}
+
 void StreamRunner::HandOver() {
   if (!m_responder || is_buffered() || m_finished ||
       m_session->delivered() == 0) {
--- a/src/stream_runner.h
+++ b/src/stream_runner.h
@@ -71,6 +71,9 @@
   /// stay for the daemon that the caller reaches.
   void HandOver();
 
+  /// The daemon exits: tells a caller that could not be handed over.
+  void RefuseForExit();
+
   uint64_t generation() const { return m_start.generation; }
   const GenerationRequest& request() const { return m_request; }
   const StreamSession& session() const { return *m_session; }
--- a/src/stream_service.cc
+++ b/src/stream_service.cc
@@ -201,6 +201,12 @@
   return held;
 }
 
+void StreamService::RefuseAllForExit() {
+  for (const auto& [generation, runner] : m_runners) {
+    runner->RefuseForExit();
+  }
+}
+
 void StreamService::HandOverAll() {
   for (const auto& [generation, runner] : m_runners) {
     runner->HandOver();
--- a/src/stream_service.h
+++ b/src/stream_service.h
@@ -80,6 +80,9 @@
   /// Hands all streams with output over to other daemons.
   void HandOverAll();
 
+  /// Refuses what is still open when the daemon exits.
+  void RefuseAllForExit();
+
   size_t open_streams() const { return m_runners.size(); }
 
  private:
--- a/tests/process_recovery.cc
+++ b/tests/process_recovery.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "process_deployment.h"
@@ -262,6 +263,26 @@
   CHECK(deployment.daemon(0).WaitExit() == 0);
 }
 
+TEST_CASE("an answer that outlasts the drain is refused, not cut") {
+  Deployment deployment({.domains = 1,
+                         .engine_settings = "token_interval_ms = 1000\n",
+                         .daemon_settings = "[drain]\ntime_s = 35\n"});
+  HttpAnswer answer;
+  std::thread caller([&] {
+    answer = Send("POST", deployment.caller_url(0) + "/v1/completions", {},
+                  R"({"model":"writer","prompt":"p","max_tokens":600})");
+  });
+  WaitUntil("the stream to be open", [&] {
+    return deployment.Metric(0, "bramleybank_open_streams") == 1;
+  });
+  deployment.daemon(0).Terminate();
+  caller.join();
+  CHECK(answer.status == 503);
+  CHECK(answer.body.find("\"draining\"") != std::string::npos);
+  CHECK(answer.body.find("\"unknown\"") != std::string::npos);
+  CHECK(deployment.daemon(0).WaitExit() == 0);
+}
+
 TEST_CASE("an engine that says it is leaving gets no new work anywhere") {
   Deployment deployment({});
   deployment.WaitMembers();
