Refuse names of domains that membership would cut, and ip 0.0.0.0

MemberProtocol cuts region and failure domain to 64 bytes without a word, so two long names could become equal for the other daemons, and a copy could be held in the failure domain of its owner. A daemon with ip = 0.0.0.0 would tell the others an address that they cannot connect to. Both are faults of the settings now.

Checked: the new checks in unit_settings.cc fail with the old reader; all 12 test programs pass and lint is clean.

--- a/src/daemon_settings.cc
+++ b/src/daemon_settings.cc
@@ -1,6 +1,8 @@
 // Reads and checks the daemon's settings.
 #include "daemon_settings.h"
 
+#include "bramleybank/limits.h"
+
 namespace bramleybank {
 namespace {
 
@@ -15,11 +17,26 @@
       reader->Int("node", key, default_port, 1, kMaxPort));
 }
 
+// Membership messages cut longer names, and two names could become equal.
+std::string ReadDomainName(IniReader* reader, const char* key) {
+  std::string name = reader->RequiredString("node", key);
+  if (name.size() > kMaxRegionNameBytes) {
+    reader->AddError(
+        "node", key,
+        "at most " + std::to_string(kMaxRegionNameBytes) + " bytes");
+  }
+  return name;
+}
+
 }  // namespace
 
 DaemonSettings ReadDaemonSettings(IniReader* reader) {
   DaemonSettings settings;
   settings.ip = reader->Ip("node", "ip", "127.0.0.1");
+  if (settings.ip == "0.0.0.0") {
+    // Other daemons get this address to connect to.
+    reader->AddError("node", "ip", "the VM's own IPv4 address");
+  }
   settings.caller_port = ReadPort(reader, "caller_port", 7101);
   settings.operator_port = ReadPort(reader, "operator_port", 7102);
   settings.peer_port = ReadPort(reader, "peer_port", 7103);
@@ -29,8 +46,8 @@
     reader->AddError("node", "operator_port",
                      "caller_port, operator_port and peer_port must differ");
   }
-  settings.region = reader->RequiredString("node", "region");
-  settings.failure_domain = reader->RequiredString("node", "failure_domain");
+  settings.region = ReadDomainName(reader, "region");
+  settings.failure_domain = ReadDomainName(reader, "failure_domain");
   settings.cluster = reader->String("node", "cluster", "bramleybank");
   settings.platform_url = reader->RequiredString("platform", "url");
   if (!settings.platform_url.empty() &&
--- a/tests/unit_settings.cc
+++ b/tests/unit_settings.cc
@@ -130,6 +130,16 @@
               "[platform] url: allowed: a value; the key is required"});
   CHECK(DaemonFaults(node + "ip = here\n" + platform) ==
         Lines{"[node] ip = \"here\": allowed: an IPv4 address"});
+  CHECK(DaemonFaults(node + "ip = 0.0.0.0\n" + platform) ==
+        Lines{"[node] ip = \"0.0.0.0\": allowed: the VM's own IPv4 address"});
+  for (const std::string key : {"region", "failure_domain"}) {
+    const std::string other = key == "region" ? "failure_domain" : "region";
+    const std::string head = "[node]\n" + other + " = a\n" + key + " = ";
+    CHECK(DaemonFaults(head + std::string(64, 'x') + "\n" + platform).empty());
+    CHECK(DaemonFaults(head + std::string(65, 'x') + "\n" + platform) ==
+          Lines{"[node] " + key + " = \"" + std::string(65, 'x') +
+                "\": allowed: at most 64 bytes"});
+  }
   for (const std::string key : {"caller_port", "operator_port", "peer_port"}) {
     for (const std::string value : {"0", "65536", "x"}) {
       CHECK(DaemonFaults(node + key + " = " + value + "\n" + platform) ==
