Ask for the VM list less often in a large fleet

Cause: a list of 380 entries every 10 s is 4 KB/s of the 11 KB/s that control may use (computed from 110 bytes an entry). Change: 150 ms of interval an entry, at least 10 s. Figures (computed): 4.2 KB/s before, 0.7 KB/s after at 380 VMs; unchanged below 67.

--- a/src/platform_vm_list.cc
+++ b/src/platform_vm_list.cc
@@ -16,6 +16,9 @@
 using nlohmann::json;
 
 constexpr Duration kPollInterval = std::chrono::seconds(10);
+// An entry takes about 110 bytes. With 380 VMs a list every 10 s would cost
+// 4 KB/s of the 11 KB/s that control may use; gossip is faster anyway.
+constexpr Duration kIntervalPerVm = std::chrono::milliseconds(150);
 constexpr int kMaxBackoffDoublings = 3;
 // Without a first list a daemon may know no peer at all, so it asks without
 // backoff; 380 daemons started at once then cause 190 reads a second, as their
@@ -97,16 +100,22 @@
   m_has_list = m_has_list || vms.has_value();
   m_timer = m_loop->Schedule(NextDelay(), [this] { Fetch(); });
   if (vms) {
+    m_listed = vms->size();
     m_on_list(*vms);
   }
 }
 
+Duration PlatformVmList::PollInterval() const {
+  return std::max<Duration>(kPollInterval,
+                            kIntervalPerVm * static_cast<int64_t>(m_listed));
+}
+
 Duration PlatformVmList::NextDelay() {
   // Between half and one and a half of the interval, so that daemons that were
   // started together spread out.
   const int doublings = std::min(m_failures, kMaxBackoffDoublings);
   const Duration interval =
-      m_has_list ? kPollInterval * (1 << doublings) : kFirstListInterval;
+      m_has_list ? PollInterval() * (1 << doublings) : kFirstListInterval;
   const auto span = static_cast<uint64_t>(interval.count());
   return interval / 2 + Duration(static_cast<int64_t>(m_random() % span));
 }
--- a/src/platform_vm_list.h
+++ b/src/platform_vm_list.h
@@ -33,7 +33,8 @@
 std::optional<std::vector<VmEntry>> ParseVmList(std::string_view json,
                                                 Reason* error);
 
-/// Fetches `GET /vms` every 10 s with jitter, and less often while it fails.
+/// Fetches `GET /vms` every 10 s (57 s with 380 VMs) with jitter, and less
+/// often while it fails.
 class PlatformVmList {
  public:
   using ListCallback = std::function<void(const std::vector<VmEntry>& vms)>;
@@ -60,6 +61,7 @@
  private:
   void Fetch();
   void OnAnswer(bool complete, int status, const std::string& body);
+  Duration PollInterval() const;
   Duration NextDelay();
 
   EventLoop* m_loop;
@@ -70,6 +72,8 @@
   TimerHandle m_timer;
   TransferHandle m_transfer;
   int m_failures = 0;
+  // VMs in the last list.
+  size_t m_listed = 0;
   // Set by the first list, and never cleared.
   bool m_has_list = false;
   Reason m_last_reason;
