Say in the status when a failure domain is cut off

Cause: the design asks for it; /status had only counts of failures. Nothing tested serving while everything outside the domain is silent, and coming back. Change: cut_off and unreachable_domains in /status; a process test that pauses the platform and all other domains, serves, and takes a change afterwards. Conclusion: a cut-off domain serves with what it has and says so.

--- a/src/daemon_cluster.cc
+++ b/src/daemon_cluster.cc
@@ -7,6 +7,7 @@
 #include <cassert>
 #include <charconv>
 #include <chrono>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -277,11 +278,40 @@
     }
   }
 
+  /// Failure domains of which no member is live here.
+  std::vector<std::string> LostDomains() const {
+    std::map<std::string, bool> live_by_domain;
+    for (const auto& [peer, row] : protocol.table().rows()) {
+      bool& is_live = live_by_domain[row.info.failure_domain];
+      is_live = is_live || IsLive(row.info.state);
+    }
+    std::vector<std::string> lost;
+    for (const auto& [domain, is_live] : live_by_domain) {
+      if (!is_live) {
+        lost.push_back(domain);
+      }
+    }
+    return lost;
+  }
+
+  /// Whether neither the platform nor a daemon of another failure domain can
+  /// be reached, although there were others.
+  bool IsCutOff() const {
+    const bool sees_others = std::ranges::any_of(
+        protocol.table().Live(), [this](const MemberRow* row) {
+          return row->info.failure_domain != settings.failure_domain;
+        });
+    return !sees_others && !LostDomains().empty() &&
+           vm_list.consecutive_failures() > 0;
+  }
+
   json Status() const {
     return {
         {"membership", json::parse(FormatMemberStatus(protocol))},
         {"config_number", config_log.number()},
         {"config_ready", config_sync.is_ready()},
+        {"cut_off", IsCutOff()},
+        {"unreachable_domains", LostDomains()},
         {"vm_list_failures", vm_list.consecutive_failures()},
         {"platform_config_failures", config_sync.counters().platform_failures}};
   }
--- a/tests/process_membership.cc
+++ b/tests/process_membership.cc
@@ -228,5 +228,45 @@
   }
 }
 
+TEST_CASE("a failure domain that is cut off says so, serves, and comes back") {
+  Deployment deployment({});
+  deployment.WaitMembers();
+  const auto is_cut_off = [&] {
+    return Send("GET", deployment.operator_url(0) + "/status")
+               .body.find("\"cut_off\":true") != std::string::npos;
+  };
+  CHECK_FALSE(is_cut_off());
+  // Everything outside the domain of daemon 0 stops answering, as it would
+  // behind a dead link.
+  deployment.platform().Pause();
+  for (const int i : {1, 2}) {
+    deployment.daemon(i).Pause();
+    deployment.engine(i).Pause();
+  }
+  WaitUntil("daemon 0 to see that it is cut off", is_cut_off);
+  const CallerResult served = RunCaller(deployment, {.max_tokens = 20});
+  CAPTURE(served.error);
+  CHECK(served.done);
+  CHECK(served.faults == "");
+  CHECK(served.connections == 1);
+  CHECK(deployment.engine_of(served.event_ids.back()) == 0);
+  deployment.platform().Continue();
+  for (const int i : {1, 2}) {
+    deployment.daemon(i).Continue();
+    deployment.engine(i).Continue();
+  }
+  WaitUntil("the domain to be back", [&] { return !is_cut_off(); });
+  deployment.WaitMembers();
+  WaitUntil("a change to be accepted", [&] {
+    return deployment.ChangeConfig(1, deployment.LeavingChange(2)).status ==
+           200;
+  });
+  for (int i = 0; i < deployment.daemon_count(); ++i) {
+    WaitUntil("the change to be in force", [&] {
+      return deployment.Metric(i, "bramleybank_config_number") == 2;
+    });
+  }
+}
+
 }  // namespace
 }  // namespace bramleybank::testing
