Split the caller's side off the stream runner

Change: StreamOutput holds connection, event ids, answers, refusals and flow control. Conclusion: behaviour unchanged.

--- a/src/stream_copy_sender.cc
+++ b/src/stream_copy_sender.cc
@@ -199,8 +199,7 @@
   const std::string peer = stream.holder;
   Holder& holder = m_holders[peer];
   holder.queue.push_back(generation);
-  holder.has_first_token =
-      holder.has_first_token || stream.tokens.size() == 1;
+  holder.has_first_token = holder.has_first_token || stream.tokens.size() == 1;
   TryFlush(peer);
 }
 
--- a/src/stream_runner.cc
+++ b/src/stream_runner.cc
@@ -4,22 +4,18 @@
 #include <algorithm>
 #include <cassert>
 #include <chrono>
-#include <ctime>
 #include <utility>
 
 #include "bramleybank/limits.h"
 #include "event_loop.h"
 #include "http_client.h"
 #include "http_refusal.h"
-#include "http_responder.h"
-#include "http_sse_parser.h"
 #include "limit_admission_lease.h"
 #include "log_event.h"
 #include "metric_registry.h"
 #include "stream_cursor.h"
 #include "stream_engine_transfer.h"
 #include "stream_environment.h"
-#include "stream_format.h"
 #include "stream_stall_detector.h"
 
 namespace bramleybank {
@@ -69,6 +65,12 @@
           m_start,
           [loop = environment->loop] { return loop->Now(); },
           environment->random)),
+      m_output(&m_request,
+               m_start.generation,
+               environment->self,
+               environment->metrics,
+               {.on_closed = [this](bool whole) { OnCallerClosed(whole); },
+                .on_flow = [this](bool paused) { OnFlow(paused); }}),
       m_on_over(std::move(on_over)),
       m_lease(std::move(lease)),
       m_request_time(environment->loop->Now()) {
@@ -76,8 +78,9 @@
     m_engine = m_binding->engine;
     m_may_have_run = true;
     m_lost_time = m_request_time;
+    m_output.SetFingerprint(version() + "/" + adapter());
   }
-  SetResponder(std::move(responder));
+  m_output.SetResponder(std::move(responder));
 }
 
 StreamRunner::~StreamRunner() {
@@ -88,10 +91,6 @@
   if (m_is_counted_open) {
     m_environment->on_stream_closed(m_request.model);
   }
-  if (m_responder) {
-    m_responder->SetCloseHandler(nullptr);
-    m_responder->SetDrainHandler(nullptr);
-  }
 }
 
 std::string StreamRunner::version() const {
@@ -155,6 +154,7 @@
   m_engine = choice->address;
   if (m_session->received() == 0) {
     m_binding = StreamBinding{choice->version, choice->adapter, m_engine};
+    m_output.SetFingerprint(version() + "/" + adapter());
   }
   OpenCopy();
   BeginTransfer({.address = m_engine,
@@ -313,7 +313,7 @@
 }
 
 void StreamRunner::CheckStall() {
-  if (!m_session->is_attempt_running() || m_output_paused) {
+  if (!m_session->is_attempt_running() || m_output.is_paused()) {
     return;
   }
   // Tokens move the deadline without touching the timer.
@@ -393,25 +393,19 @@
 
 // Caller side.
 
-void StreamRunner::SetResponder(std::shared_ptr<HttpResponder> responder) {
-  m_environment->loop->Cancel(m_return_timer);
-  if (m_responder) {
-    m_responder->SetCloseHandler(nullptr);
-    m_responder->SetDrainHandler(nullptr);
-    m_responder->Abort();
-  }
-  m_responder = std::move(responder);
-  m_output_started = false;
-  m_responder->SetCloseHandler([this](bool whole) { OnCallerClosed(whole); });
-  m_responder->SetDrainHandler([this] {
-    if (std::exchange(m_output_paused, false) && m_transfer) {
-      m_transfer->Resume();
-      // The pause was the caller's, so the gap starts anew.
-      m_stall_detector = std::make_unique<StallDetector>(
-          m_environment->loop->Now(), Duration{0}, Duration{0});
-      ArmStallTimer();
-    }
-  });
+void StreamRunner::OnFlow(bool paused) {
+  if (!m_transfer) {
+    return;
+  }
+  if (paused) {
+    m_transfer->Pause();
+    return;
+  }
+  m_transfer->Resume();
+  // The pause was the caller's, so the gap starts anew.
+  m_stall_detector = std::make_unique<StallDetector>(m_environment->loop->Now(),
+                                                     Duration{0}, Duration{0});
+  ArmStallTimer();
 }
 
 bool StreamRunner::Reattach(std::shared_ptr<HttpResponder> responder,
@@ -420,7 +414,8 @@
       position > m_session->received()) {
     return false;
   }
-  SetResponder(std::move(responder));
+  m_environment->loop->Cancel(m_return_timer);
+  m_output.SetResponder(std::move(responder));
   LogLine(LogEventId::kStreamReattached)
       .Field("generation", FormatGeneration(generation()))
       .Field("position", static_cast<long long>(position))
@@ -429,7 +424,7 @@
   if (auto actions = m_session->OnCallerBack(position)) {
     Apply(*actions);
   }
-  if (m_given_up && m_responder) {
+  if (m_given_up) {
     // The refusal was lost with the caller's former connection.
     SendGiveUp(*m_given_up);
   }
@@ -437,8 +432,6 @@
 }
 
 void StreamRunner::OnCallerClosed(bool whole) {
-  m_responder.reset();
-  m_output_paused = false;
   if (whole && m_finished) {
     EndSoon(false);
     return;
@@ -478,46 +471,11 @@
   m_environment->loop->Post(m_on_over);
 }
 
-std::string StreamRunner::EventId(uint64_t position) {
-  std::string holder =
-      m_has_copy ? m_environment->copy_holder(generation()) : std::string();
-  if (m_event_id_prefix.empty() || holder != m_event_id_holder ||
-      m_event_id_attempt != m_session->attempt()) {
-    m_event_id_holder = std::move(holder);
-    m_event_id_attempt = m_session->attempt();
-    m_event_id_prefix = FormatStreamCursor({.generation = generation(),
-                                            .request_hash = m_request.body_hash,
-                                            .owner = m_environment->self,
-                                            .copy_holder = m_event_id_holder,
-                                            .engine = m_engine,
-                                            .attempt = m_event_id_attempt,
-                                            .position = 0});
-    m_event_id_prefix.pop_back();
-  }
-  return m_event_id_prefix + std::to_string(position);
-}
-
-void StreamRunner::StartOutput() {
-  if (!m_format) {
-    m_format = std::make_unique<StreamFormat>(
-        m_request.kind, generation(), m_request.model,
-        version() + "/" + adapter(), std::time(nullptr));
-  }
-  if (std::exchange(m_output_started, true) || is_buffered()) {
-    return;
-  }
-  m_responder->StartStream(200, {{"Content-Type", "text/event-stream"},
-                                 {"Cache-Control", "no-cache"}});
-}
-
-void StreamRunner::Output(std::string_view bytes) {
-  m_responder->Write(bytes);
-  if (m_responder->buffered_bytes() > kMaxBufferedOutputBytes &&
-      !m_output_paused && m_transfer) {
-    m_output_paused = true;
-    m_transfer->Pause();
-    m_environment->metrics->Count("bramleybank_slow_caller_pauses_total");
-  }
+OutputSource StreamRunner::Source() const {
+  return {.engine = m_engine,
+          .attempt = m_session->attempt(),
+          .copy_holder = m_has_copy ? m_environment->copy_holder(generation())
+                                    : std::string()};
 }
 
 void StreamRunner::Do(const DeliverToken& action) {
@@ -526,15 +484,9 @@
         "bramleybank_first_token_seconds",
         ToSeconds(m_environment->loop->Now() - m_request_time));
   }
-  if (is_buffered()) {
-    m_text += action.text;
-    return;
+  if (m_output.has_caller() || is_buffered()) {
+    m_output.Token(Source(), action.position, action.text);
   }
-  if (!m_responder) {
-    return;
-  }
-  StartOutput();
-  Output(m_format->Token(EventId(action.position), action.text));
 }
 
 void StreamRunner::Do(const FinishStream& action) {
@@ -547,17 +499,7 @@
         .Field("tokens", static_cast<long long>(action.count))
         .Field("resumes", m_session->resumes());
   }
-  if (!m_responder) {
-    return;
-  }
-  StartOutput();
-  if (is_buffered()) {
-    m_responder->Respond(200, {{"Content-Type", "application/json"}},
-                         m_format->Whole(m_text, action.reason, action.count));
-    return;
-  }
-  Output(m_format->Finish(EventId(action.count), action.reason, action.count));
-  m_responder->Finish();
+  m_output.Finish(Source(), action.reason, action.count);
 }
 
 void StreamRunner::Do(const GiveUpStream& action) {
@@ -571,13 +513,13 @@
       .Field("code", static_cast<int>(action.reason.code))
       .Field("position", static_cast<long long>(action.position))
       .Field("detail", action.reason.detail);
-  if (!m_responder) {
+  if (!m_output.has_caller()) {
     EndSoon(action.reason.code == ResultCode::kStreamTakenOver);
     return;
   }
   if (action.reason.code == ResultCode::kStreamTakenOver) {
     // The caller has a newer connection; this one ends without an answer.
-    m_responder->Abort();
+    m_output.Abort();
     EndSoon(true);
     return;
   }
@@ -599,18 +541,11 @@
   if (action.position > 0) {
     refusal.position = action.position;
   }
-  if (!m_output_started) {
-    SendRefusal(m_responder.get(), refusal, m_environment->metrics);
-    return;
-  }
-  m_environment->metrics->Count("bramleybank_refusals_total", "reason",
-                                InfoOf(refusal.code).name);
-  Output(FormatSseEvent({}, "error", FormatRefusal(refusal)));
-  m_responder->Finish();
+  m_output.Refuse(refusal);
 }
 
 void StreamRunner::RefuseForExit() {
-  if (!m_responder || m_finished) {
+  if (!m_output.has_caller() || m_finished) {
     return;
   }
   m_finished = true;
@@ -620,15 +555,13 @@
 }
 
 void StreamRunner::HandOver() {
-  if (!m_responder || is_buffered() || m_finished ||
+  if (!m_output.has_caller() || is_buffered() || m_finished ||
       m_session->delivered() == 0) {
     return;
   }
   // The engine keeps its stream for its hold time, and the copy stays with its
   // holder, so the next daemon goes on without a new attempt.
-  StartOutput();
-  Output(FormatSseEvent(EventId(m_session->delivered()), "handover", "{}"));
-  m_responder->Finish();
+  m_output.HandOver(Source(), m_session->delivered());
   RetireTransfer();
   EndTicket(EndOutcome::kCancelled);
   m_environment->metrics->Count("bramleybank_streams_handed_over_total");
--- a/src/stream_runner.h
+++ b/src/stream_runner.h
@@ -8,13 +8,13 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "bramleybank/handle.h"
 #include "hooks.h"
 #include "stream_action.h"
 #include "stream_environment.h"
+#include "stream_output.h"
 #include "stream_request.h"
 #include "stream_session.h"
 
@@ -23,7 +23,6 @@
 class AdmissionLease;
 class EngineTransfer;
 class HttpResponder;
-class StreamFormat;
 class StallDetector;
 struct EngineAttempt;
 
@@ -81,7 +80,6 @@
   std::string version() const;
   std::string adapter() const;
   bool is_buffered() const { return !m_request.stream; }
-  bool has_caller() const { return m_responder != nullptr; }
 
  private:
   void Apply(const StreamActions& actions);
@@ -102,12 +100,10 @@
   void RetireTransfer();
   void EndTicket(EndOutcome outcome);
 
-  void SetResponder(std::shared_ptr<HttpResponder> responder);
   void OnCallerClosed(bool whole);
-  void StartOutput();
-  void Output(std::string_view bytes);
+  void OnFlow(bool paused);
   void SendGiveUp(const GiveUpStream& action);
-  std::string EventId(uint64_t position);
+  OutputSource Source() const;
   void Abandon();
   void EndSoon(bool keep_copy);
   StreamCopyInfo CopyInfo() const;
@@ -120,10 +116,9 @@
   const StreamStart m_start;
   std::optional<StreamBinding> m_binding;
   std::unique_ptr<StreamSession> m_session;
-  std::unique_ptr<StreamFormat> m_format;
+  StreamOutput m_output;
   std::unique_ptr<EngineTransfer> m_transfer;
   std::unique_ptr<StallDetector> m_stall_detector;
-  std::shared_ptr<HttpResponder> m_responder;
   std::function<void()> m_on_over;
 
   // Keeps the request counted against its customer's limits.
@@ -147,19 +142,11 @@
   // Whether an engine may have got the request.
   bool m_may_have_run = false;
   bool m_attempt_has_token = false;
-  bool m_output_started = false;
-  bool m_output_paused = false;
   bool m_finished = false;
   // Set when the stream was given up while it had a caller.
   std::optional<GiveUpStream> m_given_up;
   bool m_is_over = false;
   bool m_has_copy = false;
-  // Text of an answer that is not streamed.
-  std::string m_text;
-  // Event id without the position, and what it was built for.
-  std::string m_event_id_prefix;
-  std::string m_event_id_holder;
-  uint32_t m_event_id_attempt = 0;
   TimerHandle m_stall_timer;
   TimerHandle m_resume_timer;
   TimerHandle m_return_timer;
