Count dropped chunks and refuse long headers by a number

Cause: chunks that a session dropped were counted nowhere that an operator sees; headers between the limit and the library's pool had no numbered refusal. Change: bramleybank_chunks_dropped_total by reason; kMaxHeaderBytes with bad_header; the pool of a connection grows from 12 to 20 KiB to take them. Fields of the HTTP client and a method of the server that nothing used are gone. Conclusion: headers that fill the pool still get the library's own 431.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -13,12 +13,15 @@
 inline constexpr size_t kMaxUrlBytes = 2048;
 inline constexpr size_t kMaxIdempotencyKeyBytes = 128;
 inline constexpr size_t kMaxCustomerNameBytes = 64;
-/// Memory pool of one caller connection. The library's default of 32 KiB
-/// would take half of the 60 KB that an open stream may use.
-inline constexpr size_t kConnectionPoolBytes = 12 * 1024;
+/// Memory pool of one caller connection, for headers and parts of the answer.
+/// The library's default of 32 KiB is half of what an open stream may use.
+inline constexpr size_t kConnectionPoolBytes = 20 * 1024;
+/// Names and values of all headers of a request. Above it the daemon refuses;
+/// headers that fill the pool are refused by libmicrohttpd with status 431.
+inline constexpr size_t kMaxHeaderBytes = 8 * 1024;
 inline constexpr unsigned kMaxCallerConnections = 8192;
 /// A caller that sends nothing for this long in the middle of a request is
-/// disconnected, so that slow senders cannot hold connections for ever.
+/// disconnected, so that slow senders cannot hold connections forever.
 inline constexpr std::chrono::seconds kCallerIdleTimeout{20};
 /// Interval at which connections without output are checked for a caller that
 /// has closed.
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -38,7 +38,6 @@
 struct HttpClient::Impl {
   struct Transfer {
     uint64_t id = 0;
-    Impl* owner = nullptr;
     CURL* easy = nullptr;
     curl_slist* header_list = nullptr;
     std::string body;
@@ -46,9 +45,6 @@
     HttpOutcome outcome;
     bool paused = false;
     bool headers_reported = false;
-    bool single_attempt = false;
-    // True while libcurl is inside one of this transfer's callbacks.
-    bool in_callback = false;
     bool cancelled = false;
   };
 
@@ -139,10 +135,8 @@
       return true;
     }
     transfer->headers_reported = true;
-    transfer->in_callback = true;
     transfer->callbacks.on_headers(transfer->outcome.status,
                                    transfer->outcome.headers);
-    transfer->in_callback = false;
     return !transfer->cancelled;
   }
 
@@ -156,9 +150,7 @@
       transfer->outcome.body.append(bytes, length);
       return length;
     }
-    transfer->in_callback = true;
     transfer->callbacks.on_data({bytes, length});
-    transfer->in_callback = false;
     // A short count makes libcurl end the transfer.
     return transfer->cancelled ? 0 : length;
   }
@@ -316,11 +308,9 @@
                                  HttpClientCallbacks callbacks) {
   auto transfer = std::make_unique<Impl::Transfer>();
   transfer->id = m_impl->next_id++;
-  transfer->owner = m_impl.get();
   transfer->easy = curl_easy_init();
   assert(transfer->easy != nullptr);
   transfer->callbacks = std::move(callbacks);
-  transfer->single_attempt = request.single_attempt;
   m_impl->SetUp(transfer.get(), request);
   const TransferHandle handle(transfer->id);
   CURL* easy = transfer->easy;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -306,6 +306,14 @@
     m_refusal = ResultCode::kUrlTooLong;
     return;
   }
+  size_t header_bytes = 0;
+  for (const auto& [name, value] : request.headers) {
+    header_bytes += name.size() + value.size();
+  }
+  if (header_bytes > m_server->options.max_header_bytes) {
+    m_refusal = ResultCode::kBadHeader;
+    return;
+  }
   const auto length = request.Header("Content-Length");
   if (length && std::strtoull(length->c_str(), nullptr, 10) >
                     m_server->options.max_body_bytes) {
@@ -537,16 +545,6 @@
   return bound_port;
 }
 
-void HttpServer::StopListening() {
-  if (m_impl->daemon == nullptr) {
-    return;
-  }
-  const MHD_socket fd = MHD_quiesce_daemon(m_impl->daemon);
-  if (fd >= 0) {
-    close(fd);
-  }
-}
-
 void HttpServer::SetRefusalHook(RefusalHook hook) {
   m_impl->refusal_hook = std::move(hook);
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -22,6 +22,7 @@
 struct HttpServerOptions {
   size_t max_body_bytes = kMaxRequestBodyBytes;
   size_t max_url_bytes = kMaxUrlBytes;
+  size_t max_header_bytes = kMaxHeaderBytes;
   unsigned max_connections = kMaxCallerConnections;
   size_t connection_pool_bytes = kConnectionPoolBytes;
   std::chrono::seconds idle_timeout = kCallerIdleTimeout;
@@ -46,8 +47,6 @@
   std::optional<uint16_t> Start(const std::string& ip,
                                 uint16_t port,
                                 Handler handler);
-  /// Stops listening; open exchanges go on.
-  void StopListening();
 
   void SetRefusalHook(RefusalHook hook);
 
--- a/src/stream_runner.cc
+++ b/src/stream_runner.cc
@@ -88,11 +88,25 @@
   m_environment->loop->Cancel(m_resume_timer);
   m_environment->loop->Cancel(m_return_timer);
   EndTicket(EndOutcome::kCancelled);
+  CountDrops();
   if (m_is_counted_open) {
     m_environment->on_stream_closed(m_request.model);
   }
 }
 
+void StreamRunner::CountDrops() const {
+  const StreamDropCounts& drops = m_session->drops();
+  const auto count = [this](std::string_view reason, uint64_t amount) {
+    if (amount > 0) {
+      m_environment->metrics->Count("bramleybank_chunks_dropped_total",
+                                    "reason", reason, amount);
+    }
+  };
+  count("late_attempt", drops.late_attempt);
+  count("other_request", drops.other_request);
+  count("duplicate", drops.duplicate);
+}
+
 std::string StreamRunner::version() const {
   return m_binding ? m_binding->version : std::string();
 }
--- a/src/stream_runner.h
+++ b/src/stream_runner.h
@@ -99,6 +99,7 @@
   void OnTokenSeen();
   void RetireTransfer();
   void EndTicket(EndOutcome outcome);
+  void CountDrops() const;
 
   void OnCallerClosed(bool whole);
   void OnFlow(bool paused);
--- a/tests/process_streams.cc
+++ b/tests/process_streams.cc
@@ -92,6 +92,12 @@
       CheckWhole(RunCaller(deployment, {}), 40);
     }
   }
+  // What was dropped is counted; the caller went to the first daemon.
+  for (const std::string reason : {"other_request", "duplicate"}) {
+    CAPTURE(reason);
+    CHECK(deployment.Metric(0, "bramleybank_chunks_dropped_total{reason=\"" +
+                                   reason + "\"}") > 0);
+  }
 }
 
 }  // namespace
