Keep the shell's kill notice out of the demo's output

Cause: bash prints a line with the whole command when a killed job is reaped. Change: the demo reaps what it kills itself, without output.

--- a/scripts/run-demo.sh
+++ b/scripts/run-demo.sh
@@ -30,6 +30,13 @@
   PIDS[$name]=$!
 }
 
+kill_hard() {  # pid; the shell would print a line of its own for the signal
+  {
+    kill -KILL "$1"
+    wait "$1"
+  } 2>/dev/null || true
+}
+
 wait_for() {  # description command...
   local what=$1
   shift
@@ -134,7 +141,7 @@
 wait_for "40 tokens" has_tokens 40
 wait_for "the engine to show in its load report" find_serving
 echo "Token $(tokens_so_far): killing engine $SERVING ($(engine_ip "$SERVING"))."
-kill -KILL "${PIDS[engine-$SERVING]}"
+kill_hard "${PIDS[engine-$SERVING]}"
 unset "PIDS[engine-$SERVING]"
 
 wait_for "100 tokens" has_tokens 100
@@ -145,7 +152,7 @@
 done
 echo "Token $(tokens_so_far): killing daemon $OWNER ($(daemon_ip "$OWNER"))."
 RESUMES=$(grep -h 'name=stream_resumed' "$RUN/daemon-$OWNER.log" | tail -1 || true)
-kill -KILL "${PIDS[daemon-$OWNER]}"
+kill_hard "${PIDS[daemon-$OWNER]}"
 unset "PIDS[daemon-$OWNER]"
 
 if ! wait "$CALLER"; then
