--- a/bench/bench_caller.cc
+++ b/bench/bench_caller.cc
@@ -195,4 +195,20 @@
   });
 }
 
+void RunUntilAll(EventLoop* loop,
+                 const std::vector<std::unique_ptr<BenchCaller>>& callers,
+                 const std::function<bool(const BenchCaller&)>& condition,
+                 Duration limit) {
+  constexpr Duration kTurn = std::chrono::milliseconds(10);
+  const TimePoint end = loop->Now() + limit;
+  size_t met = 0;
+  while (met < callers.size() && loop->Now() < end) {
+    if (condition(*callers[met])) {
+      ++met;
+    } else {
+      loop->RunOnce(kTurn);
+    }
+  }
+}
+
 }  // namespace bramleybank
--- a/bench/bench_caller.h
+++ b/bench/bench_caller.h
@@ -109,6 +109,13 @@
 /// doctest, end the program with an error outside of a test.
 void UseFixtureOutsideTests();
 
+/// Runs the loop until `condition` holds for every caller in turn, at most
+/// `limit`.
+void RunUntilAll(EventLoop* loop,
+                 const std::vector<std::unique_ptr<BenchCaller>>& callers,
+                 const std::function<bool(const BenchCaller&)>& condition,
+                 Duration limit);
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_BENCH_BENCH_CALLER_H_
--- a/bench/bench_daemon.cc
+++ b/bench/bench_daemon.cc
@@ -144,15 +144,7 @@
 
  private:
   void RunUntil(const std::function<bool(const BenchCaller&)>& condition) {
-    const TimePoint limit = m_loop.Now() + kHangLimit;
-    size_t met = 0;
-    while (met < m_callers.size() && m_loop.Now() < limit) {
-      if (condition(*m_callers[met])) {
-        ++met;
-      } else {
-        m_loop.RunOnce(10ms);
-      }
-    }
+    RunUntilAll(&m_loop, m_callers, condition, kHangLimit);
   }
 
   EventLoop m_loop;
