Keep a resumed stream's tokens once and drop dead wiring

Cause: the start values of a resumed stream stayed in session and runner, so its tokens were held three times; each attempt copied the whole prompt into its query, which also carried a customer that nothing read; the daemon spelled out hooks that the routing can set itself, as the copies do; open_transfers() had no caller. Change: the start is moved into the session, the prompt goes by view, RouteDirector::Connect() sets its hooks. Memory was not measured again. Conclusion: behaviour unchanged.

--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -105,37 +105,7 @@
     environment.metrics = &metrics;
     environment.random = [this] { return random_engine(); };
     environment.self = settings.PeerAddress();
-    RouteDirector* routes = &director;
-    environment.choose_engine = [routes](const EngineQuery& query,
-                                         EngineRefusal* refusal) {
-      return routes->Choose(query, refusal);
-    };
-    environment.take_retry = [routes](std::string_view model,
-                                      AttemptLoss loss) {
-      return routes->TakeRetry(model, loss);
-    };
-    environment.adopt_engine = [routes](std::string_view address) {
-      return routes->Adopt(address);
-    };
-    environment.on_first_token = [routes](EngineTicket ticket) {
-      routes->OnFirstToken(ticket);
-    };
-    environment.on_token = [routes](EngineTicket ticket) {
-      routes->OnToken(ticket);
-    };
-    environment.on_engine_end = [routes](EngineTicket ticket,
-                                         EndOutcome outcome) {
-      routes->OnEnd(ticket, outcome);
-    };
-    environment.streams_on = [routes](EngineTicket ticket) {
-      return routes->StreamsOn(ticket);
-    };
-    environment.on_stream_opened = [routes](std::string_view model) {
-      routes->OnStreamOpened(model);
-    };
-    environment.on_stream_closed = [routes](std::string_view model) {
-      routes->OnStreamClosed(model);
-    };
+    director.Connect(&environment);
     return environment;
   }
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -354,8 +354,4 @@
   }
 }
 
-size_t HttpClient::open_transfers() const {
-  return m_impl->transfers.size();
-}
-
 }  // namespace bramleybank
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -81,8 +81,6 @@
   void Pause(TransferHandle transfer);
   void Resume(TransferHandle transfer);
 
-  size_t open_transfers() const;
-
  private:
   struct Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/route_director.cc
+++ b/src/route_director.cc
@@ -91,6 +91,35 @@
   m_divisor.OnMembers(1);
 }
 
+void RouteDirector::Connect(StreamEnvironment* environment) {
+  environment->choose_engine = [this](const EngineQuery& query,
+                                      EngineRefusal* refusal) {
+    return Choose(query, refusal);
+  };
+  environment->take_retry = [this](std::string_view model, AttemptLoss loss) {
+    return TakeRetry(model, loss);
+  };
+  environment->adopt_engine = [this](std::string_view address) {
+    return Adopt(address);
+  };
+  environment->on_first_token = [this](EngineTicket ticket) {
+    OnFirstToken(ticket);
+  };
+  environment->on_token = [this](EngineTicket ticket) { OnToken(ticket); };
+  environment->on_engine_end = [this](EngineTicket ticket, EndOutcome outcome) {
+    OnEnd(ticket, outcome);
+  };
+  environment->streams_on = [this](EngineTicket ticket) {
+    return StreamsOn(ticket);
+  };
+  environment->on_stream_opened = [this](std::string_view model) {
+    OnStreamOpened(model);
+  };
+  environment->on_stream_closed = [this](std::string_view model) {
+    OnStreamClosed(model);
+  };
+}
+
 void RouteDirector::SetConfig(const ConfigSnapshot& config) {
   m_endpoints = config.endpoints;
   m_table.SetConfig(m_endpoints);
--- a/src/route_director.h
+++ b/src/route_director.h
@@ -36,6 +36,9 @@
                 const RandomHook& random,
                 MetricRegistry* metrics);
 
+  /// Sets the hooks about engines in `environment`.
+  void Connect(StreamEnvironment* environment);
+
   void SetConfig(const ConfigSnapshot& config);
   /// @param members live daemons, this one included.
   void SetMembers(const std::vector<SubsetMember>& members);
--- a/src/stream_environment.h
+++ b/src/stream_environment.h
@@ -34,8 +34,8 @@
   std::string adapter;
   /// Addresses of engines that this stream has lost.
   std::vector<std::string> avoid;
-  std::string customer;
-  std::string prompt;
+  /// Valid during the call only.
+  std::string_view prompt;
   uint64_t max_tokens = 0;
   /// Tokens that were generated before; part of the engine's prefill.
   uint64_t resumed_tokens = 0;
--- a/src/stream_runner.cc
+++ b/src/stream_runner.cc
@@ -59,14 +59,15 @@
                            std::function<void()> on_over)
     : m_environment(environment),
       m_request(std::move(request)),
-      m_start(std::move(start)),
+      m_generation(start.generation),
+      m_held(start.tokens.size()),
       m_binding(std::move(binding)),
       m_session(std::make_unique<StreamSession>(
-          m_start,
+          std::move(start),
           [loop = environment->loop] { return loop->Now(); },
           environment->random)),
       m_output(&m_request,
-               m_start.generation,
+               m_generation,
                environment->self,
                environment->metrics,
                {.on_closed = [this](bool whole) { OnCallerClosed(whole); },
@@ -143,7 +144,6 @@
     query.adapter = adapter();
   }
   query.avoid = m_lost_engines;
-  query.customer = m_request.customer;
   query.prompt = m_request.prompt;
   query.max_tokens = m_request.max_tokens;
   query.resumed_tokens = m_session->received();
@@ -360,7 +360,7 @@
           .adapter = adapter(),
           .engine = m_engine,
           .holder = m_binding ? m_binding->copy_holder : std::string(),
-          .held = m_start.tokens.size()};
+          .held = m_held};
 }
 
 void StreamRunner::OpenCopy() {
--- a/src/stream_runner.h
+++ b/src/stream_runner.h
@@ -73,7 +73,7 @@
   /// The daemon exits: tells a caller that could not be handed over.
   void RefuseForExit();
 
-  uint64_t generation() const { return m_start.generation; }
+  uint64_t generation() const { return m_generation; }
   const GenerationRequest& request() const { return m_request; }
   const StreamSession& session() const { return *m_session; }
   const std::string& engine() const { return m_engine; }
@@ -114,7 +114,9 @@
 
   const StreamEnvironment* m_environment;
   const GenerationRequest m_request;
-  const StreamStart m_start;
+  const uint64_t m_generation;
+  // Tokens that the copy held when the stream was resumed from it.
+  const uint64_t m_held;
   std::optional<StreamBinding> m_binding;
   std::unique_ptr<StreamSession> m_session;
   StreamOutput m_output;
--- a/src/stream_session.cc
+++ b/src/stream_session.cc
@@ -43,15 +43,16 @@
 StreamSession::StreamSession(StreamStart start,
                              ClockHook clock,
                              RandomHook random)
-    : m_start(std::move(start)),
+    : m_generation(start.generation),
+      m_attaches(start.attach),
       m_clock(std::move(clock)),
       m_random(std::move(random)),
       m_chart(std::make_unique<ChartMachine>(StreamChart())),
-      m_tokens(m_start.tokens),
-      m_delivered(m_start.delivered),
-      m_protected(m_start.is_protected),
-      m_wants_copy(m_start.is_protected),
-      m_attempt(m_start.first_attempt) {
+      m_tokens(std::move(start.tokens)),
+      m_delivered(start.delivered),
+      m_protected(start.is_protected),
+      m_wants_copy(start.is_protected),
+      m_attempt(start.first_attempt) {
   assert(m_clock && m_random);
   if (m_tokens.size() < m_delivered) {
     // The tokens before the caller's position are not known here, so the
@@ -82,7 +83,7 @@
   m_interrupted_since = m_clock();
   StreamActions actions;
   AppendDeliveries(&actions);
-  if (m_start.attach) {
+  if (m_attaches) {
     actions.emplace_back(AttachAttempt{m_attempt, received()});
   } else {
     actions.emplace_back(StartAttempt{m_attempt, received()});
@@ -98,7 +99,7 @@
     ++m_drops.late_attempt;
     return false;
   }
-  if (generation != m_start.generation) {
+  if (generation != m_generation) {
     ++m_drops.other_request;
     return false;
   }
--- a/src/stream_session.h
+++ b/src/stream_session.h
@@ -129,7 +129,8 @@
   void FinishIfWhole(StreamActions* actions);
   Duration ResumeDelay();
 
-  const StreamStart m_start;
+  const uint64_t m_generation;
+  const bool m_attaches;
   const ClockHook m_clock;
   const RandomHook m_random;
   std::unique_ptr<ChartMachine> m_chart;
