--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -170,6 +170,64 @@
 /// not bring them back and a healed link finds them.
 inline constexpr std::chrono::hours kDeadMemberRetention{1};
 
+// Gateway: endpoints registered in the platform's store.
+/// An entry that is gone from the store is a last resort for this long. While
+/// the store is down entries lapse, and are back 2 s after its return.
+inline constexpr std::chrono::milliseconds kLapsedEntryGrace{2000};
+/// What was seen of an endpoint is forgotten this long after it has gone.
+inline constexpr std::chrono::seconds kGoneEndpointRetention{30};
+/// An endpoint that was lost once gets no work for this long while there are
+/// others. It doubles with each loss in a row.
+inline constexpr std::chrono::milliseconds kLostEndpointPause{1000};
+/// An endpoint that is full gets no work for this long while there are others.
+inline constexpr std::chrono::milliseconds kRefusedEndpointPause{100};
+/// Losses of this many endpoints of a failure domain within this time are
+/// taken for a loss of the domain.
+inline constexpr size_t kMinDomainLosses = 2;
+inline constexpr std::chrono::milliseconds kDomainLossWindow{400};
+inline constexpr std::chrono::milliseconds kLostDomainPause{1300};
+
+// Gateway: attempts.
+/// Two round trips between regions and the time to accept.
+inline constexpr std::chrono::milliseconds kEndpointConnectTimeout{300};
+inline constexpr size_t kMaxEndpointHeadBytes = 32 * 1024;
+inline constexpr size_t kMaxWholeAnswerBytes = 16 * 1024 * 1024;
+/// Longest pause of a stream before it is moved. An engine that reads another
+/// prompt makes an event of 8 tokens in about 230 ms.
+inline constexpr std::chrono::milliseconds kMaxEventSilence{400};
+/// A failure domain in which all streams are silent for this long is lost.
+inline constexpr std::chrono::milliseconds kMaxDomainSilence{250};
+inline constexpr std::chrono::milliseconds kSilenceCheckInterval{50};
+/// Longest wait for the first event before another engine is tried.
+inline constexpr std::chrono::milliseconds kFirstEventTimeout{2500};
+/// A copy of a run's memory that is younger holds too little to go on from.
+inline constexpr std::chrono::milliseconds kMinBackupAge{300};
+/// Sends of a request beyond its route's limit on runs, while none has run.
+inline constexpr int kMaxExtraSends = 3;
+/// Streams that reach a stopping daemon come back at once: they go elsewhere.
+inline constexpr std::chrono::milliseconds kDrainRetryAfter{50};
+/// A connection that was answered is closed after this time at the latest.
+inline constexpr std::chrono::milliseconds kCallerLinger{1000};
+/// Output buffered for a slow caller before the endpoint is no longer read.
+inline constexpr size_t kMaxCallerBacklogBytes = 64 * 1024;
+/// Bytes that a caller may send ahead of the answer to its last request.
+inline constexpr size_t kMaxEarlyCallerBytes = 64 * 1024;
+/// What callers are told to wait when all endpoints are busy or unknown.
+inline constexpr std::chrono::milliseconds kBusyRetryAfter{300};
+
+// Gateway: planned stops.
+/// The balancer asks once a second and stops sending after two misses.
+inline constexpr std::chrono::milliseconds kDrainNoticeTime{2500};
+/// Kept from the time that is left, so that the last bytes arrive.
+inline constexpr std::chrono::milliseconds kDrainMargin{300};
+inline constexpr std::chrono::milliseconds kDrainCheckInterval{100};
+
+// Gateway: the store.
+/// A store that hangs is found by the end of a wait, so this bounds how old
+/// the configuration can be after the store or the link has come back.
+inline constexpr std::chrono::milliseconds kStoreWait{2500};
+inline constexpr std::chrono::milliseconds kStoreTimeout{1000};
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_LIMITS_H_
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -6,7 +6,7 @@
   g++ make cmake ninja-build ccache clang-format clang-tidy python3 curl
   libace-dev libnghttp2-dev libmicrohttpd-dev libcurl4-openssl-dev
   libgoogle-glog-dev doctest-dev libinih-dev nlohmann-json3-dev
-  libmsgpack-cxx-dev libxxhash-dev libpugixml-dev libboost-dev
+  libmsgpack-cxx-dev libxxhash-dev libpugixml-dev libboost-dev libhttp-parser-dev
 )
 
 missing=()
--- /dev/null
+++ b/src/endpoint_directory.cc
@@ -0,0 +1,186 @@
+// Endpoint state. Losses of several endpoints of one failure domain within a
+// short time make the whole domain suspect, because domains fail as a whole.
+#include "endpoint_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bramleybank/limits.h"
+
+namespace bramleybank {
+namespace {
+
+// Weight of the latest answer in the failure share.
+constexpr double kFailureWeight = 0.1;
+// Losses in a row double the suspicion up to 2^3 times.
+constexpr int kMaxSuspicionDoublings = 3;
+
+void Extend(std::optional<TimePoint>* until, TimePoint to) {
+  *until = until->has_value() ? std::max(**until, to) : to;
+}
+
+}  // namespace
+
+EndpointDirectory::EndpointDirectory(ClockHook clock)
+    : m_clock(std::move(clock)) {}
+
+std::string EndpointDirectory::DomainKey(std::string_view service,
+                                         std::string_view domain) {
+  std::string key(service);
+  key.append("/").append(domain);
+  return key;
+}
+
+void EndpointDirectory::Update(const EndpointEntry& entry) {
+  DropGone();
+  auto it = m_records.find(entry.id);
+  const bool moved =
+      it != m_records.end() && (it->second.entry.service != entry.service ||
+                                it->second.entry.address != entry.address ||
+                                it->second.entry.born_ms != entry.born_ms);
+  if (moved) {
+    // A new incarnation: nothing that was seen of the old one holds.
+    const EndpointRecord old = std::move(it->second);
+    std::erase(m_by_service[old.entry.service], &it->second);
+    m_records.erase(it);
+    it = m_records.end();
+  }
+  if (it == m_records.end()) {
+    it = m_records.emplace(entry.id, EndpointRecord{}).first;
+    m_by_service[entry.service].push_back(&it->second);
+  }
+  it->second.entry = entry;
+  it->second.gone_since.reset();
+}
+
+void EndpointDirectory::Remove(std::string_view id) {
+  EndpointRecord* record = FindMutable(id);
+  if (record != nullptr && !record->gone_since) {
+    record->gone_since = m_clock();
+  }
+}
+
+void EndpointDirectory::DropGone() {
+  const TimePoint now = m_clock();
+  std::erase_if(m_records, [&](const auto& item) {
+    const EndpointRecord& record = item.second;
+    const bool is_over = record.gone_since &&
+                         now - *record.gone_since > kGoneEndpointRetention &&
+                         record.open_attempts == 0 && record.open_backups == 0;
+    if (is_over) {
+      std::erase(m_by_service[record.entry.service], &record);
+    }
+    return is_over;
+  });
+}
+
+EndpointRecord* EndpointDirectory::FindMutable(std::string_view id) {
+  const auto it = m_records.find(id);
+  return it == m_records.end() ? nullptr : &it->second;
+}
+
+const EndpointRecord* EndpointDirectory::Find(std::string_view id) const {
+  const auto it = m_records.find(id);
+  return it == m_records.end() ? nullptr : &it->second;
+}
+
+const std::vector<const EndpointRecord*>& EndpointDirectory::OfService(
+    std::string_view service) const {
+  static const std::vector<const EndpointRecord*> none;
+  const auto it = m_by_service.find(service);
+  return it == m_by_service.end() ? none : it->second;
+}
+
+void EndpointDirectory::OnAttemptStarted(std::string_view id) {
+  if (EndpointRecord* record = FindMutable(id)) {
+    ++record->open_attempts;
+  }
+}
+
+void EndpointDirectory::OnAttemptEnded(std::string_view id,
+                                       EndpointOutcome outcome) {
+  EndpointRecord* record = FindMutable(id);
+  if (record == nullptr) {
+    return;
+  }
+  record->open_attempts = std::max(0, record->open_attempts - 1);
+  switch (outcome) {
+    case EndpointOutcome::kAnswered:
+      record->consecutive_losses = 0;
+      record->suspect_until.reset();
+      record->failure_share *= 1 - kFailureWeight;
+      break;
+    case EndpointOutcome::kFailed:
+      record->failure_share += kFailureWeight * (1 - record->failure_share);
+      break;
+    case EndpointOutcome::kRefused:
+      Extend(&record->suspect_until, m_clock() + kRefusedEndpointPause);
+      break;
+    case EndpointOutcome::kLost:
+      RecordLoss(record);
+      break;
+    case EndpointOutcome::kMisdirected:
+      record->is_misdirected = true;
+      break;
+    case EndpointOutcome::kCancelled:
+      break;
+  }
+}
+
+void EndpointDirectory::RecordLoss(EndpointRecord* record) {
+  const TimePoint now = m_clock();
+  const int doublings =
+      std::min(record->consecutive_losses, kMaxSuspicionDoublings);
+  ++record->consecutive_losses;
+  Extend(&record->suspect_until, now + kLostEndpointPause * (1 << doublings));
+  DomainLosses& domain =
+      m_domains[DomainKey(record->entry.service, record->entry.failure_domain)];
+  domain.lost_at.insert_or_assign(record->entry.id, now);
+  std::erase_if(domain.lost_at, [&](const auto& item) {
+    return now - item.second > kDomainLossWindow;
+  });
+  if (domain.lost_at.size() >= kMinDomainLosses) {
+    Extend(&domain.suspect_until, now + kLostDomainPause);
+  }
+}
+
+void EndpointDirectory::SuspectDomain(std::string_view service,
+                                      std::string_view domain) {
+  Extend(&m_domains[DomainKey(service, domain)].suspect_until,
+         m_clock() + kLostDomainPause);
+}
+
+void EndpointDirectory::OnBackupOpened(std::string_view id) {
+  if (EndpointRecord* record = FindMutable(id)) {
+    ++record->open_backups;
+  }
+}
+
+void EndpointDirectory::OnBackupClosed(std::string_view id) {
+  if (EndpointRecord* record = FindMutable(id)) {
+    record->open_backups = std::max(0, record->open_backups - 1);
+  }
+}
+
+bool EndpointDirectory::IsDomainSuspect(std::string_view service,
+                                        std::string_view domain) const {
+  const auto it = m_domains.find(DomainKey(service, domain));
+  return it != m_domains.end() && it->second.suspect_until &&
+         *it->second.suspect_until > m_clock();
+}
+
+bool EndpointDirectory::IsSuspect(const EndpointRecord& record) const {
+  return record.gone_since.has_value() ||
+         (record.suspect_until && *record.suspect_until > m_clock()) ||
+         IsDomainSuspect(record.entry.service, record.entry.failure_domain);
+}
+
+bool EndpointDirectory::IsUsable(const EndpointRecord& record) const {
+  if (record.is_misdirected || record.entry.state != EndpointState::kReady) {
+    return false;
+  }
+  return !record.gone_since ||
+         m_clock() - *record.gone_since < kLapsedEntryGrace;
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/endpoint_directory.h
@@ -0,0 +1,104 @@
+// The endpoints that a gateway knows: what they registered, and what this
+// gateway has seen of them.
+#ifndef BRAMLEYBANK_SRC_ENDPOINT_DIRECTORY_H_
+#define BRAMLEYBANK_SRC_ENDPOINT_DIRECTORY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "endpoint_entry.h"
+#include "hooks.h"
+
+namespace bramleybank {
+
+/// How an attempt at an endpoint ended.
+enum class EndpointOutcome : uint8_t {
+  kAnswered,
+  /// The endpoint answered that it failed (5xx).
+  kFailed,
+  /// The endpoint refused the request without running it.
+  kRefused,
+  /// No connection, a broken connection, or silence.
+  kLost,
+  /// The address belongs to another endpoint by now.
+  kMisdirected,
+  /// The gateway ended the attempt for reasons of its own.
+  kCancelled,
+};
+
+/// One endpoint with this gateway's own observations.
+struct EndpointRecord {
+  EndpointEntry entry;
+  /// Requests of this gateway that the endpoint works on.
+  int open_attempts = 0;
+  /// Copies of runs that this gateway has asked the endpoint to keep.
+  int open_backups = 0;
+  int consecutive_losses = 0;
+  /// Until then other endpoints are preferred.
+  std::optional<TimePoint> suspect_until;
+  /// Set while the entry is gone from the store. Entries also lapse while the
+  /// store is down, so the endpoint stays a last resort for a short time.
+  std::optional<TimePoint> gone_since;
+  /// The address answered for another endpoint.
+  bool is_misdirected = false;
+  /// Part of the recent answers that were failures.
+  double failure_share = 0;
+};
+
+/// Table of endpoints by id.
+class EndpointDirectory {
+ public:
+  explicit EndpointDirectory(ClockHook clock);
+
+  /// An entry is new or has changed.
+  void Update(const EndpointEntry& entry);
+  /// The entry is gone from the store.
+  void Remove(std::string_view id);
+
+  void OnAttemptStarted(std::string_view id);
+  void OnAttemptEnded(std::string_view id, EndpointOutcome outcome);
+  void OnBackupOpened(std::string_view id);
+  void OnBackupClosed(std::string_view id);
+  /// All endpoints of a service in a failure domain have fallen silent.
+  void SuspectDomain(std::string_view service, std::string_view domain);
+
+  /// @returns whether several endpoints of the domain were lost just now.
+  bool IsDomainSuspect(std::string_view service, std::string_view domain) const;
+  bool IsSuspect(const EndpointRecord& record) const;
+  /// @returns whether new work may go there at all.
+  bool IsUsable(const EndpointRecord& record) const;
+
+  const EndpointRecord* Find(std::string_view id) const;
+  /// @returns the records of a service, in a stable order.
+  const std::vector<const EndpointRecord*>& OfService(
+      std::string_view service) const;
+  size_t size() const { return m_records.size(); }
+
+ private:
+  /// Recent losses in one failure domain of a service.
+  struct DomainLosses {
+    std::map<std::string, TimePoint, std::less<>> lost_at;
+    std::optional<TimePoint> suspect_until;
+  };
+
+  EndpointRecord* FindMutable(std::string_view id);
+  void RecordLoss(EndpointRecord* record);
+  void DropGone();
+  static std::string DomainKey(std::string_view service,
+                               std::string_view domain);
+
+  ClockHook m_clock;
+  // Map nodes do not move, so m_by_service may point at them.
+  std::map<std::string, EndpointRecord, std::less<>> m_records;
+  std::map<std::string, std::vector<const EndpointRecord*>, std::less<>>
+      m_by_service;
+  std::map<std::string, DomainLosses, std::less<>> m_domains;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_ENDPOINT_DIRECTORY_H_
--- /dev/null
+++ b/src/endpoint_picker.h
@@ -0,0 +1,61 @@
+// Chooses the endpoint of an attempt, and the one that keeps a copy of a run.
+#ifndef BRAMLEYBANK_SRC_ENDPOINT_PICKER_H_
+#define BRAMLEYBANK_SRC_ENDPOINT_PICKER_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "hooks.h"
+
+namespace bramleybank {
+
+class EndpointDirectory;
+struct EndpointRecord;
+
+/// Place of this gateway, and the region of each failure domain.
+struct GatewayPlace {
+  std::string failure_domain;
+  std::string region;
+  std::map<std::string, std::string, std::less<>> regions;
+
+  friend bool operator==(const GatewayPlace&, const GatewayPlace&) = default;
+};
+
+/// What is asked of an endpoint.
+struct EndpointPickQuery {
+  std::string_view service;
+  /// Ids that this request has tried.
+  const std::vector<std::string>* avoid = nullptr;
+  /// Failure domain in which the endpoint must not be; empty for none.
+  std::string_view other_than_domain;
+};
+
+/// Least loaded first, near before far. Answers the load of bursts and of lost
+/// failure domains: requests spread by the open work that this gateway knows
+/// of, and leave their domain once it is busier by the price of the distance.
+class EndpointPicker {
+ public:
+  EndpointPicker(const EndpointDirectory* directory,
+                 GatewayPlace place,
+                 RandomHook random);
+
+  /// @returns the endpoint for an attempt, or null when none is usable.
+  const EndpointRecord* PickForAttempt(const EndpointPickQuery& query) const;
+  /// @returns an engine for the copy of a run at `primary`: never in its
+  /// failure domain, since domains fail as a whole. Null when there is none.
+  const EndpointRecord* PickForBackup(const EndpointRecord& primary) const;
+
+ private:
+  double AttemptCost(const EndpointRecord& record) const;
+  double DistanceCost(std::string_view domain) const;
+
+  const EndpointDirectory* m_directory;
+  const GatewayPlace m_place;
+  const RandomHook m_random;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_ENDPOINT_PICKER_H_
--- /dev/null
+++ b/src/event_splitter.cc
@@ -0,0 +1,57 @@
+// An event ends with an empty line; lines end with LF or CR LF.
+#include "event_splitter.h"
+
+#include <charconv>
+
+namespace bramleybank {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+std::optional<uint64_t> ParseId(std::string_view value) {
+  while (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  while (value.ends_with('\r')) {
+    value.remove_suffix(1);
+  }
+  uint64_t id = 0;
+  const char* end = value.data() + value.size();
+  const auto [parsed_to, error] = std::from_chars(value.data(), end, id);
+  if (error != std::errc() || parsed_to != end) {
+    return std::nullopt;
+  }
+  return id;
+}
+
+}  // namespace
+
+void EventSplitter::Feed(std::string_view bytes) {
+  m_buffer.erase(0, m_start);
+  m_start = 0;
+  m_buffer.append(bytes);
+}
+
+std::optional<RawEvent> EventSplitter::Next() {
+  RawEvent event;
+  size_t line_start = m_start;
+  for (size_t line_end = m_buffer.find('\n', line_start);
+       line_end != std::string::npos;
+       line_end = m_buffer.find('\n', line_start)) {
+    const std::string_view line(m_buffer.data() + line_start,
+                                line_end - line_start);
+    line_start = line_end + 1;
+    if (line.empty() || line == "\r") {
+      event.bytes =
+          std::string_view(m_buffer).substr(m_start, line_start - m_start);
+      m_start = line_start;
+      return event;
+    }
+    if (line.starts_with(kIdField)) {
+      event.id = ParseId(line.substr(kIdField.size()));
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/gateway.cc
@@ -0,0 +1,366 @@
+// Wiring of a gateway, and its planned stop.
+#include "gateway.h"
+
+#include <cassert>
+#include <map>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "endpoint_directory.h"
+#include "endpoint_picker.h"
+#include "event_loop.h"
+#include "gateway_caller.h"
+#include "gateway_codec.h"
+#include "gateway_config.h"
+#include "gateway_drain.h"
+#include "gateway_exchange.h"
+#include "gateway_rows.h"
+#include "gateway_settings.h"
+#include "http_request.h"
+#include "http_responder.h"
+#include "http_server.h"
+#include "limit_retry_budget.h"
+#include "log_event.h"
+#include "metadata_store.h"
+#include "metric_registry.h"
+#include "store_watch.h"
+#include "stream_silence_monitor.h"
+#include "tcp_listener.h"
+
+namespace bramleybank {
+namespace {
+
+// Retries that a node may send in a window without any first send. The
+// platform grants 150 to all nodes together.
+constexpr double kRetryExtra = 2;
+constexpr int kReadyStatus = 200;
+constexpr int kNotReadyStatus = 503;
+
+RandomHook MakeRandom() {
+  auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
+  return [engine] { return (*engine)(); };
+}
+
+}  // namespace
+
+struct Gateway::Impl {
+  Impl(EventLoop* event_loop,
+       const GatewaySettings& gateway_settings,
+       MetadataStore* metadata_store,
+       GatewayCodec gateway_codec,
+       GatewayRows gateway_rows)
+      : loop(event_loop),
+        settings(gateway_settings),
+        store(metadata_store),
+        codec(std::move(gateway_codec)),
+        rows(std::move(gateway_rows)) {}
+
+  void Connect();
+  bool OpenPorts();
+  bool OpenHttpPort(HttpServer* server,
+                    const std::string& address,
+                    HttpServer::Handler handler);
+  void AnswerReady(const std::shared_ptr<HttpResponder>& responder) const;
+  void AnswerMetrics(const std::shared_ptr<HttpResponder>& responder);
+  void Accept(int fd);
+  void OnRequest(const std::shared_ptr<GatewayCaller>& caller,
+                 GatewayRequest request);
+  void OnConfigRow(const StoreRow& row);
+  void OnEndpointRow(const StoreRow& row);
+  StoreWatchHooks WatchHooks(void (Impl::*on_row)(const StoreRow&),
+                             const std::string& table);
+  void ArmSilenceCheck();
+  void CheckSilence();
+  void ContinueDrain();
+
+  EventLoop* loop;
+  const GatewaySettings settings;
+  MetadataStore* store;
+  const GatewayCodec codec;
+  const GatewayRows rows;
+  const ClockHook clock = &SteadyNow;
+  const RandomHook random = MakeRandom();
+  MetricRegistry metrics;
+  EndpointDirectory directory{clock};
+  EndpointPicker picker{&directory, settings.place, random};
+  RetryBudget budget{
+      clock, random,
+      RetryLimits{.share = settings.retry_share, .extra = kRetryExtra}};
+  StreamSilenceMonitor silence;
+  std::shared_ptr<const GatewayConfig> config;
+  GatewayEnvironment environment;
+  GatewayCallerHooks caller_hooks;
+  TcpListener listener{loop};
+  HttpServer ready_server{loop, {}};
+  HttpServer metrics_server{loop, {}};
+  std::unique_ptr<StoreWatch> operator_watch;
+  std::unique_ptr<StoreWatch> endpoint_watch;
+  std::unordered_map<GatewayCaller*, std::shared_ptr<GatewayCaller>> callers;
+  std::map<uint64_t, std::unique_ptr<GatewayExchange>> exchanges;
+  uint64_t next_exchange = 1;
+  TimerHandle silence_timer;
+  bool endpoints_known = false;
+  std::unique_ptr<GatewayDrain> drain;
+  TimerHandle drain_timer;
+  Reason last_reason;
+};
+
+void Gateway::Impl::Connect() {
+  const auto is_draining = [this] { return drain != nullptr; };
+  environment = {.loop = loop,
+                 .codec = &codec,
+                 .directory = &directory,
+                 .picker = &picker,
+                 .budget = &budget,
+                 .silence = &silence,
+                 .metrics = &metrics,
+                 .random = random,
+                 .config = [this] { return config; },
+                 .is_draining = is_draining};
+  caller_hooks = {
+      .on_request =
+          [this](const std::shared_ptr<GatewayCaller>& caller,
+                 GatewayRequest request) {
+            OnRequest(caller, std::move(request));
+          },
+      .on_closed = [this](GatewayCaller* caller) { callers.erase(caller); },
+      .bounds = [this] { return config ? config->bounds() : CallerBounds{}; },
+      .on_refused =
+          [this](ResultCode code) {
+            metrics.Count("bramleybank_refusals_total", "reason",
+                          InfoOf(code).name);
+          },
+      .is_draining = is_draining};
+  operator_watch = std::make_unique<StoreWatch>(
+      loop, store, rows.operator_table, kStoreWait,
+      WatchHooks(&Impl::OnConfigRow, rows.operator_table));
+  endpoint_watch = std::make_unique<StoreWatch>(
+      loop, store, rows.endpoint_table, kStoreWait,
+      WatchHooks(&Impl::OnEndpointRow, rows.endpoint_table));
+}
+
+StoreWatchHooks Gateway::Impl::WatchHooks(void (Impl::*on_row)(const StoreRow&),
+                                          const std::string& table) {
+  return {
+      .on_row = [this, on_row](const StoreRow& row) { (this->*on_row)(row); },
+      .on_complete =
+          [this, is_endpoints = table == rows.endpoint_table] {
+            endpoints_known = endpoints_known || is_endpoints;
+          },
+      .on_reachable =
+          [table](bool reachable, const std::string& detail) {
+            LogLine(reachable ? LogEventId::kPlatformReachable
+                              : LogEventId::kPlatformUnreachable)
+                .Field("table", table)
+                .Field("detail", detail);
+          },
+      .random = random};
+}
+
+void Gateway::Impl::OnConfigRow(const StoreRow& row) {
+  if (row.key != rows.config_key || row.deleted) {
+    return;
+  }
+  auto values = rows.decode_config(row.value);
+  if (!values) {
+    LogLine(LogEventId::kConfigRefused)
+        .Field("row_version", static_cast<long long>(row.version));
+    return;
+  }
+  if (config && values->version <= config->version()) {
+    return;
+  }
+  config = std::make_shared<const GatewayConfig>(std::move(*values));
+  LogLine(LogEventId::kConfigInForce)
+      .Field("config", static_cast<long long>(config->version()))
+      .Field("row_version", static_cast<long long>(row.version))
+      .Field("routes", static_cast<long long>(config->values().routes.size()));
+}
+
+void Gateway::Impl::OnEndpointRow(const StoreRow& row) {
+  if (row.deleted) {
+    directory.Remove(row.key);
+    LogLine(LogEventId::kEndpointGone)
+        .Field("endpoint", row.key)
+        .Field("row_version", static_cast<long long>(row.version));
+    return;
+  }
+  const auto entry = rows.decode_endpoint(row.key, row.value);
+  if (!entry) {
+    directory.Remove(row.key);
+    LogLine(LogEventId::kEntryUnreadable)
+        .Field("endpoint", row.key)
+        .Field("row_version", static_cast<long long>(row.version));
+    return;
+  }
+  const EndpointRecord* known = directory.Find(row.key);
+  const bool changed =
+      known == nullptr || known->gone_since || known->entry != *entry;
+  directory.Update(*entry);
+  if (changed) {
+    LogLine(LogEventId::kEndpointChanged)
+        .Field("endpoint", row.key)
+        .Field("address", entry->address)
+        .Field("service", entry->service)
+        .Field("draining", entry->state == EndpointState::kDraining ? 1 : 0)
+        .Field("row_version", static_cast<long long>(row.version));
+  }
+}
+
+bool Gateway::Impl::OpenHttpPort(HttpServer* server,
+                                 const std::string& address,
+                                 HttpServer::Handler handler) {
+  const size_t colon = address.rfind(':');
+  const int port = std::stoi(address.substr(colon + 1));
+  if (server->Start(address.substr(0, colon), static_cast<uint16_t>(port),
+                    std::move(handler))) {
+    return true;
+  }
+  last_reason = server->last_reason();
+  return false;
+}
+
+bool Gateway::Impl::OpenPorts() {
+  if (!listener.Start(settings.caller_address,
+                      [this](int fd) { Accept(fd); })) {
+    last_reason = listener.last_reason();
+    return false;
+  }
+  return OpenHttpPort(&ready_server, settings.ready_address,
+                      [this](const HttpRequest&,
+                             const std::shared_ptr<HttpResponder>& responder) {
+                        AnswerReady(responder);
+                      }) &&
+         OpenHttpPort(&metrics_server, settings.metrics_address,
+                      [this](const HttpRequest&,
+                             const std::shared_ptr<HttpResponder>& responder) {
+                        AnswerMetrics(responder);
+                      });
+}
+
+void Gateway::Impl::AnswerReady(
+    const std::shared_ptr<HttpResponder>& responder) const {
+  const bool ready = config && endpoints_known && !drain;
+  responder->Respond(ready ? kReadyStatus : kNotReadyStatus, {},
+                     ready ? "ready\n" : "not ready\n");
+}
+
+void Gateway::Impl::AnswerMetrics(
+    const std::shared_ptr<HttpResponder>& responder) {
+  metrics.SetGauge("bramleybank_endpoints",
+                   static_cast<double>(directory.size()));
+  metrics.SetGauge("bramleybank_config_version",
+                   config ? static_cast<double>(config->version()) : 0);
+  metrics.SetGauge("bramleybank_open_requests",
+                   static_cast<double>(exchanges.size()));
+  metrics.SetGauge("bramleybank_caller_connections",
+                   static_cast<double>(callers.size()));
+  responder->Respond(kReadyStatus, {{"Content-Type", "text/plain"}},
+                     metrics.Render());
+}
+
+void Gateway::Impl::Accept(int fd) {
+  const auto caller = std::make_shared<GatewayCaller>(loop, &caller_hooks);
+  callers.emplace(caller.get(), caller);
+  caller->Start(fd);
+}
+
+void Gateway::Impl::OnRequest(const std::shared_ptr<GatewayCaller>& caller,
+                              GatewayRequest request) {
+  const uint64_t number = next_exchange++;
+  auto exchange = std::make_unique<GatewayExchange>(
+      &environment, number, caller, std::move(request), [this, number] {
+        // The exchange is still inside one of its methods.
+        loop->Post([this, number] {
+          exchanges.erase(number);
+          ContinueDrain();
+        });
+      });
+  GatewayExchange* started = exchange.get();
+  exchanges.emplace(number, std::move(exchange));
+  started->Start();
+  ArmSilenceCheck();
+}
+
+void Gateway::Impl::ArmSilenceCheck() {
+  if (!silence_timer.is_valid() && !silence.empty()) {
+    silence_timer =
+        loop->Schedule(kSilenceCheckInterval, [this] { CheckSilence(); });
+  }
+}
+
+void Gateway::Impl::CheckSilence() {
+  silence_timer = TimerHandle();
+  const SilenceFindings findings = silence.Check(loop->Now());
+  for (const StreamPlace& place : findings.silent_domains) {
+    directory.SuspectDomain(place.service, place.failure_domain);
+    LogLine(LogEventId::kDomainSilent)
+        .Field("service", place.service)
+        .Field("failure_domain", place.failure_domain);
+  }
+  for (const uint64_t number : findings.silent_streams) {
+    const auto it = exchanges.find(number);
+    if (it != exchanges.end()) {
+      it->second->OnSilence();
+    }
+  }
+  ArmSilenceCheck();
+}
+
+void Gateway::Impl::ContinueDrain() {
+  if (!drain) {
+    return;
+  }
+  const DrainStep step = drain->Next(loop->Now(), exchanges.size());
+  if (step.close_idle_callers) {
+    const auto open = callers;
+    for (const auto& [key, caller] : open) {
+      caller->CloseIfIdle();
+    }
+  }
+  if (step.stop) {
+    loop->Stop();
+    return;
+  }
+  loop->Cancel(drain_timer);
+  drain_timer =
+      loop->Schedule(kDrainCheckInterval, [this] { ContinueDrain(); });
+}
+
+Gateway::Gateway(EventLoop* loop,
+                 const GatewaySettings& settings,
+                 MetadataStore* store,
+                 const GatewayCodec& codec,
+                 const GatewayRows& rows)
+    : m_impl(std::make_unique<Impl>(loop, settings, store, codec, rows)) {
+  m_impl->Connect();
+}
+
+Gateway::~Gateway() = default;
+
+bool Gateway::Start() {
+  if (!m_impl->OpenPorts()) {
+    return false;
+  }
+  m_impl->operator_watch->Start();
+  m_impl->endpoint_watch->Start();
+  return true;
+}
+
+void Gateway::Drain() {
+  if (m_impl->drain) {
+    return;
+  }
+  const LogLine line(LogEventId::kStopping);
+  m_impl->drain = std::make_unique<GatewayDrain>(m_impl->settings.stop_grace,
+                                                 m_impl->loop->Now());
+  m_impl->ContinueDrain();
+}
+
+const Reason& Gateway::last_reason() const {
+  return m_impl->last_reason;
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/gateway_caller.cc
@@ -0,0 +1,319 @@
+// Reading, limits and answers of one caller connection.
+#include "gateway_caller.h"
+
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "event_loop.h"
+#include "http1_status.h"
+#include "tcp_connection.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr int kStatusRequestTimeout = 408;
+constexpr int kStatusHeadersTooLarge = 431;
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+std::string RefusalBody(ResultCode code) {
+  const ResultCodeInfo& info = InfoOf(code);
+  std::string body = R"({"error":{"code":)";
+  body += std::to_string(static_cast<int>(code));
+  body.append(R"(,"name":")").append(info.name);
+  body.append(R"(","message":")").append(info.meaning).append("\"}}");
+  return body;
+}
+
+std::string FormatSeconds(Duration duration) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.2f",
+                static_cast<double>(duration.count()) / kMicrosecondsPerSecond);
+  return text;
+}
+
+}  // namespace
+
+GatewayCaller::GatewayCaller(EventLoop* loop, const GatewayCallerHooks* hooks)
+    : m_loop(loop),
+      m_hooks(hooks),
+      m_parser(Http1Parser::Direction::kRequests,
+               hooks->bounds().max_header_bytes,
+               {.on_head = [this](Http1Head head) { OnHead(std::move(head)); },
+                .on_body = [this](std::string_view data) { OnBody(data); },
+                .on_complete = [this] { OnRequestWhole(); }}),
+      m_bounds(hooks->bounds()),
+      m_last_activity(loop->Now()) {}
+
+GatewayCaller::~GatewayCaller() {
+  m_loop->Cancel(m_timer);
+}
+
+void GatewayCaller::Start(int fd) {
+  // The daemon keeps the caller alive until on_closed.
+  const std::weak_ptr<GatewayCaller> weak = weak_from_this();
+  m_connection =
+      TcpConnection::Adopt(m_loop, fd,
+                           {.on_connected = nullptr,
+                            .on_data =
+                                [weak](std::string_view data) {
+                                  if (const auto self = weak.lock()) {
+                                    self->OnData(data);
+                                  }
+                                },
+                            .on_end =
+                                [weak](TcpEnd) {
+                                  if (const auto self = weak.lock()) {
+                                    self->OnEnd();
+                                  }
+                                },
+                            .on_drained =
+                                [weak] {
+                                  const auto self = weak.lock();
+                                  if (self && self->m_on_drained) {
+                                    self->m_on_drained();
+                                  }
+                                }});
+  ArmTimer();
+}
+
+void GatewayCaller::OnData(std::string_view data) {
+  m_last_activity = m_loop->Now();
+  if (!m_is_busy && !m_parser.is_inside_message()) {
+    m_message_start = m_last_activity;
+    ArmTimer();
+  }
+  m_parser.Feed(data);
+  if (m_is_busy && m_parser.kept_bytes() > kMaxEarlyCallerBytes) {
+    m_connection->SetReading(false);
+  }
+  CheckFault();
+}
+
+void GatewayCaller::CheckFault() {
+  if (m_closed || m_parser.fault() == Http1Fault::kNone || m_is_busy) {
+    return;
+  }
+  if (m_parser.fault() == Http1Fault::kHeadTooLarge) {
+    RefuseAndClose(kStatusHeadersTooLarge, ResultCode::kBadHeader);
+  } else {
+    RefuseAndClose(InfoOf(ResultCode::kBadHeader).http_status,
+                   ResultCode::kBadHeader);
+  }
+}
+
+void GatewayCaller::OnHead(Http1Head head) {
+  m_has_head = true;
+  m_keep_alive = head.keep_alive;
+  m_is_head_request = head.method == "HEAD";
+  m_request = {.method = std::move(head.method),
+               .target = std::move(head.target),
+               .headers = std::move(head.headers),
+               .body = {},
+               .received_at = m_message_start};
+  const auto expect = FindHeader(m_request.headers, "Expect");
+  if (expect && HeaderNameEquals(*expect, "100-continue")) {
+    m_connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void GatewayCaller::OnBody(std::string_view data) {
+  if (m_closed) {
+    return;
+  }
+  if (m_request.body.size() + data.size() > m_bounds.max_body_bytes) {
+    RefuseAndClose(InfoOf(ResultCode::kBodyTooLarge).http_status,
+                   ResultCode::kBodyTooLarge);
+    return;
+  }
+  m_request.body.append(data);
+}
+
+void GatewayCaller::OnRequestWhole() {
+  if (m_closed) {
+    return;
+  }
+  m_is_busy = true;
+  m_has_head = false;
+  m_hooks->on_request(shared_from_this(), std::move(m_request));
+}
+
+void GatewayCaller::OnEnd() {
+  CloseNow();
+}
+
+void GatewayCaller::CloseNow() {
+  if (m_closed) {
+    return;
+  }
+  m_closed = true;
+  m_loop->Cancel(m_timer);
+  m_connection->Close();
+  m_on_drained = nullptr;
+  const auto gone = std::exchange(m_on_gone, nullptr);
+  if (m_is_busy && gone) {
+    gone();
+  }
+  m_hooks->on_closed(this);
+}
+
+void GatewayCaller::Abort() {
+  m_on_gone = nullptr;
+  CloseNow();
+}
+
+std::string GatewayCaller::RenderHead(int status,
+                                      const HttpHeaders& headers) const {
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+  head.append(StatusPhrase(status)).append(kLineEnd);
+  for (const auto& [name, value] : headers) {
+    head.append(name).append(": ").append(value).append(kLineEnd);
+  }
+  if (!m_keep_alive || m_hooks->is_draining()) {
+    head.append("Connection: close\r\n");
+  }
+  return head;
+}
+
+void GatewayCaller::Answer(int status,
+                           const HttpHeaders& headers,
+                           std::string_view body) {
+  if (m_closed) {
+    return;
+  }
+  std::string message = RenderHead(status, headers);
+  message.append("Content-Length: ").append(std::to_string(body.size()));
+  message.append("\r\n\r\n");
+  if (!m_is_head_request) {
+    message.append(body);
+  }
+  m_connection->Write(message);
+  FinishAnswer();
+}
+
+void GatewayCaller::Refuse(ResultCode code, Duration retry_after) {
+  HttpHeaders headers = {{"Content-Type", "application/json"}};
+  if (retry_after > Duration{0}) {
+    headers.emplace_back("Retry-After", FormatSeconds(retry_after));
+  }
+  Answer(InfoOf(code).http_status, headers, RefusalBody(code));
+}
+
+void GatewayCaller::RefuseAndClose(int status, ResultCode code) {
+  m_hooks->on_refused(code);
+  m_keep_alive = false;
+  Answer(status, {{"Content-Type", "application/json"}}, RefusalBody(code));
+}
+
+void GatewayCaller::StartStream(int status, const HttpHeaders& headers) {
+  if (m_closed) {
+    return;
+  }
+  std::string message = RenderHead(status, headers);
+  message.append("Transfer-Encoding: chunked\r\n\r\n");
+  m_connection->Write(message);
+}
+
+void GatewayCaller::WriteStream(std::string_view bytes) {
+  if (m_closed || bytes.empty()) {
+    return;
+  }
+  char size[20];
+  const auto end =
+      std::to_chars(size, size + sizeof(size), bytes.size(), 16).ptr;
+  std::string chunk(size, end);
+  chunk.append(kLineEnd).append(bytes).append(kLineEnd);
+  m_connection->Write(chunk);
+}
+
+void GatewayCaller::FinishStream() {
+  if (m_closed) {
+    return;
+  }
+  m_connection->Write("0\r\n\r\n");
+  FinishAnswer();
+}
+
+void GatewayCaller::FinishAnswer() {
+  m_is_busy = false;
+  m_on_gone = nullptr;
+  m_on_drained = nullptr;
+  m_last_activity = m_loop->Now();
+  if (!m_keep_alive || m_hooks->is_draining()) {
+    m_closed = true;
+    m_loop->Cancel(m_timer);
+    m_connection->FinishAndClose(kCallerLinger);
+    m_hooks->on_closed(this);
+    return;
+  }
+  ArmTimer();
+  // The next request may have arrived already; it is served in a later turn,
+  // because this method runs inside the one that answered.
+  m_loop->Post([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self || self->m_closed || self->m_is_busy) {
+      return;
+    }
+    self->m_connection->SetReading(true);
+    if (self->m_parser.kept_bytes() > 0) {
+      self->m_message_start = self->m_loop->Now();
+    }
+    self->m_parser.Resume();
+    self->CheckFault();
+  });
+}
+
+void GatewayCaller::SetGoneHandler(std::function<void()> handler) {
+  m_on_gone = std::move(handler);
+}
+
+void GatewayCaller::SetDrainedHandler(std::function<void()> handler) {
+  m_on_drained = std::move(handler);
+}
+
+size_t GatewayCaller::backlog_bytes() const {
+  return m_closed ? 0 : m_connection->unsent_bytes();
+}
+
+void GatewayCaller::CloseIfIdle() {
+  if (m_closed || m_is_busy || m_parser.is_inside_message()) {
+    return;
+  }
+  m_closed = true;
+  m_loop->Cancel(m_timer);
+  m_connection->FinishAndClose(kCallerLinger);
+  m_hooks->on_closed(this);
+}
+
+void GatewayCaller::ArmTimer() {
+  m_loop->Cancel(m_timer);
+  const bool in_head = m_parser.is_inside_message() && !m_has_head;
+  const Duration limit =
+      in_head ? m_bounds.header_timeout : m_bounds.idle_timeout;
+  m_timer = m_loop->Schedule(limit, [this] { OnTimer(); });
+}
+
+void GatewayCaller::OnTimer() {
+  m_timer = TimerHandle();
+  m_bounds = m_hooks->bounds();
+  const TimePoint now = m_loop->Now();
+  const bool in_head = m_parser.is_inside_message() && !m_has_head;
+  if (in_head && now - m_message_start >= m_bounds.header_timeout) {
+    RefuseAndClose(kStatusRequestTimeout, ResultCode::kBadHeader);
+    return;
+  }
+  if (!m_is_busy && !in_head &&
+      now - m_last_activity >= m_bounds.idle_timeout) {
+    if (m_has_head) {
+      RefuseAndClose(kStatusRequestTimeout, ResultCode::kBadHeader);
+    } else {
+      CloseIfIdle();
+    }
+    return;
+  }
+  ArmTimer();
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/gateway_caller.h
@@ -0,0 +1,113 @@
+// One connection of a caller: reads requests one after the other and writes
+// their answers.
+#ifndef BRAMLEYBANK_SRC_GATEWAY_CALLER_H_
+#define BRAMLEYBANK_SRC_GATEWAY_CALLER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "bramleybank/handle.h"
+#include "bramleybank/result_code.h"
+#include "gateway_config.h"
+#include "gateway_request.h"
+#include "hooks.h"
+#include "http1_parser.h"
+#include "http_types.h"
+
+namespace bramleybank {
+
+class EventLoop;
+class GatewayCaller;
+class TcpConnection;
+
+/// Hooks of all caller connections.
+struct GatewayCallerHooks {
+  /// A request is whole. It is answered with Answer() or the stream methods.
+  std::function<void(const std::shared_ptr<GatewayCaller>& caller,
+                     GatewayRequest request)>
+      on_request;
+  /// The connection has ended.
+  std::function<void(GatewayCaller* caller)> on_closed;
+  /// Bounds in force now.
+  std::function<CallerBounds()> bounds;
+  /// A request was refused before it was whole.
+  std::function<void(ResultCode code)> on_refused;
+  /// Whether connections end after their next answer.
+  std::function<bool()> is_draining;
+};
+
+/// A caller's connection. Answers are sent in the order of the requests,
+/// because the next request is read only after the answer to the last one.
+class GatewayCaller : public std::enable_shared_from_this<GatewayCaller> {
+ public:
+  GatewayCaller(EventLoop* loop, const GatewayCallerHooks* hooks);
+  ~GatewayCaller();
+  GatewayCaller(const GatewayCaller&) = delete;
+  GatewayCaller& operator=(const GatewayCaller&) = delete;
+
+  /// Takes over an accepted descriptor.
+  void Start(int fd);
+
+  /// Sends a whole answer. Its length is set here.
+  void Answer(int status, const HttpHeaders& headers, std::string_view body);
+  /// Answers with a refusal of the gateway's own.
+  /// @param retry_after when to come back; zero sends none.
+  void Refuse(ResultCode code, Duration retry_after);
+
+  /// Sends an answer of unknown length part by part.
+  void StartStream(int status, const HttpHeaders& headers);
+  void WriteStream(std::string_view bytes);
+  void FinishStream();
+  /// Ends the connection in the middle of an answer.
+  void Abort();
+
+  /// Called once when the caller has gone before its answer was whole.
+  void SetGoneHandler(std::function<void()> handler);
+  /// Called when the backlog has been sent.
+  void SetDrainedHandler(std::function<void()> handler);
+  size_t backlog_bytes() const;
+
+  /// Ends the connection if no request is being read or answered.
+  void CloseIfIdle();
+  bool is_busy() const { return m_is_busy; }
+
+ private:
+  void OnData(std::string_view data);
+  void OnHead(Http1Head head);
+  void OnBody(std::string_view data);
+  void OnRequestWhole();
+  void OnEnd();
+  void CheckFault();
+  void RefuseAndClose(int status, ResultCode code);
+  void FinishAnswer();
+  void ArmTimer();
+  void OnTimer();
+  void CloseNow();
+  std::string RenderHead(int status, const HttpHeaders& headers) const;
+
+  EventLoop* m_loop;
+  const GatewayCallerHooks* m_hooks;
+  std::shared_ptr<TcpConnection> m_connection;
+  Http1Parser m_parser;
+  CallerBounds m_bounds;
+  GatewayRequest m_request;
+  std::function<void()> m_on_gone;
+  std::function<void()> m_on_drained;
+  // The last time at which bytes came or an answer ended.
+  TimePoint m_last_activity;
+  TimePoint m_message_start;
+  TimerHandle m_timer;
+  bool m_has_head = false;
+  // A request is whole and its answer is not.
+  bool m_is_busy = false;
+  bool m_keep_alive = true;
+  bool m_is_head_request = false;
+  bool m_closed = false;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_GATEWAY_CALLER_H_
--- /dev/null
+++ b/src/gateway_codec.h
@@ -0,0 +1,30 @@
+// Hooks through which the platform's adapter translates headers.
+#ifndef BRAMLEYBANK_SRC_GATEWAY_CODEC_H_
+#define BRAMLEYBANK_SRC_GATEWAY_CODEC_H_
+
+#include <functional>
+#include <string>
+
+#include "gateway_request.h"
+#include "http_types.h"
+
+namespace bramleybank {
+
+struct Http1Head;
+
+/// Translation between headers and the gateway's own values.
+struct GatewayCodec {
+  std::function<CallerStatement(const HttpHeaders& headers)> decode_request;
+  /// @returns the caller's headers for an endpoint: without those that only
+  /// the gateway may set, with those that it sets for this attempt.
+  std::function<HttpHeaders(const HttpHeaders& headers,
+                            const AttemptStatement& attempt)>
+      encode_attempt;
+  std::function<AnswerStatement(const Http1Head& head,
+                                const std::string& request_id)>
+      decode_answer;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_GATEWAY_CODEC_H_
--- /dev/null
+++ b/src/gateway_exchange.h
@@ -0,0 +1,150 @@
+// One request of a caller on its way through the gateway: route, customer,
+// attempts at endpoints, and the answer.
+#ifndef BRAMLEYBANK_SRC_GATEWAY_EXCHANGE_H_
+#define BRAMLEYBANK_SRC_GATEWAY_EXCHANGE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bramleybank/handle.h"
+#include "bramleybank/result_code.h"
+#include "endpoint_directory.h"
+#include "event_splitter.h"
+#include "gateway_attempt.h"
+#include "gateway_request.h"
+#include "hooks.h"
+#include "http1_parser.h"
+#include "limit_retry_budget.h"
+
+namespace bramleybank {
+
+class EndpointPicker;
+class EventLoop;
+class GatewayCaller;
+class GatewayConfig;
+class MetricRegistry;
+class StreamSilenceMonitor;
+struct GatewayCodec;
+struct GatewayRoute;
+
+/// What exchanges share. Everything pointed to outlives them.
+struct GatewayEnvironment {
+  EventLoop* loop = nullptr;
+  const GatewayCodec* codec = nullptr;
+  EndpointDirectory* directory = nullptr;
+  const EndpointPicker* picker = nullptr;
+  RetryBudget* budget = nullptr;
+  StreamSilenceMonitor* silence = nullptr;
+  MetricRegistry* metrics = nullptr;
+  RandomHook random;
+  /// Configuration in force; null before the first one.
+  std::function<std::shared_ptr<const GatewayConfig>()> config;
+  /// Set while this daemon stops.
+  std::function<bool()> is_draining;
+};
+
+/// One exchange. It is alive until `on_over` has been called.
+class GatewayExchange {
+ public:
+  GatewayExchange(const GatewayEnvironment* environment,
+                  uint64_t number,
+                  std::shared_ptr<GatewayCaller> caller,
+                  GatewayRequest request,
+                  std::function<void()> on_over);
+  ~GatewayExchange();
+  GatewayExchange(const GatewayExchange&) = delete;
+  GatewayExchange& operator=(const GatewayExchange&) = delete;
+
+  void Start();
+  /// The running attempt has fallen silent.
+  void OnSilence();
+
+ private:
+  bool FindRoute();
+  bool FindCustomer();
+  void ChooseService();
+  void StartTimers();
+
+  void TryEndpoint();
+  void StartAttempt(const EndpointRecord& endpoint, bool restores);
+  AttemptStatement DescribeAttempt(const EndpointRecord& endpoint,
+                                   bool restores);
+  std::string RenderRequest(const EndpointRecord& endpoint, bool restores);
+  void ChooseBackup(const EndpointRecord& endpoint);
+  void DropBackup();
+  const EndpointRecord* BackupToRestore() const;
+
+  void OnHead(const Http1Head& head);
+  void OnBody(std::string_view data);
+  void OnAttemptEnd(AttemptEnd end);
+  void OnWholeAnswer();
+  void RelayEvents();
+  bool PassEvent(const RawEvent& event);
+  void OnStreamWhole();
+
+  /// Ends the attempt and goes on elsewhere if that is allowed.
+  void LoseAttempt(EndpointOutcome outcome,
+                   RetryReason reason,
+                   std::string_view detail);
+  void EndAttempt(EndpointOutcome outcome);
+  bool MayTryAgain(RetryReason reason);
+  bool IsLastRunAllowed() const;
+
+  void OnTimeout();
+  void OnCallerGone();
+  void GiveUp(ResultCode code);
+  void Refuse(ResultCode code, Duration retry_after);
+  void Finish();
+
+  bool is_stream() const;
+  Duration TimeLeft() const;
+
+  const GatewayEnvironment* m_environment;
+  const uint64_t m_number;
+  std::shared_ptr<GatewayCaller> m_caller;
+  const GatewayRequest m_request;
+  const CallerStatement m_statement;
+  std::function<void()> m_on_over;
+  std::shared_ptr<const GatewayConfig> m_config;
+  const GatewayRoute* m_route = nullptr;
+  std::string m_service;
+  std::string m_customer;
+  TimePoint m_deadline;
+  TimerHandle m_timer;
+
+  // The running attempt; m_endpoint describes it.
+  std::unique_ptr<GatewayAttempt> m_attempt;
+  EndpointEntry m_endpoint;
+  TimePoint m_attempt_start;
+  bool m_attempt_may_run = false;
+  // The attempt was to go on from a copy.
+  bool m_attempt_restores = false;
+  Http1Head m_head;
+  AnswerStatement m_answer;
+  std::string m_body;
+  EventSplitter m_events;
+
+  // Ids of endpoints that this request has been sent to.
+  std::vector<std::string> m_tried;
+  // Endpoints that may have run the request.
+  int m_runs = 0;
+  int m_sends = 0;
+  // Engine that gets a copy of the running attempt's memory.
+  std::optional<EndpointEntry> m_backup;
+  TimePoint m_backup_start;
+
+  // Streams: the last event that the caller has, and whether any was sent.
+  std::optional<uint64_t> m_last_event_id;
+  bool m_stream_started = false;
+  uint64_t m_events_passed = 0;
+  bool m_is_over = false;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_GATEWAY_EXCHANGE_H_
--- /dev/null
+++ b/src/gateway_request.h
@@ -0,0 +1,86 @@
+// One request as a caller sent it to the gateway, and what its headers say.
+#ifndef BRAMLEYBANK_SRC_GATEWAY_REQUEST_H_
+#define BRAMLEYBANK_SRC_GATEWAY_REQUEST_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "hooks.h"
+#include "http_types.h"
+
+namespace bramleybank {
+
+/// A whole request.
+struct GatewayRequest {
+  std::string method;
+  /// Path and query as sent.
+  std::string target;
+  HttpHeaders headers;
+  std::string body;
+  /// When its first byte was read.
+  TimePoint received_at;
+
+  std::string_view Path() const {
+    return std::string_view(target).substr(0, target.find('?'));
+  }
+
+  friend bool operator==(const GatewayRequest&,
+                         const GatewayRequest&) = default;
+};
+
+/// What a caller's headers say, decoded by the platform's adapter.
+struct CallerStatement {
+  /// Names one attempt of a client.
+  std::string request_id;
+  /// How long the client waits from the moment it sent the request.
+  std::optional<Duration> patience;
+  /// Key that names the customer; empty without one.
+  std::string customer_key;
+  /// Last event of a stream that the client has.
+  std::optional<uint64_t> last_event_id;
+  /// Tokens of the prompt; 0 when not told.
+  int64_t prompt_tokens = 0;
+
+  friend bool operator==(const CallerStatement&,
+                         const CallerStatement&) = default;
+};
+
+/// What the gateway tells an endpoint about an attempt.
+struct AttemptStatement {
+  /// Id of the endpoint that must answer; another one refuses.
+  std::string endpoint_id;
+  Duration time_left{0};
+  /// Customer that holds the key; empty when there is none.
+  std::string customer;
+  /// The endpoint goes on after this event.
+  std::optional<uint64_t> last_event_id;
+  /// Address of the engine that gets a copy of the run's memory.
+  std::string backup_address;
+  /// Address of the engine that holds such a copy, to go on from it.
+  std::string restore_address;
+  std::string request_id;
+
+  friend bool operator==(const AttemptStatement&,
+                         const AttemptStatement&) = default;
+};
+
+/// What the head of an endpoint's answer says.
+struct AnswerStatement {
+  /// The endpoint promises that the request has not run.
+  bool not_run = false;
+  /// Another endpoint has the address now.
+  bool misdirected = false;
+  /// The answer carries the endpoint's mark, without which no success counts.
+  bool is_marked = false;
+  /// The answer names another request.
+  bool is_foreign = false;
+
+  friend bool operator==(const AnswerStatement&,
+                         const AnswerStatement&) = default;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_GATEWAY_REQUEST_H_
--- /dev/null
+++ b/src/gateway_settings.h
@@ -0,0 +1,47 @@
+// Settings of a daemon that serves as a gateway on the users' platform.
+#ifndef BRAMLEYBANK_SRC_GATEWAY_SETTINGS_H_
+#define BRAMLEYBANK_SRC_GATEWAY_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "config_ini_reader.h"
+#include "endpoint_picker.h"
+#include "hooks.h"
+
+namespace bramleybank {
+
+/// All settings; docs/settings.md describes each.
+struct GatewaySettings {
+  // [node]
+  std::string name;
+  GatewayPlace place;
+  // [listen], each ip:port
+  std::string caller_address;
+  std::string ready_address;
+  std::string metrics_address;
+  // [platform]
+  std::string store_url;
+  // [drain]
+  /// The process is killed this long after the signal to stop.
+  Duration stop_grace{0};
+  // [retries]
+  /// Sends beyond the first of each request, per first send.
+  double retry_share = 0;
+
+  friend bool operator==(const GatewaySettings&,
+                         const GatewaySettings&) = default;
+};
+
+/// @returns whether the file has the settings of a gateway.
+bool IsGatewayFile(const std::string& file);
+
+/// @param errors gets every fault of the file; the settings are usable only
+/// when it stays empty.
+GatewaySettings ReadGatewaySettings(const std::string& file,
+                                    std::vector<SettingError>* errors);
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/src/http1_parser.cc
@@ -0,0 +1,205 @@
+// Callbacks of libhttp-parser. The library refuses a message with both a
+// length and chunks; the remaining doubtful forms are refused here.
+#include "http1_parser.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleybank {
+
+struct Http1Parser::Library {
+  http_parser parser{};
+
+  static Http1Parser* Self(http_parser* parser) {
+    return static_cast<Http1Parser*>(parser->data);
+  }
+
+  static int OnBegin(http_parser* parser) {
+    Http1Parser* self = Self(parser);
+    self->m_head = {};
+    self->m_head_bytes = 0;
+    self->m_inside = true;
+    return 0;
+  }
+
+  static bool CountHeadBytes(Http1Parser* self, size_t size) {
+    self->m_head_bytes += size;
+    if (self->m_head_bytes <= self->m_max_head_bytes) {
+      return true;
+    }
+    self->m_fault = Http1Fault::kHeadTooLarge;
+    return false;
+  }
+
+  static int OnUrl(http_parser* parser, const char* at, size_t size) {
+    Http1Parser* self = Self(parser);
+    self->m_head.target.append(at, size);
+    return CountHeadBytes(self, size) ? 0 : 1;
+  }
+
+  static int OnField(http_parser* parser, const char* at, size_t size) {
+    Http1Parser* self = Self(parser);
+    if (self->m_in_value) {
+      self->FinishHeader();
+    }
+    self->m_field.append(at, size);
+    return CountHeadBytes(self, size) ? 0 : 1;
+  }
+
+  static int OnValue(http_parser* parser, const char* at, size_t size) {
+    Http1Parser* self = Self(parser);
+    self->m_in_value = true;
+    self->m_value.append(at, size);
+    return CountHeadBytes(self, size) ? 0 : 1;
+  }
+
+  static int OnHeadersComplete(http_parser* parser) {
+    Http1Parser* self = Self(parser);
+    if (!self->m_field.empty()) {
+      self->FinishHeader();
+    }
+    if (self->HasAmbiguousLength()) {
+      self->m_fault = Http1Fault::kAmbiguousLength;
+      return -1;
+    }
+    self->m_head.keep_alive = http_should_keep_alive(parser) != 0;
+    if (self->m_direction == Direction::kRequests) {
+      self->m_head.method =
+          http_method_str(static_cast<http_method>(parser->method));
+    } else {
+      self->m_head.status = static_cast<int>(parser->status_code);
+      self->m_interim = parser->status_code < 200;
+    }
+    if (!self->m_interim) {
+      self->m_callbacks.on_head(std::move(self->m_head));
+    }
+    return self->m_no_body ? 1 : 0;
+  }
+
+  static int OnBody(http_parser* parser, const char* at, size_t size) {
+    Self(parser)->m_callbacks.on_body({at, size});
+    return 0;
+  }
+
+  static int OnComplete(http_parser* parser) {
+    Http1Parser* self = Self(parser);
+    if (self->m_interim) {
+      self->m_interim = false;
+      return 0;
+    }
+    self->m_inside = false;
+    self->m_paused = true;
+    http_parser_pause(parser, 1);
+    return 0;
+  }
+
+  static const http_parser_settings* Settings() {
+    static const http_parser_settings settings = [] {
+      http_parser_settings made;
+      http_parser_settings_init(&made);
+      made.on_message_begin = &OnBegin;
+      made.on_url = &OnUrl;
+      made.on_header_field = &OnField;
+      made.on_header_value = &OnValue;
+      made.on_headers_complete = &OnHeadersComplete;
+      made.on_body = &OnBody;
+      made.on_message_complete = &OnComplete;
+      return made;
+    }();
+    return &settings;
+  }
+};
+
+Http1Parser::Http1Parser(Direction direction,
+                         size_t max_head_bytes,
+                         Callbacks callbacks)
+    : m_direction(direction),
+      m_max_head_bytes(max_head_bytes),
+      m_callbacks(std::move(callbacks)),
+      m_library(std::make_unique<Library>()) {
+  http_parser_init(&m_library->parser, direction == Direction::kRequests
+                                           ? HTTP_REQUEST
+                                           : HTTP_RESPONSE);
+  m_library->parser.data = this;
+}
+
+Http1Parser::~Http1Parser() = default;
+
+void Http1Parser::FinishHeader() {
+  m_head.headers.emplace_back(std::exchange(m_field, {}),
+                              std::exchange(m_value, {}));
+  m_in_value = false;
+}
+
+bool Http1Parser::HasAmbiguousLength() const {
+  size_t lengths = 0;
+  size_t codings = 0;
+  bool unknown_coding = false;
+  for (const auto& [name, value] : m_head.headers) {
+    if (HeaderNameEquals(name, "Content-Length")) {
+      ++lengths;
+    } else if (HeaderNameEquals(name, "Transfer-Encoding")) {
+      ++codings;
+      unknown_coding = unknown_coding || !HeaderNameEquals(value, "chunked");
+    }
+  }
+  return lengths + codings > 1 || unknown_coding;
+}
+
+void Http1Parser::Feed(std::string_view bytes) {
+  if (m_fault != Http1Fault::kNone) {
+    return;
+  }
+  if (m_paused) {
+    m_kept.append(bytes);
+    return;
+  }
+  Parse(bytes);
+}
+
+void Http1Parser::Parse(std::string_view bytes) {
+  const size_t parsed = http_parser_execute(
+      &m_library->parser, Library::Settings(), bytes.data(), bytes.size());
+  const auto error = static_cast<enum http_errno>(m_library->parser.http_errno);
+  if (m_paused && error == HPE_PAUSED) {
+    m_kept.assign(bytes.substr(parsed));
+    m_callbacks.on_complete();
+    return;
+  }
+  if (error == HPE_UNEXPECTED_CONTENT_LENGTH ||
+      error == HPE_INVALID_TRANSFER_ENCODING) {
+    Fail(Http1Fault::kAmbiguousLength);
+  } else if (error == HPE_HEADER_OVERFLOW) {
+    Fail(Http1Fault::kHeadTooLarge);
+  } else if (error != HPE_OK || m_library->parser.upgrade != 0) {
+    Fail(Http1Fault::kMalformed);
+  }
+}
+
+void Http1Parser::Fail(Http1Fault fault) {
+  if (m_fault == Http1Fault::kNone) {
+    m_fault = fault;
+  }
+}
+
+void Http1Parser::Resume() {
+  if (!m_paused || m_fault != Http1Fault::kNone) {
+    return;
+  }
+  m_paused = false;
+  http_parser_pause(&m_library->parser, 0);
+  if (!m_kept.empty()) {
+    const std::string bytes = std::exchange(m_kept, {});
+    Parse(bytes);
+  }
+}
+
+void Http1Parser::FeedEnd() {
+  if (!m_paused && m_fault == Http1Fault::kNone) {
+    Parse({});
+  }
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/http1_status.h
@@ -0,0 +1,14 @@
+// Reason phrases of HTTP status codes.
+#ifndef BRAMLEYBANK_SRC_HTTP1_STATUS_H_
+#define BRAMLEYBANK_SRC_HTTP1_STATUS_H_
+
+#include <string_view>
+
+namespace bramleybank {
+
+/// @returns the standard phrase, or "Status" for an unknown code.
+std::string_view StatusPhrase(int status);
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_HTTP1_STATUS_H_
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -17,7 +17,9 @@
   kStopping = 102,
   kStopped = 103,
   kSettingRefused = 104,
+  kReloaded = 105,
   kRequestRefused = 201,
+  kRequestEnded = 202,
   kAttemptStarted = 301,
   kAttemptEnded = 302,
   kStreamResumed = 303,
@@ -32,10 +34,15 @@
   kConfigInForce = 501,
   kConfigRefused = 502,
   kPlatformUnreachable = 503,
+  kPlatformReachable = 504,
   kMemberAlive = 601,
   kMemberSuspect = 602,
   kMemberDead = 603,
   kMemberLeft = 604,
+  kEndpointChanged = 701,
+  kEndpointGone = 702,
+  kDomainSilent = 703,
+  kEntryUnreadable = 704,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- /dev/null
+++ b/src/store_watch.cc
@@ -0,0 +1,141 @@
+// Reads and waits of one table.
+#include "store_watch.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "event_loop.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
+constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
+constexpr int kMaxDelayDoublings = 3;
+
+}  // namespace
+
+StoreWatch::StoreWatch(EventLoop* loop,
+                       MetadataStore* store,
+                       std::string table,
+                       Duration wait,
+                       StoreWatchHooks hooks)
+    : m_loop(loop),
+      m_store(store),
+      m_table(std::move(table)),
+      m_wait(wait),
+      m_hooks(std::move(hooks)),
+      m_alive(std::make_shared<StoreWatch*>(this)) {}
+
+StoreWatch::~StoreWatch() {
+  m_loop->Cancel(m_timer);
+}
+
+void StoreWatch::Start() {
+  m_seen.clear();
+  m_read_after.clear();
+  m_read_version = 0;
+  ReadNext();
+}
+
+void StoreWatch::ReadNext() {
+  m_store->Read(m_table, m_read_after,
+                [weak = std::weak_ptr(m_alive)](const StoreRows& rows) {
+                  if (const auto self = weak.lock()) {
+                    (*self)->OnRead(rows);
+                  }
+                });
+}
+
+void StoreWatch::OnRead(const StoreRows& rows) {
+  if (rows.result != StoreResult::kOk) {
+    OnFailure(rows.detail, &StoreWatch::ReadNext);
+    return;
+  }
+  OnSuccess();
+  if (m_read_version == 0) {
+    // Later pages may be newer; waiting from the first page misses nothing.
+    m_read_version = rows.version;
+  }
+  for (const StoreRow& row : rows.rows) {
+    m_seen.insert(row.key);
+    m_known.insert(row.key);
+    m_hooks.on_row(row);
+  }
+  if (rows.has_more && !rows.rows.empty()) {
+    m_read_after = rows.rows.back().key;
+    ReadNext();
+    return;
+  }
+  FinishRead();
+}
+
+void StoreWatch::FinishRead() {
+  std::vector<std::string> gone;
+  std::ranges::set_difference(m_known, m_seen, std::back_inserter(gone));
+  for (const std::string& key : gone) {
+    m_known.erase(key);
+    m_hooks.on_row({.key = key, .version = m_read_version, .deleted = true});
+  }
+  m_version = m_read_version;
+  m_hooks.on_complete();
+  Wait();
+}
+
+void StoreWatch::Wait() {
+  m_store->WaitForChanges(
+      m_table, m_version, m_wait,
+      [weak = std::weak_ptr(m_alive)](const StoreRows& rows) {
+        if (const auto self = weak.lock()) {
+          (*self)->OnChanges(rows);
+        }
+      });
+}
+
+void StoreWatch::OnChanges(const StoreRows& rows) {
+  if (rows.result == StoreResult::kHistoryGone) {
+    OnSuccess();
+    Start();
+    return;
+  }
+  if (rows.result != StoreResult::kOk) {
+    OnFailure(rows.detail, &StoreWatch::Wait);
+    return;
+  }
+  OnSuccess();
+  for (const StoreRow& row : rows.rows) {
+    if (row.deleted) {
+      m_known.erase(row.key);
+    } else {
+      m_known.insert(row.key);
+    }
+    m_hooks.on_row(row);
+  }
+  m_version = std::max(m_version, rows.version);
+  Wait();
+}
+
+void StoreWatch::OnSuccess() {
+  if (m_failures > 0) {
+    m_hooks.on_reachable(true, "");
+  }
+  m_failures = 0;
+}
+
+void StoreWatch::OnFailure(const std::string& detail,
+                           void (StoreWatch::*retry)()) {
+  if (m_failures == 0) {
+    m_hooks.on_reachable(false, detail);
+  }
+  const Duration bound =
+      std::min(kMinRetryDelay * (1 << std::min(m_failures, kMaxDelayDoublings)),
+               kMaxRetryDelay);
+  ++m_failures;
+  const auto half = static_cast<uint64_t>(bound.count() / 2);
+  const Duration delay =
+      bound / 2 + Duration(static_cast<int64_t>(m_hooks.random() % (half + 1)));
+  m_timer = m_loop->Schedule(delay, [this, retry] { (this->*retry)(); });
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/stream_silence_monitor.cc
@@ -0,0 +1,81 @@
+// Silence of streams and of failure domains.
+#include "stream_silence_monitor.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "bramleybank/limits.h"
+
+namespace bramleybank {
+namespace {
+
+// A check that comes this late means that the process did not run.
+constexpr Duration kLateCheck = std::chrono::milliseconds(200);
+
+}  // namespace
+
+void StreamSilenceMonitor::Add(uint64_t stream,
+                               StreamPlace place,
+                               TimePoint now) {
+  m_streams.insert_or_assign(
+      stream, Stream{.place = std::move(place), .last_event = now});
+}
+
+void StreamSilenceMonitor::OnEvent(uint64_t stream, TimePoint now) {
+  const auto it = m_streams.find(stream);
+  if (it != m_streams.end()) {
+    it->second.last_event = now;
+    it->second.has_event = true;
+  }
+}
+
+void StreamSilenceMonitor::Remove(uint64_t stream) {
+  m_streams.erase(stream);
+}
+
+SilenceFindings StreamSilenceMonitor::Check(TimePoint now) {
+  SilenceFindings findings;
+  const Duration since_check = now - std::exchange(m_last_check, now);
+  if (since_check > kLateCheck) {
+    // Events wait in the sockets; silence counts from now on.
+    for (auto& [id, stream] : m_streams) {
+      stream.last_event = std::max(stream.last_event, now - kLateCheck);
+    }
+    return findings;
+  }
+  std::map<std::pair<std::string_view, std::string_view>, DomainState> domains;
+  std::set<std::string_view> counted;
+  for (const auto& [id, stream] : m_streams) {
+    DomainState& domain =
+        domains[{stream.place.service, stream.place.failure_domain}];
+    domain.sample = &stream;
+    if (now - stream.last_event < kMaxDomainSilence) {
+      domain.has_recent_event = domain.has_recent_event || stream.has_event;
+    } else if (stream.has_event &&
+               counted.insert(stream.place.endpoint_id).second) {
+      ++domain.silent_endpoints;
+    }
+  }
+  const auto is_lost = [&](const Stream& stream) {
+    const DomainState& domain =
+        domains[{stream.place.service, stream.place.failure_domain}];
+    return domain.silent_endpoints >= kMinDomainLosses &&
+           !domain.has_recent_event;
+  };
+  for (const auto& [key, domain] : domains) {
+    if (is_lost(*domain.sample)) {
+      findings.silent_domains.push_back(domain.sample->place);
+    }
+  }
+  for (const auto& [id, stream] : m_streams) {
+    const Duration limit =
+        stream.has_event ? kMaxEventSilence : kFirstEventTimeout;
+    if (now - stream.last_event > limit || is_lost(stream)) {
+      findings.silent_streams.push_back(id);
+    }
+  }
+  return findings;
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/tcp_connection.cc
@@ -0,0 +1,261 @@
+// Non-blocking sockets. The operating system's keep-alive probes end
+// connections whose peer has vanished without a reset.
+#include "tcp_connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "event_loop.h"
+#include "tcp_address.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr size_t kReadBlockBytes = 16 * 1024;
+// Reads of one connection before others get their turn.
+constexpr int kMaxReadsPerTurn = 4;
+// Sent bytes are removed from the front of the output in blocks of this size.
+constexpr size_t kCompactBytes = 64 * 1024;
+
+void SetNoDelay(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+}  // namespace
+
+TcpConnection::TcpConnection(EventLoop* loop, int fd, TcpCallbacks callbacks)
+    : m_loop(loop), m_fd(fd), m_callbacks(std::move(callbacks)) {}
+
+std::shared_ptr<TcpConnection> TcpConnection::Adopt(EventLoop* loop,
+                                                    int fd,
+                                                    TcpCallbacks callbacks) {
+  std::shared_ptr<TcpConnection> self(
+      new TcpConnection(loop, fd, std::move(callbacks)));
+  SetNoDelay(fd);
+  self->UpdateWatch();
+  return self;
+}
+
+std::shared_ptr<TcpConnection> TcpConnection::Connect(
+    EventLoop* loop,
+    const std::string& address,
+    Duration timeout,
+    TcpCallbacks callbacks) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  std::shared_ptr<TcpConnection> self(
+      new TcpConnection(loop, fd, std::move(callbacks)));
+  self->m_phase = Phase::kConnecting;
+  const auto target = ParseTcpAddress(address);
+  if (fd < 0 || !target) {
+    self->EndSoon(TcpEnd::kNotConnected);
+    return self;
+  }
+  SetNoDelay(fd);
+  const auto* raw = reinterpret_cast<const sockaddr*>(&*target);
+  if (connect(fd, raw, sizeof(*target)) != 0 && errno != EINPROGRESS) {
+    self->EndSoon(TcpEnd::kNotConnected);
+    return self;
+  }
+  self->m_timer = loop->Schedule(timeout, [weak = self->weak_from_this()] {
+    if (const auto connection = weak.lock()) {
+      connection->End(TcpEnd::kNotConnected);
+    }
+  });
+  self->UpdateWatch();
+  return self;
+}
+
+TcpConnection::~TcpConnection() {
+  Close();
+}
+
+void TcpConnection::Write(std::string_view bytes) {
+  if (m_fd < 0 || m_shut_down || m_phase == Phase::kLingering) {
+    return;
+  }
+  m_output.append(bytes);
+  if (m_phase == Phase::kOpen) {
+    Flush();
+  }
+}
+
+void TcpConnection::Flush() {
+  while (m_sent < m_output.size()) {
+    const ssize_t count = send(m_fd, m_output.data() + m_sent,
+                               m_output.size() - m_sent, MSG_NOSIGNAL);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0) {
+      if (errno != EAGAIN) {
+        EndSoon(TcpEnd::kBroken);
+      }
+      break;
+    }
+    m_sent += static_cast<size_t>(count);
+    m_total_sent += static_cast<uint64_t>(count);
+  }
+  if (m_sent == m_output.size()) {
+    m_output.clear();
+    m_sent = 0;
+  } else if (m_sent >= kCompactBytes) {
+    m_output.erase(0, m_sent);
+    m_sent = 0;
+  }
+  UpdateWatch();
+}
+
+void TcpConnection::FinishAndClose(Duration linger) {
+  if (m_fd < 0 || m_phase == Phase::kLingering) {
+    return;
+  }
+  if (m_phase == Phase::kConnecting) {
+    Close();
+    return;
+  }
+  m_phase = Phase::kLingering;
+  m_callbacks = {};
+  m_reading = true;
+  // The connection keeps itself alive until the timer ends it.
+  m_timer = m_loop->Schedule(
+      linger, [self = shared_from_this()]() mutable { self->Close(); });
+  ShutDownWhenDrained();
+  UpdateWatch();
+}
+
+void TcpConnection::ShutDownWhenDrained() {
+  if (unsent_bytes() == 0 && !m_shut_down) {
+    m_shut_down = true;
+    shutdown(m_fd, SHUT_WR);
+  }
+}
+
+void TcpConnection::Close() {
+  m_loop->Cancel(m_timer);
+  m_timer = TimerHandle();
+  m_callbacks = {};
+  m_phase = Phase::kClosed;
+  if (m_fd >= 0) {
+    m_loop->Unwatch(m_fd);
+    close(m_fd);
+    m_fd = -1;
+  }
+}
+
+void TcpConnection::SetReading(bool reading) {
+  m_reading = reading;
+  if (m_fd >= 0) {
+    UpdateWatch();
+  }
+}
+
+void TcpConnection::UpdateWatch() {
+  if (m_fd < 0) {
+    return;
+  }
+  const bool connecting = m_phase == Phase::kConnecting;
+  const bool read = !connecting && m_reading;
+  const bool write = connecting || unsent_bytes() > 0;
+  if (read == m_watch_read && write == m_watch_write) {
+    return;
+  }
+  m_watch_read = read;
+  m_watch_write = write;
+  m_loop->Watch(m_fd, read, write, [weak = weak_from_this()](IoReady ready) {
+    if (const auto self = weak.lock()) {
+      self->OnReady(ready.readable, ready.writable);
+    }
+  });
+}
+
+void TcpConnection::OnReady(bool readable, bool writable) {
+  if (m_phase == Phase::kConnecting) {
+    OnConnectReady();
+    return;
+  }
+  if (writable) {
+    Flush();
+    if (m_fd < 0) {
+      return;
+    }
+    if (m_phase == Phase::kLingering) {
+      ShutDownWhenDrained();
+    } else if (unsent_bytes() == 0 && m_callbacks.on_drained) {
+      const auto drained = m_callbacks.on_drained;
+      drained();
+    }
+  }
+  if (readable) {
+    ReadAvailable();
+  }
+}
+
+void TcpConnection::OnConnectReady() {
+  int error = 0;
+  socklen_t length = sizeof(error);
+  getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &length);
+  if (error != 0) {
+    End(TcpEnd::kNotConnected);
+    return;
+  }
+  m_loop->Cancel(m_timer);
+  m_timer = TimerHandle();
+  m_phase = Phase::kOpen;
+  const auto connected = m_callbacks.on_connected;
+  if (connected) {
+    connected();
+  }
+  if (m_fd >= 0) {
+    Flush();
+  }
+}
+
+void TcpConnection::ReadAvailable() {
+  static thread_local std::array<char, kReadBlockBytes> block;
+  for (int i = 0; i < kMaxReadsPerTurn && m_fd >= 0 && m_reading; ++i) {
+    const ssize_t count = recv(m_fd, block.data(), block.size(), 0);
+    if (count < 0) {
+      if (errno != EAGAIN && errno != EINTR) {
+        End(TcpEnd::kBroken);
+      }
+      return;
+    }
+    if (count == 0) {
+      End(TcpEnd::kClosed);
+      return;
+    }
+    if (m_callbacks.on_data) {
+      const auto on_data = m_callbacks.on_data;
+      on_data({block.data(), static_cast<size_t>(count)});
+    }
+    if (static_cast<size_t>(count) < block.size()) {
+      return;
+    }
+  }
+}
+
+void TcpConnection::EndSoon(TcpEnd end) {
+  m_loop->Post([weak = weak_from_this(), end] {
+    if (const auto self = weak.lock()) {
+      self->End(end);
+    }
+  });
+}
+
+void TcpConnection::End(TcpEnd end) {
+  const auto on_end = std::move(m_callbacks.on_end);
+  Close();
+  if (on_end) {
+    on_end(end);
+  }
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/tcp_listener.cc
@@ -0,0 +1,69 @@
+// Listening socket with a bounded number of accepts a turn.
+#include "tcp_listener.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "event_loop.h"
+#include "tcp_address.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr int kListenBacklog = 1024;
+// Accepts in one turn, so that a burst of connections does not delay streams.
+constexpr int kMaxAcceptsPerTurn = 16;
+
+}  // namespace
+
+TcpListener::TcpListener(EventLoop* loop) : m_loop(loop) {}
+
+TcpListener::~TcpListener() {
+  Stop();
+}
+
+std::optional<uint16_t> TcpListener::Start(const std::string& address,
+                                           AcceptHandler handler) {
+  auto target = ParseTcpAddress(address);
+  m_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  socklen_t length = sizeof(sockaddr_in);
+  if (!target || bind(m_fd, reinterpret_cast<sockaddr*>(&*target), length) ||
+      listen(m_fd, kListenBacklog) ||
+      getsockname(m_fd, reinterpret_cast<sockaddr*>(&*target), &length)) {
+    m_last_reason = {ResultCode::kBadSetting, "cannot listen on " + address +
+                                                  ": " + std::strerror(errno)};
+    Stop();
+    return std::nullopt;
+  }
+  m_handler = std::move(handler);
+  m_loop->Watch(m_fd, true, false, [this](IoReady) { AcceptAll(); });
+  return ntohs(target->sin_port);
+}
+
+void TcpListener::Stop() {
+  if (m_fd < 0) {
+    return;
+  }
+  m_loop->Unwatch(m_fd);
+  close(m_fd);
+  m_fd = -1;
+}
+
+void TcpListener::AcceptAll() {
+  for (int i = 0; i < kMaxAcceptsPerTurn && m_fd >= 0; ++i) {
+    const int fd =
+        accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+      return;
+    }
+    m_handler(fd);
+  }
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/tcp_listener.h
@@ -0,0 +1,46 @@
+// Accepts TCP connections on the event loop.
+#ifndef BRAMLEYBANK_SRC_TCP_LISTENER_H_
+#define BRAMLEYBANK_SRC_TCP_LISTENER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "bramleybank/result_code.h"
+
+namespace bramleybank {
+
+class EventLoop;
+
+/// One listening socket.
+class TcpListener {
+ public:
+  using AcceptHandler = std::function<void(int fd)>;
+
+  explicit TcpListener(EventLoop* loop);
+  ~TcpListener();
+  TcpListener(const TcpListener&) = delete;
+  TcpListener& operator=(const TcpListener&) = delete;
+
+  /// @param address ip:port; port 0 takes a free port.
+  /// @returns the port, or nothing with last_reason() set.
+  std::optional<uint16_t> Start(const std::string& address,
+                                AcceptHandler handler);
+  /// Accepts nothing more; connections that wait in the queue are reset.
+  void Stop();
+
+  const Reason& last_reason() const { return m_last_reason; }
+
+ private:
+  void AcceptAll();
+
+  EventLoop* m_loop;
+  int m_fd = -1;
+  AcceptHandler m_handler;
+  Reason m_last_reason;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_TCP_LISTENER_H_
--- a/tools/bramleybankd.cc
+++ b/tools/bramleybankd.cc
@@ -7,9 +7,11 @@
 #include <vector>
 
 #include "bramleybank/version.h"
+#include "bramleybankd_gateway.h"
 #include "daemon.h"
 #include "daemon_settings.h"
 #include "event_loop.h"
+#include "gateway_settings.h"
 #include "log_event.h"
 
 namespace bramleybank {
@@ -54,20 +56,42 @@
   return 0;
 }
 
-int Main(const Options& options) {
-  std::vector<SettingError> errors;
-  const DaemonSettings settings = ReadDaemonSettings(options.config, &errors);
+bool PrintErrors(const std::vector<SettingError>& errors) {
   for (const SettingError& error : errors) {
     std::fprintf(stderr, "%s\n", FormatSettingError(error).c_str());
   }
-  if (!errors.empty()) {
+  return !errors.empty();
+}
+
+/// Reads settings by `read` and serves by `serve` unless they are only checked.
+template <typename Read, typename Serve>
+int CheckAndServe(const Options& options,
+                  const Read& read,
+                  const Serve& serve) {
+  std::vector<SettingError> errors;
+  const auto settings = read(options.config, &errors);
+  if (PrintErrors(errors)) {
     return kExitSettings;
   }
   if (options.check_only) {
     std::puts("settings are good");
     return 0;
   }
-  return Serve(settings);
+  return serve(settings);
+}
+
+int Main(const Options& options) {
+  if (IsGatewayFile(options.config)) {
+    return CheckAndServe(options, &ReadGatewaySettings,
+                         [](const GatewaySettings& settings) {
+                           return ServeGateway(settings, kExitStart);
+                         });
+  }
+  const auto read = [](const std::string& file,
+                       std::vector<SettingError>* errors) {
+    return ReadDaemonSettings(file, errors);
+  };
+  return CheckAndServe(options, read, &Serve);
 }
 
 }  // namespace
--- /dev/null
+++ b/tools/bramleybankd_gateway.cc
@@ -0,0 +1,44 @@
+// Connects the gateway with the platform's adapter.
+#include "bramleybankd_gateway.h"
+
+#include <csignal>
+#include <cstdio>
+
+#include "bramleybank/version.h"
+#include "event_loop.h"
+#include "gateway.h"
+#include "gateway_codec.h"
+#include "gateway_rows.h"
+#include "gateway_settings.h"
+#include "log_event.h"
+#include "request_headers.h"
+#include "store_client.h"
+#include "store_rows.h"
+
+namespace bramleybank {
+
+int ServeGateway(const GatewaySettings& settings, int start_failed) {
+  EventLoop loop;
+  platform::StoreClient store(&loop, settings.store_url);
+  Gateway gateway(&loop, settings, &store, platform::MakeGatewayCodec(),
+                  platform::MakeGatewayRows());
+  if (!gateway.Start()) {
+    std::fprintf(stderr, "bramleybankd: %s\n",
+                 gateway.last_reason().detail.c_str());
+    return start_failed;
+  }
+  LogLine(LogEventId::kStarted)
+      .Field("version", kVersion)
+      .Field("node", settings.name)
+      .Field("caller", settings.caller_address)
+      .Field("failure_domain", settings.place.failure_domain);
+  const auto stop = [&gateway] { gateway.Drain(); };
+  loop.RunOnSignal(SIGTERM, stop);
+  loop.RunOnSignal(SIGINT, stop);
+  loop.RunOnSignal(SIGHUP, [] { const LogLine line(LogEventId::kReloaded); });
+  loop.Run();
+  const LogLine line(LogEventId::kStopped);
+  return 0;
+}
+
+}  // namespace bramleybank
