Retire an entry when a newer one has its address

Cause: a crashed engine comes back at once under a new id and the old entry stands for three heartbeats, so requests went to it and were refused (84 of 421 arrivals).

--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -45,12 +45,25 @@
     m_records.erase(it);
     it = m_records.end();
   }
-  if (it == m_records.end()) {
+  const bool is_new = it == m_records.end();
+  if (is_new) {
     it = m_records.emplace(entry.id, EndpointRecord{}).first;
     m_by_service[entry.service].push_back(&it->second);
   }
   it->second.entry = entry;
   it->second.gone_since.reset();
+  if (is_new) {
+    SupersedeAddress(it->second);
+  }
+}
+
+void EndpointDirectory::SupersedeAddress(const EndpointRecord& record) {
+  for (auto& [id, other] : m_records) {
+    if (&other != &record && other.entry.address == record.entry.address) {
+      // The older entry stands until it lapses, but nobody answers for it.
+      other.is_misdirected = true;
+    }
+  }
 }
 
 void EndpointDirectory::Remove(std::string_view id) {
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -86,6 +86,7 @@
   };
 
   EndpointRecord* FindMutable(std::string_view id);
+  void SupersedeAddress(const EndpointRecord& record);
   void RecordLoss(EndpointRecord* record);
   void DropGone();
   static std::string DomainKey(std::string_view service,
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -33,6 +33,10 @@
       .count();
 }
 
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 }  // namespace
 
 GatewayExchange::GatewayExchange(const GatewayEnvironment* environment,
@@ -316,11 +320,23 @@
   if (event.id) {
     m_last_event_id = event.id;
   }
-  ++m_events_passed;
+  MeasureEvent();
   m_caller->WriteStream(event.bytes);
   return true;
 }
 
+void GatewayExchange::MeasureEvent() {
+  const TimePoint now = m_environment->loop->Now();
+  if (m_events_passed++ == 0) {
+    m_first_event_wait = now - m_request.received_at;
+    m_environment->metrics->Observe("bramleybank_first_event_seconds",
+                                    Seconds(m_first_event_wait));
+  } else {
+    m_longest_gap = std::max(m_longest_gap, now - m_last_event_at);
+  }
+  m_last_event_at = now;
+}
+
 void GatewayExchange::OnAttemptEnd(AttemptEnd end) {
   if (end == AttemptEnd::kNotSent) {
     LoseAttempt(EndpointOutcome::kLost, RetryReason::kConnectFailed,
@@ -530,6 +546,8 @@
         .Field("status", m_head.status)
         .Field("sends", m_sends)
         .Field("events", static_cast<long long>(m_events_passed))
+        .Field("first_event_ms", Milliseconds(m_first_event_wait))
+        .Field("longest_gap_ms", Milliseconds(m_longest_gap))
         .Field("config", static_cast<long long>(m_config->version()))
         .Field("ms", Milliseconds(m_environment->loop->Now() -
                                   m_request.received_at));
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -85,6 +85,7 @@
   void OnWholeAnswer();
   void RelayEvents();
   bool PassEvent(const RawEvent& event);
+  void MeasureEvent();
   void OnStreamWhole();
 
   /// Ends the attempt and goes on elsewhere if that is allowed.
@@ -142,6 +143,9 @@
   std::optional<uint64_t> m_last_event_id;
   bool m_stream_started = false;
   uint64_t m_events_passed = 0;
+  TimePoint m_last_event_at;
+  Duration m_first_event_wait{0};
+  Duration m_longest_gap{0};
   bool m_is_over = false;
 };
 
