Keep the handlers of descriptors that were closed while watched

Cause: libcurl closes the socket of a failed connection before it reports that it is no longer watched, and without its close callback. ACE cannot take a closed descriptor out, keeps the freed handler and dispatches the next descriptor of that number to it. Shown by a trial that printed the failed removals (errno 9) right before each crash.

--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -47,8 +47,7 @@
 /// Forwards reactor upcalls of one descriptor to its callback.
 class DescriptorHandler : public ACE_Event_Handler {
  public:
-  DescriptorHandler(int fd, EventLoop::IoCallback callback)
-      : m_fd(fd), m_callback(std::move(callback)) {}
+  explicit DescriptorHandler(int fd) : m_fd(fd) {}
 
   ACE_HANDLE get_handle() const override { return m_fd; }
 
@@ -67,7 +66,9 @@
   int Dispatch(IoReady ready) {
     // The callback may replace itself or end the watch.
     const EventLoop::IoCallback callback = m_callback;
-    callback(ready);
+    if (callback) {
+      callback(ready);
+    }
     return 0;
   }
 
@@ -75,9 +76,16 @@
   EventLoop::IoCallback m_callback;
 };
 
+/// One descriptor number. The handler is kept after a watch has ended: when
+/// the descriptor was closed before that, as libcurl does with a connection
+/// that failed, the reactor cannot take the handler out and goes on to refer
+/// to it.
 struct WatchEntry {
   std::unique_ptr<DescriptorHandler> handler;
+  // NULL_MASK while the descriptor is not watched.
   ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
+  // The reactor still refers to the handler.
+  bool is_stale = false;
 };
 
 }  // namespace
@@ -87,9 +95,6 @@
       new ACE_Dev_Poll_Reactor(MaxDescriptors());
   ACE_Reactor reactor{poll_reactor, /*delete_implementation=*/true};
   std::unordered_map<int, WatchEntry> watches;
-  // Handlers that were unwatched in this turn. They are kept until the turn
-  // ends because the reactor may still be inside their upcall.
-  std::vector<std::unique_ptr<DescriptorHandler>> retired;
   std::map<std::pair<TimePoint, uint64_t>, Callback> timers;
   std::unordered_map<uint64_t, TimePoint> due_times;
   uint64_t next_timer = 1;
@@ -163,8 +168,8 @@
 }
 
 EventLoop::~EventLoop() {
-  while (!m_impl->watches.empty()) {
-    Unwatch(m_impl->watches.begin()->first);
+  for (const auto& [fd, entry] : m_impl->watches) {
+    Unwatch(fd);
   }
   for (const int fd : m_impl->signal_fds) {
     close(fd);
@@ -203,28 +208,36 @@
     mask |= ACE_Event_Handler::WRITE_MASK;
   }
   WatchEntry& entry = m_impl->watches[fd];
-  if (entry.handler) {
-    entry.handler->set_callback(std::move(callback));
-    if (entry.mask != mask) {
+  if (!entry.handler) {
+    entry.handler = std::make_unique<DescriptorHandler>(fd);
+  }
+  entry.handler->set_callback(std::move(callback));
+  if (entry.mask == mask) {
+    return;
+  }
+  if (entry.mask != ACE_Event_Handler::NULL_MASK) {
+    m_impl->reactor.mask_ops(fd, mask, ACE_Reactor::SET_MASK);
+  } else {
+    m_impl->reactor.register_handler(fd, entry.handler.get(), mask);
+    if (std::exchange(entry.is_stale, false)) {
+      // Registering again adds to the events of before.
       m_impl->reactor.mask_ops(fd, mask, ACE_Reactor::SET_MASK);
-      entry.mask = mask;
     }
-    return;
   }
-  entry.handler = std::make_unique<DescriptorHandler>(fd, std::move(callback));
   entry.mask = mask;
-  m_impl->reactor.register_handler(fd, entry.handler.get(), mask);
 }
 
 void EventLoop::Unwatch(int fd) {
   const auto it = m_impl->watches.find(fd);
-  if (it == m_impl->watches.end()) {
+  if (it == m_impl->watches.end() ||
+      it->second.mask == ACE_Event_Handler::NULL_MASK) {
     return;
   }
-  m_impl->reactor.remove_handler(
+  const int removed = m_impl->reactor.remove_handler(
       fd, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-  m_impl->retired.push_back(std::move(it->second.handler));
-  m_impl->watches.erase(it);
+  it->second.is_stale = removed != 0;
+  it->second.handler->set_callback(nullptr);
+  it->second.mask = ACE_Event_Handler::NULL_MASK;
 }
 
 void EventLoop::Post(Callback callback) {
@@ -258,7 +271,6 @@
 void EventLoop::RunOnce(Duration max_wait) {
   ACE_Time_Value wait = ToAceTime(m_impl->NextWait(max_wait));
   m_impl->reactor.handle_events(wait);
-  m_impl->retired.clear();
   m_impl->RunTimers();
   m_impl->RunPosted();
 }
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -2,7 +2,6 @@
 #include "http_client.h"
 
 #include <curl/curl.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cassert>
@@ -93,13 +92,6 @@
     return 0;
   }
 
-  /// libcurl closes a socket whose connection failed before it says that the
-  /// socket is no longer watched. The reactor would keep the stale handler.
-  static int OnCloseSocket(void* data, curl_socket_t fd) {
-    static_cast<Impl*>(data)->loop->Unwatch(fd);
-    return close(fd);
-  }
-
   static int OnTimer(CURLM* /*multi*/, long timeout_ms, void* data) {
     auto* self = static_cast<Impl*>(data);
     self->loop->Cancel(self->timer);
@@ -250,8 +242,6 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
-    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
