--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -199,9 +199,9 @@
 inline constexpr std::chrono::milliseconds kMaxDomainSilence{250};
 inline constexpr std::chrono::milliseconds kSilenceCheckInterval{50};
 /// Longest wait for the first event before another engine is tried.
-inline constexpr std::chrono::milliseconds kFirstEventTimeout{2500};
-/// A copy of a run's memory that is younger holds too little to go on from.
-inline constexpr std::chrono::milliseconds kMinBackupAge{300};
+inline constexpr std::chrono::milliseconds kFirstEventTimeout{4500};
+/// An engine sends the first part of a copy this long after the first event.
+inline constexpr std::chrono::milliseconds kMinBackupAge{250};
 /// Sends of a request beyond its route's limit on runs, while none has run.
 inline constexpr int kMaxExtraSends = 3;
 /// Streams that reach a stopping daemon come back at once: they go elsewhere.
@@ -221,6 +221,8 @@
 /// Kept from the time that is left, so that the last bytes arrive.
 inline constexpr std::chrono::milliseconds kDrainMargin{300};
 inline constexpr std::chrono::milliseconds kDrainCheckInterval{100};
+/// A request that comes this late before the end is refused.
+inline constexpr std::chrono::milliseconds kDrainRefuseTime{1000};
 
 // Gateway: the store.
 /// A store that hangs is found by the end of a wait, so this bounds how old
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -73,6 +73,7 @@
                              const std::string& table);
   void ArmSilenceCheck();
   void CheckSilence();
+  bool IsTooLate(bool is_stream) const;
   void ContinueDrain();
 
   EventLoop* loop;
@@ -118,7 +119,8 @@
                  .metrics = &metrics,
                  .random = random,
                  .config = [this] { return config; },
-                 .is_draining = is_draining};
+                 .is_too_late =
+                     [this](bool is_stream) { return IsTooLate(is_stream); }};
   caller_hooks = {
       .on_request =
           [this](const std::shared_ptr<GatewayCaller>& caller,
@@ -309,6 +311,13 @@
   ArmSilenceCheck();
 }
 
+bool Gateway::Impl::IsTooLate(bool is_stream) const {
+  // A stream takes most of the time of a stop, so none is begun in it.
+  return drain &&
+         (is_stream ||
+          drain->Next(loop->Now(), exchanges.size()).refuse_requests);
+}
+
 void Gateway::Impl::ContinueDrain() {
   if (!drain) {
     return;
--- a/src/gateway_drain.h
+++ b/src/gateway_drain.h
@@ -11,6 +11,8 @@
 /// What is to be done now.
 struct DrainStep {
   bool close_idle_callers = false;
+  /// New requests could not be finished.
+  bool refuse_requests = false;
   bool stop = false;
 
   friend bool operator==(const DrainStep&, const DrainStep&) = default;
@@ -18,7 +20,9 @@
 
 /// A stopping gateway reports that it is not ready, and goes on serving until
 /// the balancer has noticed. Then it closes idle connections, and stops when
-/// nothing is open, or shortly before it would be killed.
+/// nothing is open, or shortly before it would be killed. The balancer may send
+/// connections until the end, when no other daemon is ready; requests that
+/// come too late to be finished are refused instead of cut.
 class GatewayDrain {
  public:
   /// @param grace time from the signal until the process is killed.
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -74,8 +74,7 @@
   if (!FindRoute() || !FindCustomer()) {
     return;
   }
-  if (m_environment->is_draining() && is_stream()) {
-    // A stream would outlast the time that is left.
+  if (m_environment->is_too_late(is_stream())) {
     Refuse(ResultCode::kDraining, kDrainRetryAfter);
     return;
   }
@@ -142,8 +141,9 @@
 }
 
 const EndpointRecord* GatewayExchange::BackupToRestore() const {
-  const Duration age = m_environment->loop->Now() - m_backup_start;
-  if (!m_backup || age < kMinBackupAge) {
+  // An engine copies a run's memory from the first event on.
+  if (!m_backup || !m_first_event_of_attempt ||
+      m_environment->loop->Now() - *m_first_event_of_attempt < kMinBackupAge) {
     return nullptr;
   }
   const EndpointDirectory& directory = *m_environment->directory;
@@ -175,7 +175,7 @@
                                    bool restores) {
   m_endpoint = endpoint.entry;
   m_attempt_start = m_environment->loop->Now();
-  m_attempt_restores = restores;
+  m_first_event_of_attempt.reset();
   m_head = {};
   m_answer = {};
   m_body.clear();
@@ -185,6 +185,14 @@
   std::string message = RenderRequest(endpoint, restores);
   m_environment->directory->OnAttemptStarted(m_endpoint.id);
   if (is_stream()) {
+    LogLine(LogEventId::kAttemptStarted)
+        .Field("id", m_statement.request_id)
+        .Field("endpoint", m_endpoint.id)
+        .Field("open_here", endpoint.open_attempts)
+        .Field("restores", restores ? 1 : 0)
+        .Field("backup", m_backup ? m_backup->id : "")
+        .Field("after_event",
+               static_cast<long long>(m_last_event_id.value_or(0)));
     m_environment->silence->Add(m_number,
                                 {.service = m_service,
                                  .failure_domain = m_endpoint.failure_domain,
@@ -212,7 +220,6 @@
     return;
   }
   m_backup = backup->entry;
-  m_backup_start = m_environment->loop->Now();
   m_environment->directory->OnBackupOpened(m_backup->id);
 }
 
@@ -327,6 +334,9 @@
 
 void GatewayExchange::MeasureEvent() {
   const TimePoint now = m_environment->loop->Now();
+  if (!m_first_event_of_attempt) {
+    m_first_event_of_attempt = now;
+  }
   if (m_events_passed++ == 0) {
     m_first_event_wait = now - m_request.received_at;
     m_environment->metrics->Observe("bramleybank_first_event_seconds",
@@ -402,7 +412,6 @@
 void GatewayExchange::EndAttempt(EndpointOutcome outcome) {
   m_environment->silence->Remove(m_number);
   m_environment->directory->OnAttemptEnded(m_endpoint.id, outcome);
-  m_attempt_may_run = false;
   if (!m_attempt) {
     return;
   }
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -44,8 +44,8 @@
   RandomHook random;
   /// Configuration in force; null before the first one.
   std::function<std::shared_ptr<const GatewayConfig>()> config;
-  /// Set while this daemon stops.
-  std::function<bool()> is_draining;
+  /// Whether this daemon stops before a request of that kind could end.
+  std::function<bool(bool is_stream)> is_too_late;
 };
 
 /// One exchange. It is alive until `on_over` has been called.
@@ -94,7 +94,6 @@
                    std::string_view detail);
   void EndAttempt(EndpointOutcome outcome);
   bool MayTryAgain(RetryReason reason);
-  bool IsLastRunAllowed() const;
 
   void OnTimeout();
   void OnCallerGone();
@@ -122,9 +121,7 @@
   std::unique_ptr<GatewayAttempt> m_attempt;
   EndpointEntry m_endpoint;
   TimePoint m_attempt_start;
-  bool m_attempt_may_run = false;
-  // The attempt was to go on from a copy.
-  bool m_attempt_restores = false;
+  std::optional<TimePoint> m_first_event_of_attempt;
   Http1Head m_head;
   AnswerStatement m_answer;
   std::string m_body;
@@ -137,7 +134,6 @@
   int m_sends = 0;
   // Engine that gets a copy of the running attempt's memory.
   std::optional<EndpointEntry> m_backup;
-  TimePoint m_backup_start;
 
   // Streams: the last event that the caller has, and whether any was sent.
   std::optional<uint64_t> m_last_event_id;
