Leave endpoints that went down with their domain until their entries lapse

Cause: during the 3.6 s for which the entry of a crashed engine stands, each daemon sent requests there to learn from a refusal that the engine is another one; refusals used up the retry budget that the resumes of streams needed.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -186,6 +186,9 @@
 inline constexpr size_t kMinDomainLosses = 2;
 inline constexpr std::chrono::milliseconds kDomainLossWindow{400};
 inline constexpr std::chrono::milliseconds kLostDomainPause{1300};
+/// Pause of an endpoint that was lost with its domain. The entry of a crashed
+/// endpoint lapses after three heartbeats of 1.2 s.
+inline constexpr std::chrono::milliseconds kCrashedEndpointPause{5000};
 
 // Gateway: attempts.
 /// Two round trips between regions and the time to accept.
--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -152,8 +152,16 @@
   std::erase_if(domain.lost_at, [&](const auto& item) {
     return now - item.second > kDomainLossWindow;
   });
-  if (domain.lost_at.size() >= kMinDomainLosses) {
-    Extend(&domain.suspect_until, now + kLostDomainPause);
+  if (domain.lost_at.size() < kMinDomainLosses) {
+    return;
+  }
+  Extend(&domain.suspect_until, now + kLostDomainPause);
+  // Endpoints that went down together come back as new ones. Their entries
+  // stand until they lapse.
+  for (const auto& [id, lost_at] : domain.lost_at) {
+    if (EndpointRecord* lost = FindMutable(id)) {
+      Extend(&lost->suspect_until, lost_at + kCrashedEndpointPause);
+    }
   }
 }
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -34,7 +34,7 @@
 
 // Retries that a node may send in a window without any first send. The
 // platform grants 150 to all nodes together.
-constexpr double kRetryExtra = 2;
+constexpr double kRetryExtra = 14;
 constexpr int kReadyStatus = 200;
 constexpr int kNotReadyStatus = 503;
 
