Refuse requests that come too late for a planned stop

Cause: a stopping daemon took requests until it ended, and cut off those of the last milliseconds; the balancer sends connections to it when no other daemon of the zone is ready.

--- a/src/gateway_drain.cc
+++ b/src/gateway_drain.cc
@@ -20,7 +20,9 @@
   // One more check interval lets the closes of idle connections cross with
   // requests that are under way.
   const bool settled = now >= m_noticed_at + 2 * kDrainCheckInterval;
-  return {.close_idle_callers = noticed, .stop = settled && open_requests == 0};
+  return {.close_idle_callers = noticed,
+          .refuse_requests = now >= m_last_moment - kDrainRefuseTime,
+          .stop = settled && open_requests == 0};
 }
 
 }  // namespace bramleybank
