Let daemons know each other from rows of the store

Each writes a row every 10 s and reads the others': the retry budget beyond the share is divided by their number, and the engines of a failure domain are dealt out among them.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -233,6 +233,15 @@
 inline constexpr std::chrono::milliseconds kStoreWait{2500};
 inline constexpr std::chrono::milliseconds kStoreTimeout{1000};
 
+// Gateway: peers.
+/// One write and one read of the store each, so 380 gateways need 76 calls a
+/// second.
+inline constexpr std::chrono::milliseconds kPeerBeatInterval{10000};
+inline constexpr std::chrono::microseconds kPeerBeatJitter{2000000};
+inline constexpr std::chrono::milliseconds kFirstPeerReadDelay{1500};
+/// Gateways that are assumed while their list is not known.
+inline constexpr size_t kUnknownPeerCount = 100;
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_LIMITS_H_
--- a/src/endpoint_picker.cc
+++ b/src/endpoint_picker.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 #include "endpoint_directory.h"
@@ -16,6 +17,9 @@
 constexpr double kOtherRegionCost = 0.35;
 // A copy takes memory but no steps of the engine.
 constexpr double kBackupWeight = 0.5;
+// Work that an endpoint of another gateway is taken to have beyond the mean, so
+// that it is used only when the own ones are clearly busier.
+constexpr double kForeignPremium = 0.5;
 // An endpoint that fails all its requests costs as much as two full ones.
 constexpr double kFailureCost = 2;
 
@@ -65,26 +69,75 @@
   return same_region ? kOtherDomainCost : kOtherRegionCost;
 }
 
-double EndpointPicker::AttemptCost(const EndpointRecord& record) const {
-  const double work =
-      record.open_attempts + (kBackupWeight * record.open_backups);
-  return (work / std::max(1, record.entry.slots)) +
-         DistanceCost(record.entry.failure_domain) +
-         (kFailureCost * record.failure_share);
+void EndpointPicker::SetRanks(const PeerRank& in_domain,
+                              const PeerRank& in_fleet) {
+  m_in_domain = in_domain;
+  m_in_fleet = in_fleet;
+}
+
+std::vector<EndpointPicker::Candidate> EndpointPicker::Candidates(
+    std::string_view service) const {
+  std::vector<Candidate> candidates;
+  for (const EndpointRecord* record : m_directory->OfService(service)) {
+    if (m_directory->IsUsable(*record)) {
+      candidates.push_back({.record = record, .is_own = true});
+    }
+  }
+  std::ranges::sort(candidates, {}, [](const Candidate& candidate) {
+    return std::tie(candidate.record->entry.failure_domain,
+                    candidate.record->entry.address);
+  });
+  for (auto begin = candidates.begin(); begin != candidates.end();) {
+    const std::string& domain = begin->record->entry.failure_domain;
+    const auto end =
+        std::find_if(begin, candidates.end(), [&](const Candidate& candidate) {
+          return candidate.record->entry.failure_domain != domain;
+        });
+    const PeerRank& peers =
+        domain == m_place.failure_domain ? m_in_domain : m_in_fleet;
+    // With fewer endpoints than gateways each uses all of them.
+    const auto size = static_cast<size_t>(end - begin);
+    for (size_t i = 0; size >= peers.count && i < size; ++i) {
+      begin[static_cast<ptrdiff_t>(i)].is_own = i % peers.count == peers.rank;
+    }
+    begin = end;
+  }
+  return candidates;
+}
+
+double EndpointPicker::ForeignWork(
+    const std::vector<Candidate>& candidates) const {
+  // The other gateways are taken to be as busy as this one.
+  double work = 0;
+  double own = 0;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.is_own) {
+      work += candidate.record->open_attempts + candidate.record->open_backups;
+      ++own;
+    }
+  }
+  return own > 0 ? (work / own) + kForeignPremium : 0;
 }
 
 const EndpointRecord* EndpointPicker::PickForAttempt(
     const EndpointPickQuery& query) const {
   Cheapest sound(&m_random);
   Cheapest suspect(&m_random);
-  for (const EndpointRecord* record : m_directory->OfService(query.service)) {
-    if (!m_directory->IsUsable(*record) ||
-        Contains(query.avoid, record->entry.id) ||
-        record->entry.failure_domain == query.other_than_domain) {
+  const std::vector<Candidate> candidates = Candidates(query.service);
+  const double foreign_work = ForeignWork(candidates);
+  for (const auto& [record, is_own] : candidates) {
+    const EndpointEntry& entry = record->entry;
+    if (Contains(query.avoid, entry.id) ||
+        entry.failure_domain == query.other_than_domain) {
       continue;
     }
-    Cheapest& tier = m_directory->IsSuspect(*record) ? suspect : sound;
-    tier.Offer(record, AttemptCost(*record));
+    const double work = record->open_attempts +
+                        (kBackupWeight * record->open_backups) +
+                        (is_own ? 0 : foreign_work);
+    const double cost = (work / std::max(1, entry.slots)) +
+                        DistanceCost(entry.failure_domain) +
+                        (kFailureCost * record->failure_share);
+    (m_directory->IsSuspect(*record) ? suspect : sound).Offer(record, cost);
   }
   return sound.best() != nullptr ? sound.best() : suspect.best();
 }
@@ -92,15 +145,17 @@
 const EndpointRecord* EndpointPicker::PickForBackup(
     const EndpointRecord& primary) const {
   Cheapest sound(&m_random);
-  for (const EndpointRecord* record :
-       m_directory->OfService(primary.entry.service)) {
-    if (!m_directory->IsUsable(*record) || m_directory->IsSuspect(*record) ||
+  const std::vector<Candidate> candidates = Candidates(primary.entry.service);
+  const double foreign_work = ForeignWork(candidates);
+  for (const auto& [record, is_own] : candidates) {
+    if (m_directory->IsSuspect(*record) ||
         record->entry.failure_domain == primary.entry.failure_domain) {
       continue;
     }
     // The copy may become the run, so both count alike here. The distance to
     // this gateway matters only for the few runs that move.
-    const double work = record->open_attempts + record->open_backups;
+    const double work = record->open_attempts + record->open_backups +
+                        (is_own ? 0 : foreign_work);
     sound.Offer(record, work / std::max(1, record->entry.slots));
   }
   return sound.best();
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -16,6 +16,7 @@
 #include "gateway_config.h"
 #include "gateway_drain.h"
 #include "gateway_exchange.h"
+#include "gateway_peers.h"
 #include "gateway_rows.h"
 #include "gateway_settings.h"
 #include "http_request.h"
@@ -32,9 +33,6 @@
 namespace bramleybank {
 namespace {
 
-// Retries that a node may send in a window without any first send. The
-// platform grants 150 to all nodes together.
-constexpr double kRetryExtra = 14;
 constexpr int kReadyStatus = 200;
 constexpr int kNotReadyStatus = 503;
 
@@ -71,6 +69,7 @@
   void OnEndpointRow(const StoreRow& row);
   StoreWatchHooks WatchHooks(void (Impl::*on_row)(const StoreRow&),
                              const std::string& table);
+  void OnPeersChanged();
   void ArmSilenceCheck();
   void CheckSilence();
   bool IsTooLate(bool is_stream) const;
@@ -88,8 +87,11 @@
   EndpointPicker picker{&directory, settings.place, random};
   RetryBudget budget{
       clock, random,
-      RetryLimits{.share = settings.retry_share, .extra = kRetryExtra}};
+      RetryLimits{.share = settings.retry_share,
+                  .extra = settings.retry_extra / kUnknownPeerCount}};
   StreamSilenceMonitor silence;
+  GatewayPeers peers{loop, store, settings.name, settings.place.failure_domain,
+                     random};
   std::shared_ptr<const GatewayConfig> config;
   GatewayEnvironment environment;
   GatewayCallerHooks caller_hooks;
@@ -110,17 +112,17 @@
 
 void Gateway::Impl::Connect() {
   const auto is_draining = [this] { return drain != nullptr; };
-  environment = {.loop = loop,
-                 .codec = &codec,
-                 .directory = &directory,
-                 .picker = &picker,
-                 .budget = &budget,
-                 .silence = &silence,
-                 .metrics = &metrics,
-                 .random = random,
-                 .config = [this] { return config; },
-                 .is_too_late =
-                     [this](bool is_stream) { return IsTooLate(is_stream); }};
+  environment = {
+      .loop = loop,
+      .codec = &codec,
+      .directory = &directory,
+      .picker = &picker,
+      .budget = &budget,
+      .silence = &silence,
+      .metrics = &metrics,
+      .random = random,
+      .config = [this] { return config; },
+      .is_too_late = [this](bool is_stream) { return IsTooLate(is_stream); }};
   caller_hooks = {
       .on_request =
           [this](const std::shared_ptr<GatewayCaller>& caller,
@@ -135,6 +137,7 @@
                           InfoOf(code).name);
           },
       .is_draining = is_draining};
+  peers.SetChangeHandler([this] { OnPeersChanged(); });
   operator_watch = std::make_unique<StoreWatch>(
       loop, store, rows.operator_table, kStoreWait,
       WatchHooks(&Impl::OnConfigRow, rows.operator_table));
@@ -211,6 +214,12 @@
   }
 }
 
+void Gateway::Impl::OnPeersChanged() {
+  const PeerRank fleet = peers.RankInFleet();
+  budget.SetExtra(settings.retry_extra / static_cast<double>(fleet.count));
+  picker.SetRanks(peers.RankInDomain(), fleet);
+}
+
 bool Gateway::Impl::OpenHttpPort(HttpServer* server,
                                  const std::string& address,
                                  HttpServer::Handler handler) {
@@ -313,9 +322,8 @@
 
 bool Gateway::Impl::IsTooLate(bool is_stream) const {
   // A stream takes most of the time of a stop, so none is begun in it.
-  return drain &&
-         (is_stream ||
-          drain->Next(loop->Now(), exchanges.size()).refuse_requests);
+  return drain && (is_stream ||
+                   drain->Next(loop->Now(), exchanges.size()).refuse_requests);
 }
 
 void Gateway::Impl::ContinueDrain() {
@@ -355,6 +363,7 @@
   }
   m_impl->operator_watch->Start();
   m_impl->endpoint_watch->Start();
+  m_impl->peers.Start();
   return true;
 }
 
--- a/src/gateway_drain.cc
+++ b/src/gateway_drain.cc
@@ -13,8 +13,7 @@
 
 DrainStep GatewayDrain::Next(TimePoint now, size_t open_requests) const {
   if (now >= m_last_moment) {
-    return {
-        .close_idle_callers = true, .refuse_requests = true, .stop = true};
+    return {.close_idle_callers = true, .refuse_requests = true, .stop = true};
   }
   const bool noticed = now >= m_noticed_at;
   // One more check interval lets the closes of idle connections cross with
--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -12,6 +12,8 @@
 // The platform's budget is 0.8 of the requests of all nodes in any window. The
 // rest covers windows that differ from those of this node.
 constexpr double kDefaultRetryShare = 0.6;
+constexpr double kDefaultRetryExtra = 100;
+constexpr double kMaxRetryExtra = 100000;
 constexpr double kDefaultStopGraceSeconds = 8;
 constexpr double kMaxStopGraceSeconds = 3600;
 constexpr double kMicrosecondsPerSecond = 1e6;
@@ -72,6 +74,8 @@
   settings.stop_grace = Duration(std::llround(grace * kMicrosecondsPerSecond));
   settings.retry_share =
       reader.Double("retries", "share", kDefaultRetryShare, 0, 1);
+  settings.retry_extra =
+      reader.Double("retries", "extra", kDefaultRetryExtra, 0, kMaxRetryExtra);
   *errors = reader.Finish();
   return settings;
 }
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -29,6 +29,8 @@
   // [retries]
   /// Sends beyond the first of each request, per first send.
   double retry_share = 0;
+  /// Sends beyond that, of all gateways together within 10 s.
+  double retry_extra = 0;
 
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
--- a/src/limit_retry_budget.h
+++ b/src/limit_retry_budget.h
@@ -55,6 +55,9 @@
   void OnStreamOpened(std::string_view route);
   void OnStreamClosed(std::string_view route);
 
+  /// Sets the part of the budget that does not follow from first tries.
+  void SetExtra(double extra) { m_limits.extra = extra; }
+
   /// @returns false with kRetryBudgetExhausted in last_reason().
   bool TryRetry(std::string_view route, RetryReason reason);
   bool TryResume(std::string_view route, RetryReason reason);
--- a/src/metadata_store.h
+++ b/src/metadata_store.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,8 +52,9 @@
   std::string table;
   std::string key;
   std::string value;
-  /// Version that the row must have; 0 when it must not exist.
-  uint64_t expected_version = 0;
+  /// Version that the row must have; 0 when it must not exist. Nothing writes
+  /// without a condition.
+  std::optional<uint64_t> expected_version;
 
   friend bool operator==(const StoreWrite&, const StoreWrite&) = default;
 };
