--- a/src/endpoint_picker.cc
+++ b/src/endpoint_picker.cc
@@ -1,4 +1,4 @@
-// Costs are in units of an endpoint's slots in use.
+// Costs are in units of requests that an endpoint works on.
 #include "endpoint_picker.h"
 
 #include <algorithm>
@@ -11,17 +11,19 @@
 namespace bramleybank {
 namespace {
 
-// A request leaves its failure domain when that saves this share of the slots.
-constexpr double kOtherDomainCost = 0.1;
-// Bytes between regions are paid for, and a round trip takes 40 ms.
-constexpr double kOtherRegionCost = 0.35;
-// A copy takes memory but no steps of the engine.
-constexpr double kBackupWeight = 0.5;
+// A request leaves its failure domain when that saves this much work.
+constexpr double kOtherDomainCost = 0.5;
+// Bytes between regions are paid for, and a round trip takes 40 ms. That is
+// little for a stream of some seconds and much for a call.
+constexpr double kOtherRegionStreamCost = 1;
+constexpr double kOtherRegionCallCost = 2;
+// A copy takes memory but no steps of the engine; memory binds first.
+constexpr double kBackupWeight = 1;
 // Work that an endpoint of another gateway is taken to have beyond the mean, so
 // that it is used only when the own ones are clearly busier.
 constexpr double kForeignPremium = 0.5;
-// An endpoint that fails all its requests costs as much as two full ones.
-constexpr double kFailureCost = 2;
+// What an endpoint that fails all its requests costs.
+constexpr double kFailureCost = 12;
 
 bool Contains(const std::vector<std::string>* ids, const std::string& id) {
   return ids != nullptr && std::ranges::find(*ids, id) != ids->end();
@@ -59,14 +61,18 @@
       m_place(std::move(place)),
       m_random(std::move(random)) {}
 
-double EndpointPicker::DistanceCost(std::string_view domain) const {
+double EndpointPicker::DistanceCost(const EndpointPickQuery& query,
+                                    std::string_view domain) const {
   if (domain == m_place.failure_domain) {
     return 0;
   }
   const auto region = m_place.regions.find(domain);
   const bool same_region =
       region != m_place.regions.end() && region->second == m_place.region;
-  return same_region ? kOtherDomainCost : kOtherRegionCost;
+  if (same_region) {
+    return kOtherDomainCost;
+  }
+  return query.is_stream ? kOtherRegionStreamCost : kOtherRegionCallCost;
 }
 
 void EndpointPicker::SetRanks(const PeerRank& in_domain,
@@ -134,8 +140,7 @@
     const double work = record->open_attempts +
                         (kBackupWeight * record->open_backups) +
                         (is_own ? 0 : foreign_work);
-    const double cost = (work / std::max(1, entry.slots)) +
-                        DistanceCost(entry.failure_domain) +
+    const double cost = work + DistanceCost(query, entry.failure_domain) +
                         (kFailureCost * record->failure_share);
     (m_directory->IsSuspect(*record) ? suspect : sound).Offer(record, cost);
   }
@@ -156,7 +161,7 @@
     // this gateway matters only for the few runs that move.
     const double work = record->open_attempts + record->open_backups +
                         (is_own ? 0 : foreign_work);
-    sound.Offer(record, work / std::max(1, record->entry.slots));
+    sound.Offer(record, work);
   }
   return sound.best();
 }
--- a/src/endpoint_picker.h
+++ b/src/endpoint_picker.h
@@ -31,6 +31,7 @@
   const std::vector<std::string>* avoid = nullptr;
   /// Failure domain in which the endpoint must not be; empty for none.
   std::string_view other_than_domain;
+  bool is_stream = false;
 };
 
 /// Least loaded first, near before far. Answers the load of bursts and of lost
@@ -65,7 +66,8 @@
   /// gateway's own.
   std::vector<Candidate> Candidates(std::string_view service) const;
   double ForeignWork(const std::vector<Candidate>& candidates) const;
-  double DistanceCost(std::string_view domain) const;
+  double DistanceCost(const EndpointPickQuery& query,
+                      std::string_view domain) const;
 
   const EndpointDirectory* m_directory;
   const GatewayPlace m_place;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -163,7 +163,7 @@
   }
   DropBackup();
   const EndpointRecord* endpoint = m_environment->picker->PickForAttempt(
-      {.service = m_service, .avoid = &m_tried, .other_than_domain = {}});
+      {.service = m_service, .avoid = &m_tried, .other_than_domain = {}, .is_stream = is_stream()});
   if (endpoint == nullptr) {
     GiveUp(m_tried.empty() ? ResultCode::kNoEndpoint : ResultCode::kOverloaded);
     return;
