--- a/src/endpoint_picker.h
+++ b/src/endpoint_picker.h
@@ -7,7 +7,6 @@
 #include <string_view>
 #include <vector>
 
-#include "gateway_peers.h"
 #include "hooks.h"
 
 namespace bramleybank {
@@ -37,18 +36,12 @@
 /// Least loaded first, near before far. Answers the load of bursts and of lost
 /// failure domains: requests spread by the open work that this gateway knows
 /// of, and leave their domain once it is busier by the price of the distance.
-/// Gateways do not know each other's work, so each prefers endpoints of its
-/// own: those of a failure domain are dealt out among the gateways of the
-/// domain, and for requests from elsewhere among all.
 class EndpointPicker {
  public:
   EndpointPicker(const EndpointDirectory* directory,
                  GatewayPlace place,
                  RandomHook random);
 
-  /// Sets this gateway's position in its failure domain and among all.
-  void SetRanks(const PeerRank& in_domain, const PeerRank& in_fleet);
-
   /// @returns the endpoint for an attempt, or null when none is usable.
   const EndpointRecord* PickForAttempt(const EndpointPickQuery& query) const;
   /// @returns an engine for the copy of a run at `primary`: never in its
@@ -56,24 +49,12 @@
   const EndpointRecord* PickForBackup(const EndpointRecord& primary) const;
 
  private:
-  /// An endpoint with what this choice costs there.
-  struct Candidate {
-    const EndpointRecord* record = nullptr;
-    bool is_own = true;
-  };
-
-  /// @returns the usable endpoints of a service; marks which are this
-  /// gateway's own.
-  std::vector<Candidate> Candidates(std::string_view service) const;
-  double ForeignWork(const std::vector<Candidate>& candidates) const;
   double DistanceCost(const EndpointPickQuery& query,
                       std::string_view domain) const;
 
   const EndpointDirectory* m_directory;
   const GatewayPlace m_place;
   const RandomHook m_random;
-  PeerRank m_in_domain;
-  PeerRank m_in_fleet;
 };
 
 }  // namespace bramleybank
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -215,9 +215,7 @@
 }
 
 void Gateway::Impl::OnPeersChanged() {
-  const PeerRank fleet = peers.RankInFleet();
-  budget.SetExtra(settings.retry_extra / static_cast<double>(fleet.count));
-  picker.SetRanks(peers.RankInDomain(), fleet);
+  budget.SetExtra(settings.retry_extra / static_cast<double>(peers.count()));
 }
 
 bool Gateway::Impl::OpenHttpPort(HttpServer* server,
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -1,6 +1,7 @@
 // Heartbeat rows. Liveness follows from versions that change, not from clocks.
 #include "gateway_peers.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "bramleybank/limits.h"
@@ -68,7 +69,7 @@
   }
   std::map<std::string, Peer> peers;
   for (const StoreRow& row : rows.rows) {
-    Peer peer{.failure_domain = row.value, .version = row.version};
+    Peer peer{.version = row.version};
     const auto known = m_peers.find(row.key);
     if (known != m_peers.end() && known->second.version == row.version) {
       peer.unchanged_reads = known->second.unchanged_reads + 1;
@@ -82,27 +83,12 @@
   }
 }
 
-PeerRank GatewayPeers::RankInDomain() const {
-  PeerRank rank{.rank = 0, .count = 1};
-  for (const auto& [name, peer] : m_peers) {
-    if (name != m_name && peer.failure_domain == m_failure_domain &&
-        peer.unchanged_reads < kMaxUnchangedReads) {
-      ++rank.count;
-      rank.rank += name < m_name ? 1 : 0;
-    }
-  }
-  return rank;
-}
-
-PeerRank GatewayPeers::RankInFleet() const {
-  PeerRank rank{.rank = 0, .count = 1};
-  for (const auto& [name, peer] : m_peers) {
-    if (name != m_name && peer.unchanged_reads < kMaxUnchangedReads) {
-      ++rank.count;
-      rank.rank += name < m_name ? 1 : 0;
-    }
-  }
-  return rank;
+size_t GatewayPeers::count() const {
+  const auto others = std::ranges::count_if(m_peers, [this](const auto& item) {
+    return item.first != m_name &&
+           item.second.unchanged_reads < kMaxUnchangedReads;
+  });
+  return static_cast<size_t>(others) + 1;
 }
 
 }  // namespace bramleybank
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -17,17 +17,9 @@
 
 class EventLoop;
 
-/// Position of this gateway among those that are alive.
-struct PeerRank {
-  size_t rank = 0;
-  size_t count = 1;
-
-  friend bool operator==(const PeerRank&, const PeerRank&) = default;
-};
-
 /// Keeps a row of its own in the store and reads those of the others, both at a
-/// low rate. What follows from the list (shares of a budget, preferred engines)
-/// needs no agreement: a list that is old by some seconds costs balance only.
+/// low rate. Shares of a budget follow from the number of gateways; that needs
+/// no agreement, since the budget has room for a list that is some seconds old.
 class GatewayPeers {
  public:
   /// @param name unique name of this gateway, the key of its row.
@@ -47,16 +39,11 @@
   /// Called when the list may have changed.
   void SetChangeHandler(std::function<void()> handler);
 
-  /// @returns whether the list has been read.
-  bool is_known() const { return m_is_known; }
-  /// Position among the gateways of one failure domain, by name. Nothing is
-  /// claimed before the list is known: rank 0 of 1.
-  PeerRank RankInDomain() const;
-  PeerRank RankInFleet() const;
+  /// @returns how many gateways are alive, this one included.
+  size_t count() const;
 
  private:
   struct Peer {
-    std::string failure_domain;
     uint64_t version = 0;
     // Reads in a row that have found the row unchanged.
     int unchanged_reads = 0;
