--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -232,6 +232,13 @@
 /// the configuration can be after the store or the link has come back.
 inline constexpr std::chrono::milliseconds kStoreWait{2500};
 inline constexpr std::chrono::milliseconds kStoreTimeout{1000};
+/// Changes within these times share a call. Calls are paid for, and when a
+/// failure domain is lost each of its endpoints changes its entry. The pause
+/// grows with the number of gateways, so that their calls together do not.
+inline constexpr std::chrono::milliseconds kConfigPause{100};
+inline constexpr std::chrono::milliseconds kEndpointPausePerPeer{10};
+inline constexpr std::chrono::milliseconds kMinEndpointPause{100};
+inline constexpr std::chrono::milliseconds kMaxEndpointPause{1000};
 
 // Gateway: peers.
 /// One write and one read of the store each, so 380 gateways need 76 calls a
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -1,6 +1,7 @@
 // Wiring of a gateway, and its planned stop.
 #include "gateway.h"
 
+#include <algorithm>
 #include <cassert>
 #include <map>
 #include <random>
@@ -139,10 +140,12 @@
       .is_draining = is_draining};
   peers.SetChangeHandler([this] { OnPeersChanged(); });
   operator_watch = std::make_unique<StoreWatch>(
-      loop, store, rows.operator_table, kStoreWait,
+      loop, store, rows.operator_table,
+      StoreWatchTimes{.wait = kStoreWait, .pause = kConfigPause},
       WatchHooks(&Impl::OnConfigRow, rows.operator_table));
   endpoint_watch = std::make_unique<StoreWatch>(
-      loop, store, rows.endpoint_table, kStoreWait,
+      loop, store, rows.endpoint_table,
+      StoreWatchTimes{.wait = kStoreWait, .pause = kMinEndpointPause},
       WatchHooks(&Impl::OnEndpointRow, rows.endpoint_table));
 }
 
@@ -215,6 +218,9 @@
 }
 
 void Gateway::Impl::OnPeersChanged() {
+  endpoint_watch->SetPause(std::clamp<Duration>(
+      kEndpointPausePerPeer * static_cast<int64_t>(peers.count()),
+      kMinEndpointPause, kMaxEndpointPause));
   budget.SetExtra(settings.retry_extra / static_cast<double>(peers.count()));
 }
 
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -19,12 +19,12 @@
 StoreWatch::StoreWatch(EventLoop* loop,
                        MetadataStore* store,
                        std::string table,
-                       Duration wait,
+                       StoreWatchTimes times,
                        StoreWatchHooks hooks)
     : m_loop(loop),
       m_store(store),
       m_table(std::move(table)),
-      m_wait(wait),
+      m_times(times),
       m_hooks(std::move(hooks)),
       m_alive(std::make_shared<StoreWatch*>(this)) {}
 
@@ -85,7 +85,7 @@
 
 void StoreWatch::Wait() {
   m_store->WaitForChanges(
-      m_table, m_version, m_wait,
+      m_table, m_version, m_times.wait,
       [weak = std::weak_ptr(m_alive)](const StoreRows& rows) {
         if (const auto self = weak.lock()) {
           (*self)->OnChanges(rows);
@@ -113,7 +113,11 @@
     m_hooks.on_row(row);
   }
   m_version = std::max(m_version, rows.version);
-  Wait();
+  if (rows.rows.empty()) {
+    Wait();
+    return;
+  }
+  m_timer = m_loop->Schedule(m_times.pause, [this] { Wait(); });
 }
 
 void StoreWatch::OnSuccess() {
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -28,6 +28,18 @@
   RandomHook random;
 };
 
+/// How often a watch calls the store.
+struct StoreWatchTimes {
+  /// Longest wait of one call for changes.
+  Duration wait{0};
+  /// Pause after changes, so that those that come in series share a call.
+  /// Every change is known this much later at the most.
+  Duration pause{0};
+
+  friend bool operator==(const StoreWatchTimes&,
+                         const StoreWatchTimes&) = default;
+};
+
 /// Watch of one table. It never gives up; failed calls are repeated after a
 /// growing delay with jitter.
 class StoreWatch {
@@ -35,13 +47,14 @@
   StoreWatch(EventLoop* loop,
              MetadataStore* store,
              std::string table,
-             Duration wait,
+             StoreWatchTimes times,
              StoreWatchHooks hooks);
   ~StoreWatch();
   StoreWatch(const StoreWatch&) = delete;
   StoreWatch& operator=(const StoreWatch&) = delete;
 
   void Start();
+  void SetPause(Duration pause) { m_times.pause = pause; }
   /// Version of the store up to which changes have been seen.
   uint64_t version() const { return m_version; }
 
@@ -57,7 +70,7 @@
   EventLoop* m_loop;
   MetadataStore* m_store;
   const std::string m_table;
-  const Duration m_wait;
+  StoreWatchTimes m_times;
   const StoreWatchHooks m_hooks;
   // Keys reported and not gone; a full read reports the others as gone.
   std::set<std::string> m_known;
