--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -108,6 +108,7 @@
   bool endpoints_known = false;
   std::unique_ptr<GatewayDrain> drain;
   TimerHandle drain_timer;
+  uint16_t caller_port = 0;
   Reason last_reason;
 };
 
@@ -238,8 +239,10 @@
 }
 
 bool Gateway::Impl::OpenPorts() {
-  if (!listener.Start(settings.caller_address,
-                      [this](int fd) { Accept(fd); })) {
+  const auto port =
+      listener.Start(settings.caller_address, [this](int fd) { Accept(fd); });
+  caller_port = port.value_or(0);
+  if (!port) {
     last_reason = listener.last_reason();
     return false;
   }
@@ -381,6 +384,10 @@
   m_impl->ContinueDrain();
 }
 
+uint16_t Gateway::caller_port() const {
+  return m_impl->caller_port;
+}
+
 const Reason& Gateway::last_reason() const {
   return m_impl->last_reason;
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -3,6 +3,7 @@
 #ifndef BRAMLEYBANK_SRC_GATEWAY_H_
 #define BRAMLEYBANK_SRC_GATEWAY_H_
 
+#include <cstdint>
 #include <memory>
 
 #include "bramleybank/result_code.h"
@@ -31,6 +32,9 @@
   /// @returns false with last_reason() set when a port cannot be opened.
   bool Start();
 
+  /// @returns the port for callers, once Start() has succeeded.
+  uint16_t caller_port() const;
+
   /// Starts a planned stop; the event loop stops when nothing is open.
   void Drain();
 
--- a/src/stream_silence_monitor.cc
+++ b/src/stream_silence_monitor.cc
@@ -40,7 +40,7 @@
   if (since_check > kLateCheck) {
     // Events wait in the sockets; silence counts from now on.
     for (auto& [id, stream] : m_streams) {
-      stream.last_event = std::max(stream.last_event, now - kLateCheck);
+      stream.last_event = now;
     }
     return findings;
   }
--- /dev/null
+++ b/tests/gateway_fakes.h
@@ -0,0 +1,148 @@
+// Fakes for tests of the gateway: a store in memory and an endpoint on
+// loopback that follows a script.
+#ifndef BRAMLEYBANK_TESTS_GATEWAY_FAKES_H_
+#define BRAMLEYBANK_TESTS_GATEWAY_FAKES_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "event_loop.h"
+#include "metadata_store.h"
+#include "tcp_connection.h"
+#include "tcp_listener.h"
+
+namespace bramleybank {
+
+/// Keeps calls until the test answers them.
+class FakeStore : public MetadataStore {
+ public:
+  struct Call {
+    std::string table;
+    std::string after;
+    uint64_t version = 0;
+    bool is_wait = false;
+    RowsCallback callback;
+  };
+
+  void Read(const std::string& table,
+            const std::string& after,
+            RowsCallback callback) override {
+    calls.push_back({.table = table,
+                     .after = after,
+                     .version = 0,
+                     .is_wait = false,
+                     .callback = std::move(callback)});
+  }
+  void WaitForChanges(const std::string& table,
+                      uint64_t version,
+                      Duration /*wait*/,
+                      RowsCallback callback) override {
+    calls.push_back({.table = table,
+                     .after = {},
+                     .version = version,
+                     .is_wait = true,
+                     .callback = std::move(callback)});
+  }
+  void Write(const StoreWrite& write, WriteCallback callback) override {
+    writes.push_back(write);
+    callback(StoreResult::kOk);
+  }
+
+  /// Answers the oldest open call on `table`.
+  void Answer(const std::string& table, const StoreRows& rows) {
+    for (auto it = calls.begin(); it != calls.end(); ++it) {
+      if (it->table == table) {
+        const RowsCallback callback = std::move(it->callback);
+        calls.erase(it);
+        callback(rows);
+        return;
+      }
+    }
+  }
+  /// @returns the oldest open call on `table`, or null.
+  const Call* Open(const std::string& table) const {
+    for (const Call& call : calls) {
+      if (call.table == table) {
+        return &call;
+      }
+    }
+    return nullptr;
+  }
+
+  std::deque<Call> calls;
+  std::vector<StoreWrite> writes;
+};
+
+/// An endpoint on loopback. Each connection gets the next step of the script;
+/// the last step is repeated.
+class FakeEndpoint {
+ public:
+  struct Step {
+    /// Sent once the head of a request has arrived.
+    std::string bytes;
+    /// Whether the connection is closed after that.
+    bool closes = true;
+  };
+
+  FakeEndpoint(EventLoop* loop, std::vector<Step> script)
+      : m_loop(loop), m_script(std::move(script)), m_listener(loop) {
+    m_port = *m_listener.Start("127.0.0.1:0", [this](int fd) { Accept(fd); });
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+  /// Whole heads of the requests that arrived.
+  const std::vector<std::string>& requests() const { return m_requests; }
+  size_t closed_by_peer() const { return m_closed_by_peer; }
+
+ private:
+  struct Peer {
+    std::shared_ptr<TcpConnection> connection;
+    std::string input;
+    bool answered = false;
+  };
+
+  void Accept(int fd) {
+    auto peer = std::make_shared<Peer>();
+    m_peers.push_back(peer);
+    const size_t number = std::min(m_accepted++, m_script.size() - 1);
+    peer->connection = TcpConnection::Adopt(
+        m_loop, fd,
+        {.on_connected = nullptr,
+         .on_data =
+             [this, peer, number](std::string_view data) {
+               peer->input.append(data);
+               if (!peer->answered &&
+                   peer->input.find("\r\n\r\n") != std::string::npos) {
+                 peer->answered = true;
+                 m_requests.push_back(peer->input);
+                 Play(peer.get(), m_script[number]);
+               }
+             },
+         .on_end = [this](TcpEnd) { ++m_closed_by_peer; },
+         .on_drained = nullptr});
+  }
+
+  static void Play(Peer* peer, const Step& step) {
+    peer->connection->Write(step.bytes);
+    if (step.closes) {
+      peer->connection->FinishAndClose(std::chrono::milliseconds(10));
+    }
+  }
+
+  EventLoop* m_loop;
+  std::vector<Step> m_script;
+  TcpListener m_listener;
+  uint16_t m_port = 0;
+  size_t m_accepted = 0;
+  size_t m_closed_by_peer = 0;
+  std::vector<std::string> m_requests;
+  std::vector<std::shared_ptr<Peer>> m_peers;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_TESTS_GATEWAY_FAKES_H_
--- /dev/null
+++ b/tests/unit_endpoint_directory.cc
@@ -0,0 +1,175 @@
+// What a gateway believes of endpoints, and where it sends requests.
+#include <doctest/doctest.h>
+
+#include "bramleybank/limits.h"
+#include "endpoint_directory.h"
+#include "endpoint_picker.h"
+
+namespace bramleybank {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+EndpointEntry MakeEntry(const std::string& id,
+                        const std::string& domain,
+                        const std::string& address) {
+  EndpointEntry entry;
+  entry.id = id;
+  entry.service = "writers";
+  entry.address = address;
+  entry.failure_domain = domain;
+  entry.slots = 12;
+  return entry;
+}
+
+/// A directory of `size` endpoints in each of the domains a, b and c.
+struct Fixture {
+  explicit Fixture(int size) {
+    for (const std::string domain : {"a", "b", "c"}) {
+      for (int i = 0; i < size; ++i) {
+        const std::string id = domain + std::to_string(i);
+        directory.Update(MakeEntry(id, domain, id + ":1"));
+      }
+    }
+  }
+
+  std::string Pick(const std::vector<std::string>& avoid = {}) {
+    const EndpointRecord* record =
+        picker.PickForAttempt({.service = "writers",
+                               .avoid = &avoid,
+                               .other_than_domain = {},
+                               .is_stream = true});
+    return record == nullptr ? "" : record->entry.id;
+  }
+
+  void Lose(const std::string& id) {
+    directory.OnAttemptStarted(id);
+    directory.OnAttemptEnded(id, EndpointOutcome::kLost);
+  }
+
+  TimePoint now{seconds(100)};
+  EndpointDirectory directory{[this] { return now; }};
+  uint64_t draws = 0;
+  EndpointPicker picker{&directory,
+                        {.failure_domain = "a",
+                         .region = "ra",
+                         .regions = {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}},
+                        [this] { return ++draws; }};
+};
+
+// Guards against requests that are refused because the entry of a crashed
+// engine stands until it lapses.
+TEST_CASE("a new entry at the same address supersedes the older one") {
+  Fixture fixture(1);
+  fixture.directory.Update(MakeEntry("new", "a", "a0:1"));
+  CHECK_FALSE(fixture.directory.IsUsable(*fixture.directory.Find("a0")));
+  CHECK(fixture.Pick() == "new");
+}
+
+TEST_CASE("an endpoint that starts again under its id is a new one") {
+  Fixture fixture(1);
+  fixture.directory.OnAttemptStarted("a0");
+  fixture.directory.OnAttemptEnded("a0", EndpointOutcome::kMisdirected);
+  CHECK_FALSE(fixture.directory.IsUsable(*fixture.directory.Find("a0")));
+  EndpointEntry entry = MakeEntry("a0", "a", "a0:1");
+  entry.born_ms = 5;
+  fixture.directory.Update(entry);
+  CHECK(fixture.directory.IsUsable(*fixture.directory.Find("a0")));
+}
+
+// Guards against work for an endpoint that leaves.
+TEST_CASE("a draining endpoint gets no work, a gone one only as last resort") {
+  Fixture fixture(1);
+  EndpointEntry draining = MakeEntry("a0", "a", "a0:1");
+  draining.state = EndpointState::kDraining;
+  fixture.directory.Update(draining);
+  fixture.directory.Remove("b0");
+  CHECK(fixture.Pick() == "c0");
+  fixture.directory.Remove("c0");
+  CHECK_FALSE(fixture.Pick().empty());
+  fixture.now += kLapsedEntryGrace;
+  CHECK(fixture.Pick().empty());
+  fixture.directory.Update(MakeEntry("b0", "b", "b0:1"));
+  CHECK(fixture.Pick() == "b0");
+}
+
+// Guards against sending streams into a failure domain that is going down.
+TEST_CASE("two losses in a domain make it suspect, one does not") {
+  Fixture fixture(3);
+  fixture.Lose("a0");
+  CHECK_FALSE(fixture.directory.IsDomainSuspect("writers", "a"));
+  fixture.Lose("a1");
+  CHECK(fixture.directory.IsDomainSuspect("writers", "a"));
+  CHECK(fixture.Pick().front() != 'a');
+  fixture.now += kLostDomainPause;
+  CHECK(fixture.Pick() == "a2");
+  // The lost ones come back as new endpoints; their entries stand for longer.
+  CHECK(fixture.directory.IsSuspect(*fixture.directory.Find("a0")));
+  fixture.now += kCrashedEndpointPause;
+  CHECK_FALSE(fixture.directory.IsSuspect(*fixture.directory.Find("a0")));
+}
+
+TEST_CASE("losses that lie apart do not make a domain suspect") {
+  Fixture fixture(3);
+  fixture.Lose("a0");
+  fixture.now += kDomainLossWindow + milliseconds(1);
+  fixture.Lose("a1");
+  CHECK_FALSE(fixture.directory.IsDomainSuspect("writers", "a"));
+}
+
+// Guards against a standstill when everything has failed once.
+TEST_CASE("a suspect endpoint is used when there is no other") {
+  Fixture fixture(1);
+  fixture.Lose("a0");
+  fixture.Lose("b0");
+  fixture.Lose("c0");
+  CHECK_FALSE(fixture.Pick().empty());
+}
+
+// The load: a burst of streams at one gateway. They spread over the near
+// domain first and then over the others, none gets many more than the mean.
+TEST_CASE("streams spread by open work, near before far") {
+  Fixture fixture(4);
+  std::map<std::string, int> open;
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = fixture.Pick();
+    CHECK(id.front() == 'a');
+    fixture.directory.OnAttemptStarted(id);
+    ++open[id];
+  }
+  for (int i = 4; i < 36; ++i) {
+    const std::string id = fixture.Pick();
+    fixture.directory.OnAttemptStarted(id);
+    ++open[id];
+  }
+  CHECK(open.size() == 12);
+  for (const auto& [id, count] : open) {
+    CHECK(count >= 2);
+    CHECK(count <= 4);
+  }
+}
+
+TEST_CASE("a request does not return to an endpoint that it was sent to") {
+  Fixture fixture(1);
+  CHECK(fixture.Pick({"a0", "b0"}) == "c0");
+  CHECK(fixture.Pick({"a0", "b0", "c0"}).empty());
+}
+
+// Guards against a run and its copy that are lost together.
+TEST_CASE("the copy of a run is never in the failure domain of the run") {
+  Fixture fixture(4);
+  const EndpointRecord* primary = fixture.directory.Find("b1");
+  for (int i = 0; i < 20; ++i) {
+    const EndpointRecord* backup = fixture.picker.PickForBackup(*primary);
+    REQUIRE(backup != nullptr);
+    CHECK(backup->entry.failure_domain != "b");
+    fixture.directory.OnBackupOpened(backup->entry.id);
+  }
+  fixture.Lose("a0");
+  fixture.Lose("a1");
+  CHECK(fixture.picker.PickForBackup(*primary)->entry.failure_domain == "c");
+}
+
+}  // namespace
+}  // namespace bramleybank
--- /dev/null
+++ b/tests/unit_gateway.cc
@@ -0,0 +1,294 @@
+// The gateway between callers and endpoints on loopback, with a store in
+// memory: what callers get when endpoints refuse, fail or fall silent.
+#include "gateway.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base64.h"
+#include "event_loop.h"
+#include "gateway_codec.h"
+#include "gateway_fakes.h"
+#include "gateway_rows.h"
+#include "gateway_settings.h"
+#include "request_headers.h"
+#include "store_rows.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr Duration kTurn = std::chrono::milliseconds(5);
+constexpr int kMaxTurns = 4000;
+
+constexpr char kConfig[] = R"({"version":3,"routes":[
+{"name":"book","host":"h.example","prefix":"/book/","kind":"unsafe",
+ "timeout_ms":2000,"service":"app","max_attempts":1},
+{"name":"read","host":"h.example","prefix":"/read/","kind":"safe",
+ "timeout_ms":2000,"service":"app","max_attempts":2},
+{"name":"write","host":"h.example","prefix":"/write/","kind":"streaming",
+ "timeout_ms":5000,"service":"app","max_attempts":5,"resumable":true}],
+"services":[{"name":"app","health_path":"/health","max_conns":9}],
+"tenants":[{"name":"family","api_keys":["good"]}]})";
+
+const std::string kMarks = "Request-Id: r1\r\nResponse-Seal: s\r\n";
+const std::string kWhole =
+    "HTTP/1.1 200 OK\r\n" + kMarks + "Content-Length: 4\r\n\r\ndone";
+const std::string kFailed =
+    "HTTP/1.1 500 Error\r\n" + kMarks + "Content-Length: 0\r\n\r\n";
+const std::string kNotRun =
+    "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+const std::string kStreamHead =
+    "HTTP/1.1 200 OK\r\n" + kMarks + "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string Chunk(const std::string& text) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: t\n\n";
+}
+
+/// A gateway with its configuration in force, and endpoints in a fixed order:
+/// the first is nearest.
+class Fixture {
+ public:
+  explicit Fixture(std::vector<std::vector<FakeEndpoint::Step>> scripts,
+                   bool has_config = true)
+      : m_gateway(&m_loop,
+                  MakeSettings(),
+                  &store,
+                  platform::MakeGatewayCodec(),
+                  platform::MakeGatewayRows()) {
+    REQUIRE(m_gateway.Start());
+    std::vector<StoreRow> rows;
+    const std::vector<std::string> domains = {"near", "far", "farther"};
+    for (size_t i = 0; i < scripts.size(); ++i) {
+      endpoints.push_back(std::make_unique<FakeEndpoint>(&m_loop, scripts[i]));
+      rows.push_back(
+          {.key = "e" + std::to_string(i),
+           .value = R"({"service":"app","state":"ready","slots":4,"zone":")" +
+                    domains[i] + R"(","address":")" + endpoints[i]->address() +
+                    "\"}",
+           .version = i + 1});
+    }
+    if (has_config) {
+      store.Answer("op", {.result = StoreResult::kOk,
+                          .rows = {{.key = "config", .value = kConfig}},
+                          .version = 9});
+    }
+    store.Answer(
+        "servers",
+        {.result = StoreResult::kOk, .rows = std::move(rows), .version = 9});
+  }
+
+  /// Sends a request and collects the answer.
+  void Send(const std::string& method_and_path,
+            const std::string& key = "good") {
+    m_client = TcpConnection::Connect(
+        &m_loop, "127.0.0.1:" + std::to_string(m_gateway.caller_port()),
+        std::chrono::seconds(5),
+        {.on_connected =
+             [this, method_and_path, key] {
+               m_client->Write(method_and_path +
+                               " HTTP/1.1\r\nHost: h.example\r\n"
+                               "Request-Id: r1\r\nDeadline-Ms: 4000\r\n"
+                               "Tenant: forged\r\nAuthorization: Bearer " +
+                               key + "\r\n\r\n");
+             },
+         .on_data = [this](std::string_view data) { answer += data; },
+         .on_end = [this](TcpEnd) { closed = true; },
+         .on_drained = nullptr});
+  }
+
+  void CloseClient() { m_client->Close(); }
+
+  /// Serves events until `done` holds.
+  void WaitFor(const std::function<bool()>& done) {
+    for (int turn = 0; turn < kMaxTurns && !done(); ++turn) {
+      m_loop.RunOnce(kTurn);
+    }
+    REQUIRE(done());
+  }
+
+  void WaitForAnswer(const std::string& text) {
+    WaitFor([&] { return answer.find(text) != std::string::npos; });
+  }
+
+  FakeStore store;
+  std::vector<std::unique_ptr<FakeEndpoint>> endpoints;
+  std::string answer;
+  bool closed = false;
+
+ private:
+  static GatewaySettings MakeSettings() {
+    GatewaySettings settings;
+    settings.name = "g1";
+    settings.place = {
+        .failure_domain = "near",
+        .region = "r1",
+        .regions = {{"near", "r1"}, {"far", "r2"}, {"farther", "r3"}}};
+    settings.caller_address = "127.0.0.1:0";
+    settings.ready_address = "127.0.0.1:0";
+    settings.metrics_address = "127.0.0.1:0";
+    settings.stop_grace = std::chrono::seconds(8);
+    settings.retry_share = 1;
+    settings.retry_extra = 1000;
+    return settings;
+  }
+
+  EventLoop m_loop;
+  Gateway m_gateway;
+  std::shared_ptr<TcpConnection> m_client;
+};
+
+TEST_CASE("an answer is passed on with its headers; the customer is named") {
+  Fixture fixture({{{.bytes = kWhole}}});
+  fixture.Send("GET /read/x?y=1");
+  fixture.WaitForAnswer("done");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 200 OK\r\n"));
+  CHECK(fixture.answer.find("Response-Seal: s\r\n") != std::string::npos);
+  REQUIRE(fixture.endpoints[0]->requests().size() == 1);
+  const std::string& request = fixture.endpoints[0]->requests()[0];
+  CHECK(request.starts_with("GET /read/x?y=1 HTTP/1.1\r\n"));
+  CHECK(request.find("Tenant: family\r\n") != std::string::npos);
+  CHECK(request.find("forged") == std::string::npos);
+  CHECK(request.find("good") == std::string::npos);
+  CHECK(request.find("Expect-Instance: e0\r\n") != std::string::npos);
+}
+
+// Guards against a booking that runs twice.
+TEST_CASE("a non-idempotent request whose answer is lost is not repeated") {
+  Fixture fixture({{{.bytes = ""}}, {{.bytes = kWhole}}});
+  fixture.Send("POST /book/x");
+  fixture.WaitForAnswer("answer_lost");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
+  CHECK(fixture.endpoints[0]->requests().size() == 1);
+  CHECK(fixture.endpoints[1]->requests().empty());
+}
+
+// Guards against a booking that is lost although no endpoint has run it.
+TEST_CASE("a non-idempotent request that was refused unrun goes elsewhere") {
+  Fixture fixture({{{.bytes = kNotRun}}, {{.bytes = kWhole}}});
+  fixture.Send("POST /book/x");
+  fixture.WaitForAnswer("done");
+  CHECK(fixture.endpoints[1]->requests().size() == 1);
+}
+
+// Guards against a refusal that promises more than is true.
+TEST_CASE("a refusal says not run only while nothing can have run") {
+  Fixture refusing({{{.bytes = kNotRun}}});
+  refusing.Send("POST /book/x");
+  refusing.WaitForAnswer("overloaded");
+  CHECK(refusing.answer.starts_with("HTTP/1.1 503"));
+  CHECK(refusing.answer.find("Retry-After: ") != std::string::npos);
+}
+
+TEST_CASE("a non-idempotent request in time-out may have run") {
+  Fixture silent({{{.bytes = "", .closes = false}}});
+  silent.Send("POST /book/x");
+  silent.WaitForAnswer("timed_out");
+  CHECK(silent.answer.starts_with("HTTP/1.1 504"));
+}
+
+TEST_CASE("an idempotent request is repeated after a failure") {
+  Fixture fixture({{{.bytes = kFailed}}, {{.bytes = kWhole}}});
+  fixture.Send("GET /read/x");
+  fixture.WaitForAnswer("done");
+  CHECK(fixture.endpoints[0]->requests().size() == 1);
+  CHECK(fixture.endpoints[1]->requests().size() == 1);
+}
+
+// Guards against bytes of a faulty endpoint that callers take for an answer.
+TEST_CASE("a success without the endpoint's mark is not passed on") {
+  Fixture fixture(
+      {{{.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"}}});
+  fixture.Send("POST /book/x");
+  fixture.WaitForAnswer("answer_lost");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
+}
+
+TEST_CASE("an answer that was cut off is not passed on") {
+  Fixture fixture({{{.bytes = "HTTP/1.1 200 OK\r\n" + kMarks +
+                              "Content-Length: 9\r\n\r\ncut"}}});
+  fixture.Send("POST /book/x");
+  fixture.WaitForAnswer("answer_lost");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
+}
+
+// Guards against events that are missing, repeated or cut in two.
+TEST_CASE("a stream goes on at another engine after its last whole event") {
+  Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)) + Chunk(Event(2)) +
+                              Chunk("id: 3\nda")}},
+                   {{.bytes = kStreamHead + Chunk(Event(2)) + Chunk(Event(3)) +
+                              Chunk(Event(4)) + "0\r\n\r\n"}}});
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("0\r\n\r\n");
+  std::string events;
+  for (int id = 1; id <= 4; ++id) {
+    events += Chunk(Event(id));
+  }
+  CHECK(fixture.answer.find(events + "0\r\n\r\n") != std::string::npos);
+  REQUIRE(fixture.endpoints[1]->requests().size() == 1);
+  CHECK(fixture.endpoints[1]->requests()[0].find("Last-Event-Id: 2\r\n") !=
+        std::string::npos);
+}
+
+TEST_CASE("a stream with a gap is not passed on") {
+  Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)) + Chunk(Event(3))}},
+                   {{.bytes = kStreamHead + Chunk(Event(2)) + "0\r\n\r\n"}}});
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("0\r\n\r\n");
+  CHECK(fixture.answer.find(Chunk(Event(1)) + Chunk(Event(2))) !=
+        std::string::npos);
+}
+
+// Guards against engines that work for callers who have left.
+TEST_CASE("an engine is cancelled when its caller leaves") {
+  Fixture fixture(
+      {{{.bytes = kStreamHead + Chunk(Event(1)), .closes = false}}});
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("id: 1");
+  fixture.CloseClient();
+  fixture.WaitFor([&] { return fixture.endpoints[0]->closed_by_peer() == 1; });
+}
+
+TEST_CASE("requests outside the configuration are refused") {
+  Fixture fixture({{{.bytes = kWhole}}});
+  fixture.Send("GET /nothing/x");
+  fixture.WaitForAnswer("unknown_path");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 404"));
+  fixture.answer.clear();
+  fixture.Send("GET /read/x", "bad");
+  fixture.WaitForAnswer("unknown_customer_key");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 401"));
+  CHECK(fixture.endpoints[0]->requests().empty());
+}
+
+// Guards against 404 and 401 from a gateway that knows no configuration yet.
+TEST_CASE("a gateway without a configuration answers that it is not ready") {
+  Fixture fixture({}, /*has_config=*/false);
+  fixture.Send("GET /read/x");
+  fixture.WaitForAnswer("not_ready");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 503"));
+}
+
+// Guards against a configuration that reverts when an old row is read again.
+TEST_CASE("an older configuration does not replace a newer one") {
+  Fixture fixture({{{.bytes = kWhole}}});
+  fixture.store.Answer(
+      "op", {.result = StoreResult::kOk,
+             .rows = {{.key = "config", .value = R"({"version":2})"}},
+             .version = 10});
+  fixture.Send("GET /read/x");
+  fixture.WaitForAnswer("done");
+}
+
+}  // namespace
+}  // namespace bramleybank
--- /dev/null
+++ b/tests/unit_http1_parser.cc
@@ -0,0 +1,129 @@
+// The HTTP/1.1 parser: messages in pieces, and messages that two readers could
+// understand differently.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "http1_parser.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr size_t kMaxHead = 1024;
+
+struct Recorder {
+  explicit Recorder(Http1Parser::Direction direction)
+      : parser(direction,
+               kMaxHead,
+               {.on_head = [this](Http1Head head) { heads.push_back(head); },
+                .on_body = [this](std::string_view data) { body += data; },
+                .on_complete = [this] { ++complete; }}) {}
+
+  std::vector<Http1Head> heads;
+  std::string body;
+  int complete = 0;
+  Http1Parser parser;
+};
+
+// Guards against state that is lost between reads of a connection.
+TEST_CASE("a request that arrives byte by byte is read whole") {
+  Recorder recorder(Http1Parser::Direction::kRequests);
+  const std::string bytes =
+      "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz";
+  for (const char c : bytes) {
+    recorder.parser.Feed({&c, 1});
+  }
+  REQUIRE(recorder.heads.size() == 1);
+  CHECK(recorder.heads[0].method == "POST");
+  CHECK(recorder.heads[0].target == "/a/b?c=1");
+  CHECK(FindHeader(recorder.heads[0].headers, "host") == "h");
+  CHECK(recorder.body == "xyz");
+  CHECK(recorder.complete == 1);
+  CHECK(recorder.heads[0].keep_alive);
+}
+
+// Guards against answering two requests of one connection at the same time.
+TEST_CASE("the next message waits until the parser is resumed") {
+  Recorder recorder(Http1Parser::Direction::kRequests);
+  recorder.parser.Feed("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  CHECK(recorder.complete == 1);
+  CHECK(recorder.parser.kept_bytes() > 0);
+  recorder.parser.Resume();
+  REQUIRE(recorder.complete == 2);
+  CHECK(recorder.heads[1].target == "/2");
+}
+
+// Guards against request smuggling: the endpoint could see another length.
+TEST_CASE("a request with an ambiguous length is refused") {
+  const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+  const std::vector<std::string> lengths = {
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+      "Content-Length: 3\r\nContent-Length: 4\r\n",
+      "Content-Length: 3\r\nContent-Length: 3\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n",
+      "Transfer-Encoding: xchunked\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n"};
+  for (const std::string& length : lengths) {
+    Recorder recorder(Http1Parser::Direction::kRequests);
+    recorder.parser.Feed(start + length + "\r\nabc");
+    CAPTURE(length);
+    CHECK(recorder.parser.fault() != Http1Fault::kNone);
+    CHECK(recorder.complete == 0);
+  }
+}
+
+// Guards against unbounded memory for headers.
+TEST_CASE("headers over the limit are refused") {
+  Recorder recorder(Http1Parser::Direction::kRequests);
+  recorder.parser.Feed(
+      "GET / HTTP/1.1\r\nX: " + std::string(kMaxHead + 1, 'a') + "\r\n\r\n");
+  CHECK(recorder.parser.fault() == Http1Fault::kHeadTooLarge);
+}
+
+// Guards against taking an answer that was cut off for a whole one.
+TEST_CASE("a response with a length is not whole when the connection ends") {
+  Recorder recorder(Http1Parser::Direction::kResponses);
+  recorder.parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  recorder.parser.FeedEnd();
+  CHECK(recorder.complete == 0);
+}
+
+TEST_CASE("a response without a length ends with an orderly close") {
+  Recorder recorder(Http1Parser::Direction::kResponses);
+  recorder.parser.Feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  CHECK(recorder.complete == 0);
+  recorder.parser.FeedEnd();
+  CHECK(recorder.complete == 1);
+  CHECK(recorder.body == "abc");
+}
+
+// Guards against a second answer that is taken for part of the first.
+TEST_CASE("bytes after a whole response are not part of it") {
+  Recorder recorder(Http1Parser::Direction::kResponses);
+  recorder.parser.Feed(
+      "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 500 X\r\n\r\n");
+  CHECK(recorder.complete == 1);
+  CHECK(recorder.body == "a");
+  CHECK(recorder.heads.size() == 1);
+}
+
+TEST_CASE("interim responses are skipped") {
+  Recorder recorder(Http1Parser::Direction::kResponses);
+  recorder.parser.Feed(
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(recorder.heads.size() == 1);
+  CHECK(recorder.heads[0].status == 200);
+  CHECK(recorder.complete == 1);
+}
+
+TEST_CASE("bytes that are no response are a fault") {
+  Recorder recorder(Http1Parser::Direction::kResponses);
+  recorder.parser.Feed("garbage\r\n\r\n");
+  CHECK(recorder.parser.fault() == Http1Fault::kMalformed);
+}
+
+}  // namespace
+}  // namespace bramleybank
--- /dev/null
+++ b/tests/unit_platform_adapter.cc
@@ -0,0 +1,170 @@
+// The adapter: rows and headers as the users' platform writes them.
+#include <doctest/doctest.h>
+
+#include "base64.h"
+#include "http1_parser.h"
+#include "request_headers.h"
+#include "store_rows.h"
+
+namespace bramleybank::platform {
+namespace {
+
+constexpr char kConfig[] = R"({"version":7,
+"routes":[{"name":"r1","host":"f.example","prefix":"/p/","kind":"streaming",
+"timeout_ms":25000,"target_latency_ms":4500,"priority":1,"service":"w",
+"max_attempts":5,"anonymous":false,"sticky":true,"resumable":true,
+"target_gap_ms":700},
+{"name":"r2","host":"f.example","prefix":"/l/","kind":"unsafe",
+"timeout_ms":2000,"traffic_split":[{"service":"w","weight":90},
+{"service":"a","weight":10}],"max_attempts":1,"anonymous":true}],
+"services":[{"name":"w","health_path":"/health","max_conns":160,
+"engine":{"slots":12,"kv_capacity_tokens":88000,"backups":true,"handle_s":4.0}},
+{"name":"a","health_path":"/health","max_conns":110}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]})";
+
+TEST_CASE("a configuration is decoded") {
+  const auto config = DecodeConfig(kConfig);
+  REQUIRE(config);
+  CHECK(config->version == 7);
+  REQUIRE(config->routes.size() == 2);
+  const GatewayRoute& stream = config->routes[0];
+  CHECK(stream.kind == RequestKind::kStream);
+  CHECK(stream.resumable);
+  CHECK(stream.IsIdempotent());
+  CHECK(stream.timeout == std::chrono::seconds(25));
+  CHECK(stream.max_event_gap == std::chrono::milliseconds(700));
+  CHECK(stream.services == std::vector<ServiceShare>{{"w", 1}});
+  const GatewayRoute& call = config->routes[1];
+  CHECK_FALSE(call.IsIdempotent());
+  CHECK(call.anonymous);
+  CHECK(call.services == std::vector<ServiceShare>{{"w", 90}, {"a", 10}});
+  REQUIRE(config->services.size() == 2);
+  CHECK(config->services[0].engine->backups);
+  CHECK_FALSE(config->services[1].engine);
+  CHECK(config->customers[0].keys == std::vector<std::string>{"k1", "k2"});
+  CHECK(config->bounds.header_timeout == std::chrono::seconds(3));
+}
+
+// Guards against a configuration in force of which a part was not understood.
+TEST_CASE("what is not a configuration is refused as a whole") {
+  CHECK_FALSE(DecodeConfig("").has_value());
+  CHECK_FALSE(DecodeConfig("[1]").has_value());
+  CHECK_FALSE(DecodeConfig(R"({"version":"7"})").has_value());
+  CHECK_FALSE(
+      DecodeConfig(R"({"version":7,"routes":[{"kind":"new"}]})").has_value());
+}
+
+// Guards against endpoints made of rows of other writers.
+TEST_CASE("an entry that cannot be understood names no endpoint") {
+  const std::string good =
+      R"({"service":"w","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+      R"("slots":12,"state":"ready","cold_left_ms":5,"born":17})";
+  const auto entry = DecodeEndpoint("i-1", good);
+  REQUIRE(entry);
+  CHECK(entry->id == "i-1");
+  CHECK(entry->failure_domain == "z");
+  CHECK(entry->slots == 12);
+  CHECK(entry->born_ms == 17);
+  for (const std::string bad :
+       {"", "x", "3", R"({"service":"w"})",
+        R"({"service":3,"address":"a:1","zone":"z","state":"ready"})",
+        R"({"service":"w","address":"a:1","zone":"z","state":"asleep"})"}) {
+    CAPTURE(bad);
+    CHECK_FALSE(DecodeEndpoint("i-1", bad).has_value());
+  }
+}
+
+TEST_CASE("rows and writes have the store's form") {
+  StoreRows rows;
+  REQUIRE(DecodeRows(
+      R"({"rows":[{"table":"t","part":"","key":"k","value":"bm9kZS0x",)"
+      R"("ver":4},{"key":"l","ver":5,"deleted":true}],"has_more":true,)"
+      R"("ver":9,"now_ms":1})",
+      &rows));
+  CHECK(rows.version == 9);
+  CHECK(rows.has_more);
+  REQUIRE(rows.rows.size() == 2);
+  CHECK(rows.rows[0].value == "node-1");
+  CHECK(rows.rows[1].deleted);
+  CHECK_FALSE(DecodeRows("{}", &rows));
+  CHECK(EncodeWrite({.table = "t",
+                     .key = "k",
+                     .value = "node-1",
+                     .expected_version = 4}) ==
+        R"({"expected_rev":[{"key":"k","part":"","table":"t","ver":4}],)"
+        R"("remove":[],"writes":[{"key":"k","part":"","table":"t",)"
+        R"("value":"bm9kZS0x"}]})");
+}
+
+TEST_CASE("base64 of all lengths is read back") {
+  for (const std::string text :
+       {"", "a", "ab", "abc", "abcd", "\xff\xfe\x01"}) {
+    CHECK(DecodeBase64(EncodeBase64(text)) == text);
+  }
+  CHECK_FALSE(DecodeBase64("abc").has_value());
+  CHECK_FALSE(DecodeBase64("a*==").has_value());
+}
+
+// Guards against callers who reserve memory, name customers or choose engines.
+TEST_CASE("headers that only the gateway sets are taken from the caller") {
+  const GatewayCodec codec = MakeGatewayCodec();
+  const HttpHeaders headers = {{"Host", "h"},
+                               {"Tenant", "other"},
+                               {"hold", "1"},
+                               {"Pin-Ms", "9"},
+                               {"Kv-Backup", "x"},
+                               {"Kv-From", "x"},
+                               {"Expect-Instance", "x"},
+                               {"Model", "m"},
+                               {"Authorization", "Bearer k"},
+                               {"Deadline-Ms", "9999"}};
+  const HttpHeaders encoded = codec.encode_attempt(
+      headers, {.endpoint_id = "e",
+                .time_left = std::chrono::milliseconds(1500),
+                .customer = "t",
+                .last_event_id = 12,
+                .backup_address = "10.0.0.2:80",
+                .restore_address = "10.0.0.3:80",
+                .request_id = "r"});
+  CHECK(encoded == HttpHeaders{{"Host", "h"},
+                               {"Model", "m"},
+                               {"Deadline-Ms", "1500"},
+                               {"Expect-Instance", "e"},
+                               {"Last-Event-Id", "12"},
+                               {"Tenant", "t"},
+                               {"Kv-Backup", "10.0.0.2:80"},
+                               {"Kv-From", "10.0.0.3:80/r"}});
+}
+
+TEST_CASE("a caller's headers are decoded") {
+  const CallerStatement statement =
+      MakeGatewayCodec().decode_request({{"request-id", "r"},
+                                         {"Deadline-Ms", "4000"},
+                                         {"authorization", "bearer k"},
+                                         {"Last-Event-Id", "3"},
+                                         {"Token-Count", "1460,80"}});
+  CHECK(statement.request_id == "r");
+  CHECK(statement.patience == std::chrono::seconds(4));
+  CHECK(statement.customer_key == "k");
+  CHECK(statement.last_event_id == 3);
+  CHECK(statement.prompt_tokens == 1460);
+}
+
+TEST_CASE("an answer tells whether it counts") {
+  const GatewayCodec codec = MakeGatewayCodec();
+  Http1Head head{.status = 421, .headers = {{"Request-Id", "other"}}};
+  const AnswerStatement misdirected = codec.decode_answer(head, "r");
+  CHECK(misdirected.misdirected);
+  CHECK(misdirected.is_foreign);
+  head = {.status = 503,
+          .headers = {{"Not-Executed", "1"}, {"Response-Seal", "s"}}};
+  const AnswerStatement refused = codec.decode_answer(head, "r");
+  CHECK(refused.not_run);
+  CHECK(refused.is_marked);
+  CHECK_FALSE(refused.is_foreign);
+}
+
+}  // namespace
+}  // namespace bramleybank::platform
--- /dev/null
+++ b/tests/unit_store_watch.cc
@@ -0,0 +1,119 @@
+// Following a table of the store, and knowing the other gateways from rows.
+#include "store_watch.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "bramleybank/limits.h"
+#include "event_loop.h"
+#include "gateway_fakes.h"
+#include "gateway_peers.h"
+
+namespace bramleybank {
+namespace {
+
+StoreRow MakeRow(const std::string& key, uint64_t version) {
+  return {.key = key, .value = "v", .version = version};
+}
+
+struct Fixture {
+  Fixture()
+      : watch(&loop,
+              &store,
+              "t",
+              {.wait = std::chrono::seconds(1), .pause = Duration{0}},
+              {.on_row =
+                   [this](const StoreRow& row) {
+                     seen.push_back((row.deleted ? "-" : "+") + row.key);
+                   },
+               .on_complete = [this] { ++completed; },
+               .on_reachable =
+                   [this](bool reachable, const std::string&) {
+                     seen.emplace_back(reachable ? "up" : "down");
+                   },
+               .random = [] { return 0; }}) {
+    watch.Start();
+  }
+
+  /// Serves the loop until the watch has an open call.
+  const FakeStore::Call& NextCall() {
+    while (store.Open("t") == nullptr) {
+      loop.RunOnce(std::chrono::milliseconds(5));
+    }
+    return *store.Open("t");
+  }
+
+  EventLoop loop;
+  FakeStore store;
+  std::vector<std::string> seen;
+  int completed = 0;
+  StoreWatch watch;
+};
+
+TEST_CASE("a table is read page by page, then followed from the first page") {
+  Fixture fixture;
+  fixture.store.Answer("t", {.result = StoreResult::kOk,
+                             .rows = {MakeRow("a", 1)},
+                             .version = 5,
+                             .has_more = true});
+  CHECK(fixture.NextCall().after == "a");
+  fixture.store.Answer(
+      "t",
+      {.result = StoreResult::kOk, .rows = {MakeRow("b", 7)}, .version = 7});
+  CHECK(fixture.completed == 1);
+  CHECK(fixture.NextCall().is_wait);
+  CHECK(fixture.NextCall().version == 5);
+}
+
+// Guards against rows that stay for ever because their end was not seen.
+TEST_CASE("rows that went while the history was lost are reported as gone") {
+  Fixture fixture;
+  fixture.store.Answer("t", {.result = StoreResult::kOk,
+                             .rows = {MakeRow("a", 1), MakeRow("b", 2)},
+                             .version = 5});
+  fixture.store.Answer("t", {.result = StoreResult::kHistoryGone});
+  CHECK_FALSE(fixture.NextCall().is_wait);
+  fixture.store.Answer(
+      "t",
+      {.result = StoreResult::kOk, .rows = {MakeRow("b", 2)}, .version = 9});
+  CHECK(fixture.seen == std::vector<std::string>{"+a", "+b", "+b", "-a"});
+  CHECK(fixture.NextCall().version == 9);
+}
+
+// Guards against a watch that ends with the first failure.
+TEST_CASE("a failed call is repeated, and the store's return is reported") {
+  Fixture fixture;
+  fixture.store.Answer("t", {.result = StoreResult::kUnavailable});
+  fixture.NextCall();
+  fixture.store.Answer("t", {.result = StoreResult::kUnavailable});
+  fixture.NextCall();
+  fixture.store.Answer("t", {.result = StoreResult::kOk, .version = 1});
+  CHECK(fixture.seen == std::vector<std::string>{"down", "up"});
+}
+
+// Guards against a retry budget that is handed out to gateways that are gone.
+TEST_CASE("gateways are counted while their rows change") {
+  EventLoop loop;
+  FakeStore store;
+  GatewayPeers peers(&loop, &store, "me", "d", [] { return 0; });
+  CHECK(peers.count() == 1);
+  for (uint64_t version = 1; version <= 3; ++version) {
+    peers.OnRows({.result = StoreResult::kOk,
+                  .rows = {MakeRow("me", version), MakeRow("other", version),
+                           MakeRow("gone", 1)},
+                  .version = version});
+    CHECK(peers.count() == 3);
+  }
+  peers.OnRows({.result = StoreResult::kUnavailable});
+  CHECK(peers.count() == 3);
+  peers.OnRows(
+      {.result = StoreResult::kOk,
+       .rows = {MakeRow("me", 4), MakeRow("other", 4), MakeRow("gone", 1)},
+       .version = 4});
+  CHECK(peers.count() == 2);
+}
+
+}  // namespace
+}  // namespace bramleybank
