--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -271,6 +271,8 @@
                    static_cast<double>(directory.size()));
   metrics.SetGauge("bramleybank_config_version",
                    config ? static_cast<double>(config->version()) : 0);
+  metrics.SetGauge("bramleybank_log_lines_dropped",
+                   static_cast<double>(DroppedLogLines()));
   metrics.SetGauge("bramleybank_open_requests",
                    static_cast<double>(exchanges.size()));
   metrics.SetGauge("bramleybank_caller_connections",
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -2,10 +2,13 @@
 #include "log_event.h"
 
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cassert>
 
+#include "log_output.h"
+
 namespace bramleybank {
 namespace {
 
@@ -68,6 +71,32 @@
      "A row of the store names no endpoint that can be used."},
 };
 
+/// Lines kept for a reader of standard output that does not keep up.
+constexpr size_t kMaxPendingLogBytes = 256 * 1024;
+
+/// Sends glog's lines to standard output without blocking on it.
+class StandardOutputSink : public google::LogSink {
+ public:
+  void send(google::LogSeverity severity,
+            const char* /*full_filename*/,
+            const char* base_filename,
+            int line,
+            const google::LogMessageTime& time,
+            const char* message,
+            size_t size) override {
+    m_output.Append(
+        ToString(severity, base_filename, line, time, message, size));
+  }
+
+  LogOutput& output() { return m_output; }
+
+ private:
+  LogOutput m_output{STDOUT_FILENO, kMaxPendingLogBytes};
+};
+
+/// Null before StartLogging(): glog then writes to standard error.
+StandardOutputSink* g_sink = nullptr;
+
 const LogEventInfo& InfoOf(LogEventId id) {
   const auto* info = std::ranges::find(kCatalogue, id, &LogEventInfo::id);
   assert(info != std::end(kCatalogue));
@@ -90,15 +119,21 @@
 }
 
 LogLine::~LogLine() {
+  const auto write = [this](google::LogSeverity severity) {
+    google::LogMessage(__FILE__, __LINE__, severity, g_sink,
+                       /*also_send_to_log=*/g_sink == nullptr)
+            .stream()
+        << m_text.str();
+  };
   switch (m_info.severity) {
     case kInfo:
-      LOG(INFO) << m_text.str();
+      write(google::GLOG_INFO);
       break;
     case kWarning:
-      LOG(WARNING) << m_text.str();
+      write(google::GLOG_WARNING);
       break;
     case kError:
-      LOG(ERROR) << m_text.str();
+      write(google::GLOG_ERROR);
       break;
   }
 }
@@ -128,6 +163,18 @@
 void StartLogging(const char* program) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(program);
+  static StandardOutputSink sink;
+  g_sink = &sink;
+}
+
+uint64_t DroppedLogLines() {
+  return g_sink == nullptr ? 0 : g_sink->output().dropped();
+}
+
+void FlushLog() {
+  if (g_sink != nullptr) {
+    g_sink->output().Flush();
+  }
 }
 
 }  // namespace bramleybank
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -3,6 +3,7 @@
 #ifndef BRAMLEYBANK_SRC_LOG_EVENT_H_
 #define BRAMLEYBANK_SRC_LOG_EVENT_H_
 
+#include <cstdint>
 #include <span>
 #include <sstream>
 #include <string>
@@ -76,9 +77,15 @@
   std::ostringstream m_text;
 };
 
-/// Sends glog's output to standard error. Call once at program start.
+/// Sends the lines to standard output, bounded and without blocking. Call once
+/// at program start.
 void StartLogging(const char* program);
 
+/// @returns lines dropped because nobody read them in time.
+uint64_t DroppedLogLines();
+/// Writes lines that are still kept, as far as the reader takes them.
+void FlushLog();
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_SRC_LOG_EVENT_H_
--- /dev/null
+++ b/src/log_output.cc
@@ -0,0 +1,46 @@
+// Output in blocks that a ready pipe takes without blocking.
+#include "log_output.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <climits>
+
+namespace bramleybank {
+
+LogOutput::LogOutput(int fd, size_t max_pending)
+    : m_fd(fd), m_max_pending(max_pending) {}
+
+void LogOutput::Append(std::string_view line) {
+  Flush();
+  if (m_pending.size() + line.size() > m_max_pending) {
+    ++m_dropped;
+    ++m_untold;
+    return;
+  }
+  if (m_untold > 0) {
+    m_pending += "log_lines_dropped=" + std::to_string(m_untold) + "\n";
+    m_untold = 0;
+  }
+  m_pending.append(line).append("\n");
+  Flush();
+}
+
+void LogOutput::Flush() {
+  while (!m_pending.empty()) {
+    pollfd ready{.fd = m_fd, .events = POLLOUT, .revents = 0};
+    if (poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0) {
+      return;
+    }
+    // A pipe that is ready takes this many bytes at least.
+    const size_t block = std::min<size_t>(m_pending.size(), PIPE_BUF);
+    const ssize_t count = write(m_fd, m_pending.data(), block);
+    if (count <= 0) {
+      return;
+    }
+    m_pending.erase(0, static_cast<size_t>(count));
+  }
+}
+
+}  // namespace bramleybank
