Replace the copy of a stream's memory when its holder is lost

Ruled out: refusals of the copy; those were few. Engines now copy the memory by order to another failure domain when the holder is lost, and again every 3 s while the stream runs.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -205,6 +205,11 @@
 inline constexpr std::chrono::milliseconds kFirstEventTimeout{4500};
 /// An engine sends the first part of a copy this long after the first event.
 inline constexpr std::chrono::milliseconds kMinBackupAge{250};
+/// Copies of a run's memory by order. Engines keep one for 4 s after its last
+/// part; a renewed one takes only what is new.
+inline constexpr std::chrono::milliseconds kCopyOrderInterval{3000};
+inline constexpr int kMaxCopyOrders = 8;
+inline constexpr std::chrono::milliseconds kCopyReleaseTime{1000};
 /// Sends of a request beyond its route's limit on runs, while none has run.
 inline constexpr int kMaxExtraSends = 3;
 /// Streams that reach a stopping daemon come back at once: they go elsewhere.
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -326,6 +326,9 @@
       it->second->OnSilence();
     }
   }
+  for (const auto& [number, exchange] : exchanges) {
+    exchange->MaintainBackup();
+  }
   ArmSilenceCheck();
 }
 
--- a/src/gateway_codec.h
+++ b/src/gateway_codec.h
@@ -3,6 +3,7 @@
 #define BRAMLEYBANK_SRC_GATEWAY_CODEC_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "gateway_request.h"
@@ -23,6 +24,16 @@
   std::function<AnswerStatement(const Http1Head& head,
                                 const std::string& request_id)>
       decode_answer;
+  /// @returns a whole request that orders an engine to copy the memory of a
+  /// run to the engine at `to`, while the run goes on.
+  std::function<std::string(const std::string& request_id,
+                            const std::string& to)>
+      encode_copy_order;
+  /// @returns nothing when the body does not name a copy.
+  std::function<std::optional<CopyOrderAnswer>(const std::string& body)>
+      decode_copy_answer;
+  /// @returns a whole request that frees a copy made by order.
+  std::function<std::string(const std::string& handle)> encode_copy_release;
 };
 
 }  // namespace bramleybank
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -51,6 +51,11 @@
       m_statement(environment->codec->decode_request(m_request.headers)),
       m_on_over(std::move(on_over)),
       m_config(environment->config()),
+      m_backup(environment->loop,
+               environment->codec,
+               environment->directory,
+               environment->picker,
+               m_statement.request_id),
       m_last_event_id(m_statement.last_event_id) {}
 
 GatewayExchange::~GatewayExchange() {
@@ -140,28 +145,11 @@
   m_timer = m_environment->loop->Schedule(TimeLeft(), [this] { OnTimeout(); });
 }
 
-const EndpointRecord* GatewayExchange::BackupToRestore() const {
-  // An engine copies a run's memory from the first event on.
-  if (!m_backup || !m_first_event_of_attempt ||
-      m_environment->loop->Now() - *m_first_event_of_attempt < kMinBackupAge) {
-    return nullptr;
-  }
-  const EndpointDirectory& directory = *m_environment->directory;
-  const EndpointRecord* record = directory.Find(m_backup->id);
-  if (record == nullptr || !directory.IsUsable(*record) ||
-      directory.IsSuspect(*record) ||
-      record->entry.address != m_backup->address) {
-    return nullptr;
-  }
-  return record;
-}
-
 void GatewayExchange::TryEndpoint() {
-  if (const EndpointRecord* backup = BackupToRestore()) {
-    StartAttempt(*backup, /*restores=*/true);
+  if (const EndpointRecord* holder = m_backup.Usable()) {
+    StartAttempt(*holder, /*restores=*/true);
     return;
   }
-  DropBackup();
   const EndpointRecord* endpoint =
       m_environment->picker->PickForAttempt({.service = m_service,
                                              .avoid = &m_tried,
@@ -178,7 +166,6 @@
                                    bool restores) {
   m_endpoint = endpoint.entry;
   m_attempt_start = m_environment->loop->Now();
-  m_first_event_of_attempt.reset();
   m_head = {};
   m_answer = {};
   m_body.clear();
@@ -193,7 +180,7 @@
         .Field("endpoint", m_endpoint.id)
         .Field("open_here", endpoint.open_attempts)
         .Field("restores", restores ? 1 : 0)
-        .Field("backup", m_backup ? m_backup->id : "")
+        .Field("backup", m_backup.holder_id())
         .Field("after_event",
                static_cast<long long>(m_last_event_id.value_or(0)));
     m_environment->silence->Add(m_number,
@@ -211,25 +198,15 @@
           .on_end = [this](AttemptEnd end) { OnAttemptEnd(end); }});
 }
 
-void GatewayExchange::ChooseBackup(const EndpointRecord& endpoint) {
-  DropBackup();
+bool GatewayExchange::HasBackup() const {
   const GatewayService* service = m_config->FindService(m_service);
-  if (service == nullptr || !service->engine || !service->engine->backups ||
-      !m_route->resumable) {
-    return;
-  }
-  const EndpointRecord* backup = m_environment->picker->PickForBackup(endpoint);
-  if (backup == nullptr) {
-    return;
-  }
-  m_backup = backup->entry;
-  m_environment->directory->OnBackupOpened(m_backup->id);
+  return service != nullptr && service->engine && service->engine->backups &&
+         m_route->resumable;
 }
 
-void GatewayExchange::DropBackup() {
-  if (m_backup) {
-    m_environment->directory->OnBackupClosed(m_backup->id);
-    m_backup.reset();
+void GatewayExchange::MaintainBackup() {
+  if (m_attempt && HasBackup()) {
+    m_backup.Maintain();
   }
 }
 
@@ -241,14 +218,12 @@
                            .customer = m_customer,
                            .last_event_id = m_last_event_id,
                            .backup_address = {},
-                           .restore_address = {},
-                           .request_id = m_statement.request_id};
+                           .restore = std::nullopt};
   if (restores) {
-    attempt.restore_address = m_backup->address;
+    attempt.restore = m_backup.Name();
   }
-  if (is_stream()) {
-    ChooseBackup(endpoint);
-    attempt.backup_address = m_backup ? m_backup->address : "";
+  if (is_stream() && HasBackup()) {
+    attempt.backup_address = m_backup.Open(endpoint);
   }
   return attempt;
 }
@@ -337,9 +312,7 @@
 
 void GatewayExchange::MeasureEvent() {
   const TimePoint now = m_environment->loop->Now();
-  if (!m_first_event_of_attempt) {
-    m_first_event_of_attempt = now;
-  }
+  m_backup.OnFirstEvent();
   if (m_events_passed++ == 0) {
     m_first_event_wait = now - m_request.received_at;
     m_environment->metrics->Observe("bramleybank_first_event_seconds",
@@ -546,7 +519,7 @@
     return;
   }
   m_is_over = true;
-  DropBackup();
+  m_backup.Close();
   m_environment->loop->Cancel(m_timer);
   m_timer = TimerHandle();
   m_caller->SetGoneHandler(nullptr);
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -20,6 +20,7 @@
 #include "hooks.h"
 #include "http1_parser.h"
 #include "limit_retry_budget.h"
+#include "stream_backup.h"
 
 namespace bramleybank {
 
@@ -63,6 +64,9 @@
   void Start();
   /// The running attempt has fallen silent.
   void OnSilence();
+  /// Keeps the copy of a running stream's memory alive. Called at a regular
+  /// interval.
+  void MaintainBackup();
 
  private:
   bool FindRoute();
@@ -75,9 +79,7 @@
   AttemptStatement DescribeAttempt(const EndpointRecord& endpoint,
                                    bool restores);
   std::string RenderRequest(const EndpointRecord& endpoint, bool restores);
-  void ChooseBackup(const EndpointRecord& endpoint);
-  void DropBackup();
-  const EndpointRecord* BackupToRestore() const;
+  bool HasBackup() const;
 
   void OnHead(const Http1Head& head);
   void OnBody(std::string_view data);
@@ -121,7 +123,6 @@
   std::unique_ptr<GatewayAttempt> m_attempt;
   EndpointEntry m_endpoint;
   TimePoint m_attempt_start;
-  std::optional<TimePoint> m_first_event_of_attempt;
   Http1Head m_head;
   AnswerStatement m_answer;
   std::string m_body;
@@ -132,8 +133,7 @@
   // Endpoints that may have run the request.
   int m_runs = 0;
   int m_sends = 0;
-  // Engine that gets a copy of the running attempt's memory.
-  std::optional<EndpointEntry> m_backup;
+  StreamBackup m_backup;
 
   // Streams: the last event that the caller has, and whether any was sent.
   std::optional<uint64_t> m_last_event_id;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -47,6 +47,25 @@
                          const CallerStatement&) = default;
 };
 
+/// Names a copy of a run's memory for the engine that holds it.
+struct CopyName {
+  /// ip:port of the engine that the name is valid at.
+  std::string address;
+  std::string handle;
+
+  friend bool operator==(const CopyName&, const CopyName&) = default;
+};
+
+/// Answer of an engine that has copied a run's memory by order.
+struct CopyOrderAnswer {
+  std::string handle;
+  /// Events that the run had made by then.
+  int64_t events = 0;
+
+  friend bool operator==(const CopyOrderAnswer&,
+                         const CopyOrderAnswer&) = default;
+};
+
 /// What the gateway tells an endpoint about an attempt.
 struct AttemptStatement {
   /// Id of the endpoint that must answer; another one refuses.
@@ -58,9 +77,8 @@
   std::optional<uint64_t> last_event_id;
   /// Address of the engine that gets a copy of the run's memory.
   std::string backup_address;
-  /// Address of the engine that holds such a copy, to go on from it.
-  std::string restore_address;
-  std::string request_id;
+  /// The copy from which the endpoint goes on.
+  std::optional<CopyName> restore;
 
   friend bool operator==(const AttemptStatement&,
                          const AttemptStatement&) = default;
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -40,6 +40,8 @@
      "Tokens are passed on without a copy in another daemon."},
     {kStreamReattached, "stream_reattached", kInfo,
      "A caller came back with Last-Event-ID and its stream goes on."},
+    {kBackupReplaced, "backup_replaced", kInfo,
+     "An engine was ordered to copy a run's memory, since the copy was lost."},
     {kCallGivenUp, "call_given_up", kInfo,
      "A non-idempotent call was given up before it was sent."},
     {kCallOutcomeUnknown, "call_outcome_unknown", kWarning,
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -29,6 +29,7 @@
   kStreamCallerGone = 306,
   kStreamUnprotected = 307,
   kStreamReattached = 308,
+  kBackupReplaced = 309,
   kCallGivenUp = 401,
   kCallOutcomeUnknown = 402,
   kCallRecordAbandoned = 403,
--- /dev/null
+++ b/src/stream_backup.cc
@@ -0,0 +1,183 @@
+// Orders to copy the memory of a run, and their answers.
+#include "stream_backup.h"
+
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "endpoint_directory.h"
+#include "endpoint_picker.h"
+#include "event_loop.h"
+#include "gateway_codec.h"
+#include "log_event.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr int kStatusOk = 200;
+
+}  // namespace
+
+StreamBackup::StreamBackup(EventLoop* loop,
+                           const GatewayCodec* codec,
+                           EndpointDirectory* directory,
+                           const EndpointPicker* picker,
+                           std::string request_id)
+    : m_loop(loop),
+      m_codec(codec),
+      m_directory(directory),
+      m_picker(picker),
+      m_request_id(std::move(request_id)) {}
+
+StreamBackup::~StreamBackup() {
+  Close();
+}
+
+std::string StreamBackup::Open(const EndpointRecord& primary) {
+  // A copy from which this attempt goes on is used up by it.
+  m_copy.reset();
+  Close();
+  m_primary = primary.entry;
+  const EndpointRecord* holder = m_picker->PickForBackup(primary);
+  if (holder == nullptr) {
+    return "";
+  }
+  m_holder = holder->entry;
+  m_directory->OnBackupOpened(m_holder->id);
+  return m_holder->address;
+}
+
+void StreamBackup::OnFirstEvent() {
+  if (!m_first_event) {
+    m_first_event = m_loop->Now();
+  }
+}
+
+const EndpointRecord* StreamBackup::Usable() const {
+  const bool is_made_by_order = m_copy.has_value();
+  const bool is_sent_by_engine =
+      m_orders == 0 && m_first_event &&
+      m_loop->Now() - *m_first_event >= kMinBackupAge;
+  if (!m_holder || (!is_made_by_order && !is_sent_by_engine)) {
+    return nullptr;
+  }
+  const EndpointRecord* record = m_directory->Find(m_holder->id);
+  if (record == nullptr || !m_directory->IsUsable(*record) ||
+      m_directory->IsSuspect(*record) ||
+      record->entry.address != m_holder->address) {
+    return nullptr;
+  }
+  return record;
+}
+
+CopyName StreamBackup::Name() const {
+  if (m_copy) {
+    return {.address = m_primary->address, .handle = m_copy->handle};
+  }
+  return {.address = m_holder->address, .handle = m_request_id};
+}
+
+void StreamBackup::Maintain() {
+  if (!m_first_event || m_order || m_orders >= kMaxCopyOrders ||
+      m_loop->Now() - m_order_start < kCopyOrderInterval) {
+    return;
+  }
+  const EndpointRecord* primary = m_directory->Find(m_primary->id);
+  if (primary == nullptr || m_directory->IsSuspect(*primary)) {
+    return;
+  }
+  const EndpointRecord* holder =
+      m_holder ? m_directory->Find(m_holder->id) : nullptr;
+  const bool is_lost = holder == nullptr || !m_directory->IsUsable(*holder) ||
+                       m_directory->IsSuspect(*holder);
+  if (!is_lost && !m_copy) {
+    return;
+  }
+  if (is_lost) {
+    ReleaseHolder();
+    m_copy.reset();
+    holder = m_picker->PickForBackup(*primary);
+    if (holder == nullptr) {
+      return;
+    }
+    m_holder = holder->entry;
+    m_directory->OnBackupOpened(m_holder->id);
+  }
+  StartCopy();
+}
+
+void StreamBackup::StartCopy() {
+  ++m_orders;
+  m_order_start = m_loop->Now();
+  m_answer_body.clear();
+  SendOrder(
+      m_primary->address,
+      m_codec->encode_copy_order(m_request_id, m_holder->address),
+      {.on_head = [](const Http1Head&) {},
+       .on_body = [this](std::string_view data) { m_answer_body.append(data); },
+       .on_end = [this](AttemptEnd end) { OnCopyEnd(end); }});
+}
+
+void StreamBackup::OnCopyEnd(AttemptEnd end) {
+  StopOrder();
+  if (end == AttemptEnd::kWhole) {
+    m_copy = m_codec->decode_copy_answer(m_answer_body);
+  }
+  LogLine(LogEventId::kBackupReplaced)
+      .Field("id", m_request_id)
+      .Field("engine", m_primary->id)
+      .Field("holder", m_holder->id)
+      .Field("copied", m_copy ? 1 : 0)
+      .Field("events", m_copy ? m_copy->events : 0);
+}
+
+void StreamBackup::SendOrder(const std::string& address,
+                             std::string message,
+                             AttemptCallbacks callbacks) {
+  m_order = std::make_unique<GatewayAttempt>(
+      m_loop, address, std::move(message),
+      /*is_head_request=*/false, std::move(callbacks));
+}
+
+void StreamBackup::StopOrder() {
+  if (!m_order) {
+    return;
+  }
+  m_order->Cancel();
+  // The order may be inside its own callback, so it is freed later.
+  m_loop->Post(
+      [order = std::shared_ptr<GatewayAttempt>(std::move(m_order))] {});
+}
+
+void StreamBackup::ReleaseHolder() {
+  if (m_holder) {
+    m_directory->OnBackupClosed(m_holder->id);
+    m_holder.reset();
+  }
+}
+
+void StreamBackup::FreeHandle() {
+  if (!m_copy) {
+    return;
+  }
+  // Nobody waits for the answer; the copy also ends by itself.
+  auto order = std::make_shared<std::unique_ptr<GatewayAttempt>>();
+  *order = std::make_unique<GatewayAttempt>(
+      m_loop, m_primary->address, m_codec->encode_copy_release(m_copy->handle),
+      /*is_head_request=*/false,
+      AttemptCallbacks{.on_head = [](const Http1Head&) {},
+                       .on_body = [](std::string_view) {},
+                       .on_end = [](AttemptEnd) {}});
+  m_loop->Schedule(kCopyReleaseTime, [order] { order->reset(); });
+  m_copy.reset();
+}
+
+void StreamBackup::Close() {
+  StopOrder();
+  FreeHandle();
+  ReleaseHolder();
+  m_first_event.reset();
+  m_orders = 0;
+  m_order_start = TimePoint();
+}
+
+}  // namespace bramleybank
--- a/tests/unit_platform_adapter.cc
+++ b/tests/unit_platform_adapter.cc
@@ -126,8 +126,7 @@
                 .customer = "t",
                 .last_event_id = 12,
                 .backup_address = "10.0.0.2:80",
-                .restore_address = "10.0.0.3:80",
-                .request_id = "r"});
+                .restore = CopyName{.address = "10.0.0.3:80", .handle = "r"}});
   CHECK(encoded == HttpHeaders{{"Host", "h"},
                                {"Model", "m"},
                                {"Deadline-Ms", "1500"},
--- /dev/null
+++ b/tests/unit_stream_backup.cc
@@ -0,0 +1,117 @@
+// Copies of the memory of running streams, and what happens when one is lost.
+#include "stream_backup.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "bramleybank/limits.h"
+#include "endpoint_directory.h"
+#include "endpoint_picker.h"
+#include "event_loop.h"
+#include "gateway_codec.h"
+#include "gateway_fakes.h"
+#include "request_headers.h"
+
+namespace bramleybank {
+namespace {
+
+const std::string kCopied =
+    "HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n"
+    R"({"handle":"h7","created":12})";
+
+struct Fixture {
+  Fixture() {
+    Add("p", "a", engine.address());
+    Add("b1", "b", "127.0.0.1:1");
+    Add("c1", "c", "127.0.0.1:2");
+    Add("a1", "a", "127.0.0.1:3");
+  }
+
+  void Add(const std::string& id,
+           const std::string& domain,
+           const std::string& address) {
+    EndpointEntry entry;
+    entry.id = id;
+    entry.service = "writers";
+    entry.failure_domain = domain;
+    entry.address = address;
+    directory.Update(entry);
+  }
+
+  /// Lets the first event come long enough ago for the copy to have begun.
+  void Begin() {
+    CHECK_FALSE(backup.Open(*directory.Find("p")).empty());
+    backup.OnFirstEvent();
+    Wait([&] { return backup.Usable() != nullptr; });
+  }
+
+  void Wait(const std::function<bool()>& done) {
+    while (!done()) {
+      loop.RunOnce(std::chrono::milliseconds(5));
+    }
+  }
+
+  EventLoop loop;
+  FakeEndpoint engine{&loop, {{.bytes = kCopied}}};
+  EndpointDirectory directory{&SteadyNow};
+  EndpointPicker picker{&directory, {}, [] { return 0; }};
+  GatewayCodec codec = platform::MakeGatewayCodec();
+  StreamBackup backup{&loop, &codec, &directory, &picker, "r1"};
+};
+
+// Guards against going on from a copy that the engine has not begun.
+TEST_CASE("a copy can be used a while after the first event") {
+  Fixture fixture;
+  fixture.backup.Open(*fixture.directory.Find("p"));
+  CHECK(fixture.backup.Usable() == nullptr);
+  fixture.backup.OnFirstEvent();
+  CHECK(fixture.backup.Usable() == nullptr);
+  fixture.Wait([&] { return fixture.backup.Usable() != nullptr; });
+  const EndpointRecord* holder = fixture.backup.Usable();
+  CHECK(holder->entry.failure_domain != "a");
+  CHECK(fixture.backup.Name() ==
+        CopyName{.address = holder->entry.address, .handle = "r1"});
+}
+
+// Guards against reading a prompt again because the engine that held the copy
+// had been lost some seconds before the engine that ran the stream.
+TEST_CASE("a copy that was lost is replaced by order") {
+  Fixture fixture;
+  fixture.Begin();
+  const std::string first = fixture.backup.holder_id();
+  fixture.backup.Maintain();
+  CHECK(fixture.engine.requests().empty());
+  fixture.directory.Remove(first);
+  fixture.directory.OnAttemptStarted(first);
+  fixture.directory.OnAttemptEnded(first, EndpointOutcome::kLost);
+  CHECK(fixture.backup.Usable() == nullptr);
+  fixture.backup.Maintain();
+  fixture.Wait([&] { return fixture.backup.Usable() != nullptr; });
+  CHECK(fixture.backup.holder_id() != first);
+  CHECK(fixture.backup.Name() ==
+        CopyName{.address = fixture.engine.address(), .handle = "h7"});
+  REQUIRE(fixture.engine.requests().size() == 1);
+  CHECK(fixture.engine.requests()[0].find(R"("id":"r1")") != std::string::npos);
+}
+
+// Guards against copies that fill the memory of engines after their stream.
+TEST_CASE("a copy made by order is freed when the stream is over") {
+  Fixture fixture;
+  fixture.Begin();
+  fixture.directory.OnAttemptStarted(fixture.backup.holder_id());
+  fixture.directory.OnAttemptEnded(fixture.backup.holder_id(),
+                                   EndpointOutcome::kLost);
+  fixture.backup.Maintain();
+  fixture.Wait([&] { return fixture.backup.Usable() != nullptr; });
+  fixture.backup.Close();
+  fixture.Wait([&] { return fixture.engine.requests().size() == 2; });
+  CHECK(fixture.engine.requests()[1].starts_with("DELETE /api/kv-handle/h7 "));
+  CHECK(fixture.directory.Find("b1")->open_backups == 0);
+  CHECK(fixture.directory.Find("c1")->open_backups == 0);
+}
+
+}  // namespace
+}  // namespace bramleybank
