Take over engines that restart while the store is away

A refusal names the new id. It is taken over when an engine's report answers at the address and all engines of the configuration are of one service. Ruled out: full engines; refusals were 421.

--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -52,6 +52,7 @@
   }
   it->second.entry = entry;
   it->second.gone_since.reset();
+  it->second.is_adopted = false;
   if (is_new) {
     SupersedeAddress(it->second);
   }
@@ -66,6 +67,18 @@
   }
 }
 
+void EndpointDirectory::Adopt(const EndpointEntry& entry) {
+  Update(entry);
+  FindMutable(entry.id)->is_adopted = true;
+}
+
+void EndpointDirectory::SetStoreLost(bool lost) {
+  if (m_store_lost && !lost) {
+    m_store_back = m_clock();
+  }
+  m_store_lost = lost;
+}
+
 void EndpointDirectory::Remove(std::string_view id) {
   EndpointRecord* record = FindMutable(id);
   if (record != nullptr && !record->gone_since) {
@@ -200,6 +213,10 @@
   if (record.is_misdirected || record.entry.state != EndpointState::kReady) {
     return false;
   }
+  if (record.is_adopted && !m_store_lost &&
+      m_clock() - m_store_back >= kLapsedEntryGrace) {
+    return false;
+  }
   return !record.gone_since ||
          m_clock() - *record.gone_since < kLapsedEntryGrace;
 }
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -45,6 +45,8 @@
   std::optional<TimePoint> gone_since;
   /// The address answered for another endpoint.
   bool is_misdirected = false;
+  /// Learnt from the endpoint itself while the store was away.
+  bool is_adopted = false;
   /// Part of the recent answers that were failures.
   double failure_share = 0;
 };
@@ -59,6 +61,13 @@
   /// The entry is gone from the store.
   void Remove(std::string_view id);
 
+  /// Takes over an endpoint that the store has not told of. It stands while the
+  /// store is away and for a short time after its return.
+  void Adopt(const EndpointEntry& entry);
+  /// Whether the entries may be out of date because the store does not answer.
+  void SetStoreLost(bool lost);
+  bool is_store_lost() const { return m_store_lost; }
+
   void OnAttemptStarted(std::string_view id);
   void OnAttemptEnded(std::string_view id, EndpointOutcome outcome);
   void OnBackupOpened(std::string_view id);
@@ -93,6 +102,8 @@
                                std::string_view domain);
 
   ClockHook m_clock;
+  bool m_store_lost = false;
+  TimePoint m_store_back;
   // Map nodes do not move, so m_by_service may point at them.
   std::map<std::string, EndpointRecord, std::less<>> m_records;
   std::map<std::string, std::vector<const EndpointRecord*>, std::less<>>
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "bramleybank/limits.h"
+#include "endpoint_adopter.h"
 #include "endpoint_directory.h"
 #include "endpoint_picker.h"
 #include "event_loop.h"
@@ -94,6 +95,7 @@
   GatewayPeers peers{loop, store, settings.name, settings.place.failure_domain,
                      random};
   std::shared_ptr<const GatewayConfig> config;
+  EndpointAdopter adopter{loop, &codec, &directory, [this] { return config; }};
   GatewayEnvironment environment;
   GatewayCallerHooks caller_hooks;
   TcpListener listener{loop};
@@ -122,6 +124,7 @@
       .budget = &budget,
       .silence = &silence,
       .metrics = &metrics,
+      .adopter = &adopter,
       .random = random,
       .config = [this] { return config; },
       .is_too_late = [this](bool is_stream) { return IsTooLate(is_stream); }};
@@ -159,7 +162,10 @@
             endpoints_known = endpoints_known || is_endpoints;
           },
       .on_reachable =
-          [table](bool reachable, const std::string& detail) {
+          [this, table](bool reachable, const std::string& detail) {
+            if (table == rows.endpoint_table) {
+              directory.SetStoreLost(!reachable);
+            }
             LogLine(reachable ? LogEventId::kPlatformReachable
                               : LogEventId::kPlatformUnreachable)
                 .Field("table", table)
--- a/src/gateway_codec.h
+++ b/src/gateway_codec.h
@@ -34,6 +34,11 @@
       decode_copy_answer;
   /// @returns a whole request that frees a copy made by order.
   std::function<std::string(const std::string& handle)> encode_copy_release;
+  /// @returns a whole request for the report of an engine.
+  std::function<std::string()> encode_report_request;
+  /// @returns whether the body is the report of an engine, which other
+  /// endpoints do not give.
+  std::function<bool(const std::string& body)> is_engine_report;
 };
 
 }  // namespace bramleybank
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "bramleybank/limits.h"
+#include "endpoint_adopter.h"
 #include "endpoint_picker.h"
 #include "event_loop.h"
 #include "gateway_caller.h"
@@ -344,6 +345,9 @@
                 "the answer belongs to another request");
     return;
   }
+  if (m_answer.misdirected) {
+    m_environment->adopter->OnMisdirected(m_endpoint, m_answer.endpoint_id);
+  }
   if (m_answer.not_run || m_answer.misdirected) {
     LoseAttempt(m_answer.misdirected ? EndpointOutcome::kMisdirected
                                      : EndpointOutcome::kRefused,
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -24,6 +24,7 @@
 
 namespace bramleybank {
 
+class EndpointAdopter;
 class EndpointPicker;
 class EventLoop;
 class GatewayCaller;
@@ -42,6 +43,7 @@
   RetryBudget* budget = nullptr;
   StreamSilenceMonitor* silence = nullptr;
   MetricRegistry* metrics = nullptr;
+  EndpointAdopter* adopter = nullptr;
   RandomHook random;
   /// Configuration in force; null before the first one.
   std::function<std::shared_ptr<const GatewayConfig>()> config;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -94,6 +94,8 @@
   bool is_marked = false;
   /// The answer names another request.
   bool is_foreign = false;
+  /// Id of the endpoint that answered; empty when it does not tell.
+  std::string endpoint_id;
 
   friend bool operator==(const AnswerStatement&,
                          const AnswerStatement&) = default;
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -71,6 +71,8 @@
      "All streams in a failure domain have fallen silent."},
     {kEntryUnreadable, "entry_unreadable", kWarning,
      "A row of the store names no endpoint that can be used."},
+    {kEndpointAdopted, "endpoint_adopted", kInfo,
+     "An engine that restarted while the store is away was probed."},
 };
 
 /// Lines kept for a reader of standard output that does not keep up.
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -45,6 +45,7 @@
   kEndpointGone = 702,
   kDomainSilent = 703,
   kEntryUnreadable = 704,
+  kEndpointAdopted = 705,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -34,6 +34,12 @@
 "services":[{"name":"app","health_path":"/health","max_conns":9}],
 "tenants":[{"name":"family","api_keys":["good"]}]})";
 
+constexpr char kEngineConfig[] = R"({"version":3,"routes":[
+{"name":"write","host":"h.example","prefix":"/write/","kind":"streaming",
+ "timeout_ms":5000,"service":"app","max_attempts":5,"resumable":true}],
+"services":[{"name":"app","engine":{"slots":4,"backups":true}}],
+"tenants":[{"name":"family","api_keys":["good"]}]})";
+
 const std::string kMarks = "Request-Id: r1\r\nResponse-Seal: s\r\n";
 const std::string kWhole =
     "HTTP/1.1 200 OK\r\n" + kMarks + "Content-Length: 4\r\n\r\ndone";
@@ -60,7 +66,7 @@
 class Fixture {
  public:
   explicit Fixture(std::vector<std::vector<FakeEndpoint::Step>> scripts,
-                   bool has_config = true)
+                   const std::string& config = kConfig)
       : m_gateway(&m_loop,
                   MakeSettings(),
                   &store,
@@ -78,9 +84,9 @@
                     "\"}",
            .version = i + 1});
     }
-    if (has_config) {
+    if (!config.empty()) {
       store.Answer("op", {.result = StoreResult::kOk,
-                          .rows = {{.key = "config", .value = kConfig}},
+                          .rows = {{.key = "config", .value = config}},
                           .version = 9});
     }
     store.Answer(
@@ -273,12 +279,38 @@
 
 // Guards against 404 and 401 from a gateway that knows no configuration yet.
 TEST_CASE("a gateway without a configuration answers that it is not ready") {
-  Fixture fixture({}, /*has_config=*/false);
+  Fixture fixture({}, /*config=*/"");
   fixture.Send("GET /read/x");
   fixture.WaitForAnswer("not_ready");
   CHECK(fixture.answer.starts_with("HTTP/1.1 503"));
 }
 
+// Guards against engines that are lost until the end of an outage of the store
+// because they restarted in it.
+TEST_CASE("an engine that restarted while the store is away is taken over") {
+  const std::string report =
+      R"({"stage":"both","models":[],"kv_total":1,"busy":false})";
+  Fixture fixture(
+      {{{.bytes = "HTTP/1.1 421 Other\r\nInstance-Id: e9\r\n"
+                  "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+        {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                  std::to_string(report.size()) + "\r\n\r\n" + report},
+        {.bytes = kWhole}}},
+      kEngineConfig);
+  fixture.store.Answer("servers", {.result = StoreResult::kUnavailable});
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("overloaded");
+  fixture.WaitFor([&] { return fixture.endpoints[0]->requests().size() == 2; });
+  // The report may still be on its way, so the caller comes back until it is.
+  while (fixture.endpoints[0]->requests().size() < 3) {
+    fixture.answer.clear();
+    fixture.Send("POST /write/x");
+    fixture.WaitForAnswer("HTTP/1.1 ");
+  }
+  CHECK(fixture.endpoints[0]->requests()[2].find("Expect-Instance: e9\r\n") !=
+        std::string::npos);
+}
+
 // Guards against a configuration that reverts when an old row is read again.
 TEST_CASE("an older configuration does not replace a newer one") {
   Fixture fixture({{{.bytes = kWhole}}});
