Let idempotent calls leave an endpoint that does not answer in time

Cause: lookups waited out their time at servers that hang (grey-and-full, hang and mute). They now move when the route's latency target has passed. Weighed and left out: taking every endpoint that times out for lost; operators' routes with short time-outs reach them by design.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -61,6 +61,7 @@
 
 GatewayExchange::~GatewayExchange() {
   m_environment->loop->Cancel(m_timer);
+  m_environment->loop->Cancel(m_attempt_timer);
 }
 
 bool GatewayExchange::is_stream() const {
@@ -197,6 +198,7 @@
           .on_head = [this](const Http1Head& head) { OnHead(head); },
           .on_body = [this](std::string_view data) { OnBody(data); },
           .on_end = [this](AttemptEnd end) { OnAttemptEnd(end); }});
+  ArmAttemptTimer();
 }
 
 bool GatewayExchange::HasBackup() const {
@@ -456,6 +458,26 @@
   }
 }
 
+void GatewayExchange::ArmAttemptTimer() {
+  m_environment->loop->Cancel(m_attempt_timer);
+  m_attempt_timer = TimerHandle();
+  const Duration target = m_route->latency_target;
+  if (m_route->kind != RequestKind::kIdempotent || target <= Duration{0} ||
+      m_runs + 1 >= m_route->max_attempts) {
+    return;
+  }
+  m_attempt_timer =
+      m_environment->loop->Schedule(target, [this] { OnAttemptSlow(); });
+}
+
+void GatewayExchange::OnAttemptSlow() {
+  m_attempt_timer = TimerHandle();
+  const bool is_silent = m_attempt && m_head.status == 0;
+  if (is_silent && TimeLeft() > m_route->latency_target) {
+    LoseAttempt(EndpointOutcome::kLost, RetryReason::kStalled, "no answer");
+  }
+}
+
 void GatewayExchange::OnTimeout() {
   m_timer = TimerHandle();
   const bool may_have_run = m_runs > 0 || (m_attempt && m_attempt->was_sent());
@@ -526,6 +548,8 @@
   m_backup.Close();
   m_environment->loop->Cancel(m_timer);
   m_timer = TimerHandle();
+  m_environment->loop->Cancel(m_attempt_timer);
+  m_attempt_timer = TimerHandle();
   m_caller->SetGoneHandler(nullptr);
   if (m_sends > 0) {
     LogLine(LogEventId::kRequestEnded)
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -100,6 +100,8 @@
   bool MayTryAgain(RetryReason reason);
 
   void OnTimeout();
+  void ArmAttemptTimer();
+  void OnAttemptSlow();
   void OnCallerGone();
   void GiveUp(ResultCode code);
   void Refuse(ResultCode code, Duration retry_after);
@@ -120,6 +122,8 @@
   std::string m_customer;
   TimePoint m_deadline;
   TimerHandle m_timer;
+  // Moves an idempotent call away from an endpoint that does not answer.
+  TimerHandle m_attempt_timer;
 
   // The running attempt; m_endpoint describes it.
   std::unique_ptr<GatewayAttempt> m_attempt;
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -28,7 +28,8 @@
 {"name":"book","host":"h.example","prefix":"/book/","kind":"unsafe",
  "timeout_ms":2000,"service":"app","max_attempts":1},
 {"name":"read","host":"h.example","prefix":"/read/","kind":"safe",
- "timeout_ms":2000,"service":"app","max_attempts":2},
+ "timeout_ms":2000,"target_latency_ms":100,"service":"app",
+ "max_attempts":2},
 {"name":"write","host":"h.example","prefix":"/write/","kind":"streaming",
  "timeout_ms":5000,"service":"app","max_attempts":5,"resumable":true}],
 "services":[{"name":"app","health_path":"/health","max_conns":9}],
@@ -211,6 +212,15 @@
   CHECK(fixture.endpoints[1]->requests().size() == 1);
 }
 
+// Guards against lookups that wait for a server that has hung up inside.
+TEST_CASE("an idempotent request leaves an endpoint that does not answer") {
+  Fixture fixture({{{.bytes = "", .closes = false}}, {{.bytes = kWhole}}});
+  fixture.Send("GET /read/x");
+  fixture.WaitForAnswer("done");
+  CHECK(fixture.endpoints[1]->requests().size() == 1);
+  fixture.WaitFor([&] { return fixture.endpoints[0]->closed_by_peer() == 1; });
+}
+
 // Guards against bytes of a faulty endpoint that callers take for an answer.
 TEST_CASE("a success without the endpoint's mark is not passed on") {
   Fixture fixture(
