--- a/src/tcp_connection.cc
+++ b/src/tcp_connection.cc
@@ -24,9 +24,22 @@
 // Sent bytes are removed from the front of the output in blocks of this size.
 constexpr size_t kCompactBytes = 64 * 1024;
 
-void SetNoDelay(int fd) {
-  const int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+// Probes on a quiet connection find a peer that has vanished, or that has
+// restarted and no longer knows the connection.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+void SetOption(int fd, int level, int option, int value) {
+  setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+void SetOptions(int fd) {
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
 }  // namespace
@@ -39,7 +52,7 @@
                                                     TcpCallbacks callbacks) {
   std::shared_ptr<TcpConnection> self(
       new TcpConnection(loop, fd, std::move(callbacks)));
-  SetNoDelay(fd);
+  SetOptions(fd);
   self->UpdateWatch();
   return self;
 }
@@ -58,7 +71,7 @@
     self->EndSoon(TcpEnd::kNotConnected);
     return self;
   }
-  SetNoDelay(fd);
+  SetOptions(fd);
   const auto* raw = reinterpret_cast<const sockaddr*>(&*target);
   if (connect(fd, raw, sizeof(*target)) != 0 && errno != EINPROGRESS) {
     self->EndSoon(TcpEnd::kNotConnected);
