--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -78,7 +78,7 @@
   void ContinueDrain();
 
   EventLoop* loop;
-  const GatewaySettings settings;
+  GatewaySettings settings;
   MetadataStore* store;
   const GatewayCodec codec;
   const GatewayRows rows;
@@ -385,6 +385,12 @@
   return true;
 }
 
+void Gateway::Reload(const GatewaySettings& settings) {
+  m_impl->settings.stop_grace = settings.stop_grace;
+  m_impl->settings.retry_extra = settings.retry_extra;
+  m_impl->OnPeersChanged();
+}
+
 void Gateway::Drain() {
   if (m_impl->drain) {
     return;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -35,6 +35,10 @@
   /// @returns the port for callers, once Start() has succeeded.
   uint16_t caller_port() const;
 
+  /// Takes over settings that may change while the process runs: the time of a
+  /// planned stop and the retry budget.
+  void Reload(const GatewaySettings& settings);
+
   /// Starts a planned stop; the event loop stops when nothing is open.
   void Drain();
 
--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -51,31 +51,36 @@
   return !reader.String("listen", "caller", "").empty();
 }
 
-GatewaySettings ReadGatewaySettings(const std::string& file,
-                                    std::vector<SettingError>* errors) {
-  IniReader reader(file);
+GatewaySettings ReadGatewaySettings(IniReader* reader) {
   GatewaySettings settings;
-  settings.name = reader.RequiredString("node", "name");
+  settings.name = reader->RequiredString("node", "name");
   settings.place = {
-      .failure_domain = reader.RequiredString("node", "failure_domain"),
-      .region = reader.RequiredString("node", "region"),
-      .regions = ReadRegions(&reader)};
-  settings.caller_address = ReadAddress(&reader, "caller");
-  settings.ready_address = ReadAddress(&reader, "ready");
-  settings.metrics_address = ReadAddress(&reader, "metrics");
-  const std::string store = reader.RequiredString("platform", "store");
+      .failure_domain = reader->RequiredString("node", "failure_domain"),
+      .region = reader->RequiredString("node", "region"),
+      .regions = ReadRegions(reader)};
+  settings.caller_address = ReadAddress(reader, "caller");
+  settings.ready_address = ReadAddress(reader, "ready");
+  settings.metrics_address = ReadAddress(reader, "metrics");
+  const std::string store = reader->RequiredString("platform", "store");
   if (!store.empty() && !ParseTcpAddress(store)) {
-    reader.AddError("platform", "store", "ip:port");
+    reader->AddError("platform", "store", "ip:port");
   }
   settings.store_url = "http://" + store;
   const double grace =
-      reader.Double("drain", "stop_grace_s", kDefaultStopGraceSeconds, 1,
-                    kMaxStopGraceSeconds);
+      reader->Double("drain", "stop_grace_s", kDefaultStopGraceSeconds, 1,
+                     kMaxStopGraceSeconds);
   settings.stop_grace = Duration(std::llround(grace * kMicrosecondsPerSecond));
   settings.retry_share =
-      reader.Double("retries", "share", kDefaultRetryShare, 0, 1);
+      reader->Double("retries", "share", kDefaultRetryShare, 0, 1);
   settings.retry_extra =
-      reader.Double("retries", "extra", kDefaultRetryExtra, 0, kMaxRetryExtra);
+      reader->Double("retries", "extra", kDefaultRetryExtra, 0, kMaxRetryExtra);
+  return settings;
+}
+
+GatewaySettings ReadGatewaySettings(const std::string& file,
+                                    std::vector<SettingError>* errors) {
+  IniReader reader(file);
+  GatewaySettings settings = ReadGatewaySettings(&reader);
   *errors = reader.Finish();
   return settings;
 }
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -39,6 +39,9 @@
 /// @returns whether the file has the settings of a gateway.
 bool IsGatewayFile(const std::string& file);
 
+/// Reads all settings; faults are kept by the reader.
+GatewaySettings ReadGatewaySettings(IniReader* reader);
+
 /// @param errors gets every fault of the file; the settings are usable only
 /// when it stays empty.
 GatewaySettings ReadGatewaySettings(const std::string& file,
--- a/tests/unit_settings.cc
+++ b/tests/unit_settings.cc
@@ -14,6 +14,7 @@
 #include "config_ini_reader.h"
 #include "config_snapshot.h"
 #include "daemon_settings.h"
+#include "gateway_settings.h"
 
 namespace bramleybank {
 namespace {
@@ -183,6 +184,50 @@
   CHECK(listed == known);
 }
 
+TEST_CASE("docs/settings.md lists the gateway's keys, and no others") {
+  const std::string page = ReadFile(fs::path(SOURCE_DIR) / "docs/settings.md");
+  const size_t start = page.find("## bramleybankd as a gateway\n");
+  REQUIRE(start != std::string::npos);
+  const std::string part =
+      page.substr(start, page.find("\n## ", start) - start);
+  const IniFile file("");
+  IniReader reader(file.path());
+  ReadGatewaySettings(&reader);
+  std::set<std::string> known;
+  for (const auto& [section, key] : reader.known_names()) {
+    known.insert(section + " | " + key);
+  }
+  CHECK(Matches(part, R"(\n\| ([a-z]\w* \| \w+) \|)") == known);
+}
+
+TEST_CASE("each rule of the gateway's settings is checked") {
+  const std::string good =
+      "[node]\nname = n\nfailure_domain = d\nregion = r\n"
+      "regions = d r, e s\n[listen]\ncaller = 10.0.0.1:80\n"
+      "ready = 10.0.0.1:81\nmetrics = 10.0.0.1:82\n"
+      "[platform]\nstore = 10.0.0.2:90\n";
+  const auto faults = [](const std::string& text) {
+    const IniFile file(text);
+    std::vector<SettingError> errors;
+    ReadGatewaySettings(file.path(), &errors);
+    return errors.size();
+  };
+  CHECK(faults(good) == 0);
+  CHECK(faults("") == 7);
+  CHECK(faults(good + "[drain]\nstop_grace_s = 0\n") == 1);
+  CHECK(faults(good + "[retries]\nshare = 2\nextra = -1\n") == 2);
+  CHECK(faults(good + "[listen2]\nx = 1\n") == 1);
+  CHECK(faults("[listen]\ncaller = here\n") == 7);
+  const IniFile file(good);
+  std::vector<SettingError> errors;
+  const GatewaySettings settings = ReadGatewaySettings(file.path(), &errors);
+  CHECK(settings.place.regions.at("e") == "s");
+  CHECK(settings.store_url == "http://10.0.0.2:90");
+  CHECK(IsGatewayFile(file.path()));
+  const IniFile other("[node]\nip = 10.0.0.1\n");
+  CHECK_FALSE(IsGatewayFile(other.path()));
+}
+
 TEST_CASE("docs/metrics.md lists the metrics of the daemon, and no others") {
   std::set<std::string> used;
   for (const auto& entry :
--- a/tools/bramleybankd.cc
+++ b/tools/bramleybankd.cc
@@ -64,12 +64,13 @@
 }
 
 /// Reads settings by `read` and serves by `serve` unless they are only checked.
-template <typename Read, typename Serve>
+template <typename Settings, typename Serve>
 int CheckAndServe(const Options& options,
-                  const Read& read,
+                  Settings (*read)(const std::string&,
+                                   std::vector<SettingError>*),
                   const Serve& serve) {
   std::vector<SettingError> errors;
-  const auto settings = read(options.config, &errors);
+  const Settings settings = read(options.config, &errors);
   if (PrintErrors(errors)) {
     return kExitSettings;
   }
@@ -82,16 +83,12 @@
 
 int Main(const Options& options) {
   if (IsGatewayFile(options.config)) {
-    return CheckAndServe(options, &ReadGatewaySettings,
-                         [](const GatewaySettings& settings) {
-                           return ServeGateway(settings, kExitStart);
-                         });
+    const auto serve = [&options](const GatewaySettings& settings) {
+      return ServeGateway(options.config, settings, kExitStart);
+    };
+    return CheckAndServe<GatewaySettings>(options, &ReadGatewaySettings, serve);
   }
-  const auto read = [](const std::string& file,
-                       std::vector<SettingError>* errors) {
-    return ReadDaemonSettings(file, errors);
-  };
-  return CheckAndServe(options, read, &Serve);
+  return CheckAndServe<DaemonSettings>(options, &ReadDaemonSettings, &Serve);
 }
 
 }  // namespace
--- a/tools/bramleybankd_gateway.cc
+++ b/tools/bramleybankd_gateway.cc
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <vector>
 
 #include "bramleybank/version.h"
 #include "event_loop.h"
@@ -16,8 +17,27 @@
 #include "store_rows.h"
 
 namespace bramleybank {
+namespace {
 
-int ServeGateway(const GatewaySettings& settings, int start_failed) {
+/// A file with faults changes nothing.
+void ReloadSettings(const std::string& file, Gateway* gateway) {
+  std::vector<SettingError> errors;
+  const GatewaySettings settings = ReadGatewaySettings(file, &errors);
+  for (const SettingError& error : errors) {
+    LogLine(LogEventId::kSettingRefused)
+        .Field("fault", FormatSettingError(error));
+  }
+  if (errors.empty()) {
+    gateway->Reload(settings);
+    LogLine(LogEventId::kReloaded).Field("file", file);
+  }
+}
+
+}  // namespace
+
+int ServeGateway(const std::string& file,
+                 const GatewaySettings& settings,
+                 int start_failed) {
   EventLoop loop;
   platform::StoreClient store(&loop, settings.store_url);
   Gateway gateway(&loop, settings, &store, platform::MakeGatewayCodec(),
@@ -35,7 +55,7 @@
   const auto stop = [&gateway] { gateway.Drain(); };
   loop.RunOnSignal(SIGTERM, stop);
   loop.RunOnSignal(SIGINT, stop);
-  loop.RunOnSignal(SIGHUP, [] { const LogLine line(LogEventId::kReloaded); });
+  loop.RunOnSignal(SIGHUP, [&] { ReloadSettings(file, &gateway); });
   loop.Run();
   const LogLine line(LogEventId::kStopped);
   return 0;
