--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -233,9 +233,9 @@
 inline constexpr std::chrono::milliseconds kDrainRefuseTime{1000};
 
 // Gateway: the store.
-/// A store that hangs is found by the end of a wait, so this bounds how old
-/// the configuration can be after the store or the link has come back.
-inline constexpr std::chrono::milliseconds kStoreWait{2500};
+/// A store that hangs is found by the end of a wait and of the time-out after
+/// it; the wait is shorter than the allowed silence by both and this margin.
+inline constexpr std::chrono::milliseconds kStoreWaitMargin{500};
 inline constexpr std::chrono::milliseconds kStoreTimeout{1000};
 /// Changes within these times share a call. Calls are paid for, and when a
 /// failure domain is lost each of its endpoints changes its entry. The pause
@@ -246,9 +246,10 @@
 inline constexpr std::chrono::milliseconds kMaxEndpointPause{1000};
 
 // Gateway: peers.
-/// One write and one read of the store each, so 380 gateways need 76 calls a
-/// second.
-inline constexpr std::chrono::milliseconds kPeerBeatInterval{10000};
+/// One write and one read of the store each. The interval grows with the number
+/// of gateways, so that all together make at most five calls a second.
+inline constexpr std::chrono::milliseconds kMinPeerBeatInterval{10000};
+inline constexpr std::chrono::milliseconds kPeerBeatIntervalPerPeer{400};
 inline constexpr std::chrono::microseconds kPeerBeatJitter{2000000};
 inline constexpr std::chrono::milliseconds kFirstPeerReadDelay{1500};
 /// Gateways that are assumed while their list is not known.
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -51,6 +51,12 @@
   m_timer = m_loop->Schedule(delay, [this] { ReadRows(); });
 }
 
+Duration GatewayPeers::Interval() const {
+  const auto peers = static_cast<int64_t>(count());
+  return std::max<Duration>(kMinPeerBeatInterval,
+                            kPeerBeatIntervalPerPeer * peers);
+}
+
 void GatewayPeers::ReadRows() {
   m_store->Read(kTable, "",
                 [weak = std::weak_ptr(m_alive)](const StoreRows& rows) {
@@ -60,7 +66,7 @@
                 });
   const auto spread = static_cast<uint64_t>(kPeerBeatJitter.count());
   const Duration jitter(static_cast<int64_t>(m_random() % spread));
-  m_timer = m_loop->Schedule(kPeerBeatInterval + jitter, [this] { Beat(); });
+  m_timer = m_loop->Schedule(Interval() + jitter, [this] { Beat(); });
 }
 
 void GatewayPeers::OnRows(const StoreRows& rows) {
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -50,6 +50,7 @@
   };
 
   void Beat();
+  Duration Interval() const;
   void ReadRows();
 
   EventLoop* m_loop;
--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -14,6 +14,9 @@
 constexpr double kDefaultRetryShare = 0.6;
 constexpr double kDefaultRetryExtra = 100;
 constexpr double kMaxRetryExtra = 100000;
+constexpr int64_t kDefaultMaxStoreSilenceMs = 4000;
+constexpr int64_t kMinMaxStoreSilenceMs = 2000;
+constexpr int64_t kMaxMaxStoreSilenceMs = 60000;
 constexpr double kDefaultStopGraceSeconds = 8;
 constexpr double kMaxStopGraceSeconds = 3600;
 constexpr double kMicrosecondsPerSecond = 1e6;
@@ -66,6 +69,9 @@
     reader->AddError("platform", "store", "ip:port");
   }
   settings.store_url = "http://" + store;
+  settings.max_store_silence = std::chrono::milliseconds(
+      reader->Int("platform", "max_silence_ms", kDefaultMaxStoreSilenceMs,
+                  kMinMaxStoreSilenceMs, kMaxMaxStoreSilenceMs));
   const double grace =
       reader->Double("drain", "stop_grace_s", kDefaultStopGraceSeconds, 1,
                      kMaxStopGraceSeconds);
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -23,6 +23,8 @@
   std::string metrics_address;
   // [platform]
   std::string store_url;
+  /// A store that hangs is found within this time.
+  Duration max_store_silence{0};
   // [drain]
   /// The process is killed this long after the signal to stop.
   Duration stop_grace{0};
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -144,6 +144,7 @@
     settings.caller_address = "127.0.0.1:0";
     settings.ready_address = "127.0.0.1:0";
     settings.metrics_address = "127.0.0.1:0";
+    settings.max_store_silence = std::chrono::seconds(4);
     settings.stop_grace = std::chrono::seconds(8);
     settings.retry_share = 1;
     settings.retry_extra = 1000;
