--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -80,7 +80,7 @@
     if (known != m_peers.end() && known->second.version == row.version) {
       peer.unchanged_reads = known->second.unchanged_reads + 1;
     }
-    peers.emplace(row.key, std::move(peer));
+    peers.emplace(row.key, peer);
   }
   m_peers = std::move(peers);
   m_is_known = true;
