--- a/src/stream_backup.cc
+++ b/src/stream_backup.cc
@@ -109,17 +109,19 @@
   ++m_orders;
   m_order_start = m_loop->Now();
   m_answer_body.clear();
+  m_answer_status = 0;
   SendOrder(
       m_primary->address,
       m_codec->encode_copy_order(m_request_id, m_holder->address),
-      {.on_head = [](const Http1Head&) {},
+      {.on_head =
+           [this](const Http1Head& head) { m_answer_status = head.status; },
        .on_body = [this](std::string_view data) { m_answer_body.append(data); },
        .on_end = [this](AttemptEnd end) { OnCopyEnd(end); }});
 }
 
 void StreamBackup::OnCopyEnd(AttemptEnd end) {
   StopOrder();
-  if (end == AttemptEnd::kWhole) {
+  if (end == AttemptEnd::kWhole && m_answer_status == kStatusOk) {
     m_copy = m_codec->decode_copy_answer(m_answer_body);
   }
   LogLine(LogEventId::kBackupReplaced)
--- a/src/stream_backup.h
+++ b/src/stream_backup.h
@@ -76,6 +76,7 @@
   std::optional<CopyOrderAnswer> m_copy;
   std::unique_ptr<GatewayAttempt> m_order;
   TimePoint m_order_start;
+  int m_answer_status = 0;
   std::string m_answer_body;
   int m_orders = 0;
 };
