--- a/src/endpoint_picker.cc
+++ b/src/endpoint_picker.cc
@@ -77,8 +77,7 @@
   Cheapest suspect(&m_random);
   for (const EndpointRecord* record : m_directory->OfService(query.service)) {
     const EndpointEntry& entry = record->entry;
-    if (!m_directory->IsUsable(*record) || Contains(query.avoid, entry.id) ||
-        entry.failure_domain == query.other_than_domain) {
+    if (!m_directory->IsUsable(*record) || Contains(query.avoid, entry.id)) {
       continue;
     }
     const double work =
--- a/src/endpoint_picker.h
+++ b/src/endpoint_picker.h
@@ -28,8 +28,6 @@
   std::string_view service;
   /// Ids that this request has tried.
   const std::vector<std::string>* avoid = nullptr;
-  /// Failure domain in which the endpoint must not be; empty for none.
-  std::string_view other_than_domain;
   bool is_stream = false;
 };
 
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -152,11 +152,8 @@
     StartAttempt(*holder, /*restores=*/true);
     return;
   }
-  const EndpointRecord* endpoint =
-      m_environment->picker->PickForAttempt({.service = m_service,
-                                             .avoid = &m_tried,
-                                             .other_than_domain = {},
-                                             .is_stream = is_stream()});
+  const EndpointRecord* endpoint = m_environment->picker->PickForAttempt(
+      {.service = m_service, .avoid = &m_tried, .is_stream = is_stream()});
   if (endpoint == nullptr) {
     GiveUp(m_tried.empty() ? ResultCode::kNoEndpoint : ResultCode::kOverloaded);
     return;
--- a/tests/unit_endpoint_directory.cc
+++ b/tests/unit_endpoint_directory.cc
@@ -35,11 +35,8 @@
   }
 
   std::string Pick(const std::vector<std::string>& avoid = {}) {
-    const EndpointRecord* record =
-        picker.PickForAttempt({.service = "writers",
-                               .avoid = &avoid,
-                               .other_than_domain = {},
-                               .is_stream = true});
+    const EndpointRecord* record = picker.PickForAttempt(
+        {.service = "writers", .avoid = &avoid, .is_stream = true});
     return record == nullptr ? "" : record->entry.id;
   }
 
