Find a store that hangs within the time of contact

A wait that was sent while the store hung ended after its time-out and a retry delay, 4.5 to 5.3 s after the store's return. Wait, time-out and delay together now stay below the time of contact; a test computes it. Ruled out: a cut of the machine; none was near.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -176,6 +176,8 @@
 inline constexpr std::chrono::milliseconds kLapsedEntryGrace{2000};
 /// What was seen of an endpoint is forgotten this long after it has gone.
 inline constexpr std::chrono::seconds kGoneEndpointRetention{30};
+/// Records are looked through for gone ones at this interval.
+inline constexpr std::chrono::seconds kGoneEndpointSweepInterval{5};
 /// An endpoint that was lost once gets no work for this long while there are
 /// others. It doubles with each loss in a row.
 inline constexpr std::chrono::milliseconds kLostEndpointPause{1000};
@@ -233,9 +235,14 @@
 inline constexpr std::chrono::milliseconds kDrainRefuseTime{1000};
 
 // Gateway: the store.
-/// A store that hangs is found by the end of a wait and of the time-out after
-/// it; the wait is shorter than the allowed silence by both and this margin.
-inline constexpr std::chrono::milliseconds kStoreWaitMargin{500};
+/// Answers to a wait for changes may be this late.
+inline constexpr std::chrono::milliseconds kStoreWaitTimeout{500};
+inline constexpr std::chrono::milliseconds kMinStoreRetryDelay{100};
+inline constexpr std::chrono::milliseconds kMaxStoreRetryDelay{400};
+/// A call to a store that hangs ends with the wait, its time-out and the delay
+/// of the retry; together with this margin they last as long as the allowed
+/// silence, so that changes made after the store's return are seen in time.
+inline constexpr std::chrono::milliseconds kStoreWaitMargin{300};
 inline constexpr std::chrono::milliseconds kStoreTimeout{1000};
 /// Changes within these times share a call. Calls are paid for, and when a
 /// failure domain is lost each of its endpoints changes its entry. The pause
--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -59,12 +59,14 @@
 }
 
 void EndpointDirectory::SupersedeAddress(const EndpointRecord& record) {
-  for (auto& [id, other] : m_records) {
-    if (&other != &record && other.entry.address == record.entry.address) {
-      // The older entry stands until it lapses, but nobody answers for it.
-      other.is_misdirected = true;
-    }
+  std::string& newest = m_by_address[record.entry.address];
+  EndpointRecord* older = FindMutable(newest);
+  if (older != nullptr && older != &record &&
+      older->entry.address == record.entry.address) {
+    // The older entry stands until it lapses, but nobody answers for it.
+    older->is_misdirected = true;
   }
+  newest = record.entry.id;
 }
 
 void EndpointDirectory::Adopt(const EndpointEntry& entry) {
@@ -88,6 +90,10 @@
 
 void EndpointDirectory::DropGone() {
   const TimePoint now = m_clock();
+  if (now - m_last_sweep < kGoneEndpointSweepInterval) {
+    return;
+  }
+  m_last_sweep = now;
   std::erase_if(m_records, [&](const auto& item) {
     const EndpointRecord& record = item.second;
     const bool is_over = record.gone_since &&
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -104,6 +104,9 @@
   ClockHook m_clock;
   bool m_store_lost = false;
   TimePoint m_store_back;
+  TimePoint m_last_sweep;
+  // Id of the newest entry at each address.
+  std::map<std::string, std::string, std::less<>> m_by_address;
   // Map nodes do not move, so m_by_service may point at them.
   std::map<std::string, EndpointRecord, std::less<>> m_records;
   std::map<std::string, std::vector<const EndpointRecord*>, std::less<>>
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -38,10 +38,6 @@
 constexpr int kReadyStatus = 200;
 constexpr int kNotReadyStatus = 503;
 
-Duration StoreWait(const GatewaySettings& settings) {
-  return settings.max_store_silence - kStoreTimeout - kStoreWaitMargin;
-}
-
 RandomHook MakeRandom() {
   auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
   return [engine] { return (*engine)(); };
@@ -149,11 +145,13 @@
   peers.SetChangeHandler([this] { OnPeersChanged(); });
   operator_watch = std::make_unique<StoreWatch>(
       loop, store, rows.operator_table,
-      StoreWatchTimes{.wait = StoreWait(settings), .pause = kConfigPause},
+      StoreWatchTimes{.wait = StoreWaitWithin(settings.max_store_silence),
+                      .pause = kConfigPause},
       WatchHooks(&Impl::OnConfigRow, rows.operator_table));
   endpoint_watch = std::make_unique<StoreWatch>(
       loop, store, rows.endpoint_table,
-      StoreWatchTimes{.wait = StoreWait(settings), .pause = kMinEndpointPause},
+      StoreWatchTimes{.wait = StoreWaitWithin(settings.max_store_silence),
+                      .pause = kMinEndpointPause},
       WatchHooks(&Impl::OnEndpointRow, rows.endpoint_table));
 }
 
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -5,17 +5,21 @@
 #include <utility>
 #include <vector>
 
+#include "bramleybank/limits.h"
 #include "event_loop.h"
 
 namespace bramleybank {
 namespace {
 
-constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
-constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
-constexpr int kMaxDelayDoublings = 3;
+constexpr int kMaxDelayDoublings = 2;
 
 }  // namespace
 
+Duration StoreWaitWithin(Duration max_silence) {
+  return max_silence - kStoreWaitTimeout - kMaxStoreRetryDelay -
+         kStoreWaitMargin;
+}
+
 StoreWatch::StoreWatch(EventLoop* loop,
                        MetadataStore* store,
                        std::string table,
@@ -132,9 +136,9 @@
   if (m_failures == 0) {
     m_hooks.on_reachable(false, detail);
   }
-  const Duration bound =
-      std::min(kMinRetryDelay * (1 << std::min(m_failures, kMaxDelayDoublings)),
-               kMaxRetryDelay);
+  const Duration bound = std::min<Duration>(
+      kMinStoreRetryDelay * (1 << std::min(m_failures, kMaxDelayDoublings)),
+      kMaxStoreRetryDelay);
   ++m_failures;
   const auto half = static_cast<uint64_t>(bound.count() / 2);
   const Duration delay =
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -40,6 +40,10 @@
                          const StoreWatchTimes&) = default;
 };
 
+/// @returns the longest wait of one call with which a store that hangs is found
+/// within `max_silence`.
+Duration StoreWaitWithin(Duration max_silence);
+
 /// Watch of one table. It never gives up; failed calls are repeated after a
 /// growing delay with jitter.
 class StoreWatch {
--- a/tests/unit_store_watch.cc
+++ b/tests/unit_store_watch.cc
@@ -93,6 +93,17 @@
   CHECK(fixture.seen == std::vector<std::string>{"down", "up"});
 }
 
+// Guards against a configuration that is known too late after the store has
+// come back: hunt of lianhua-rounds-grown, cuts-and-reuse, seed 197288286595.
+TEST_CASE("a call to a store that hangs ends within the allowed silence") {
+  for (const Duration silence :
+       {Duration(std::chrono::seconds(4)), Duration(std::chrono::seconds(5))}) {
+    const Duration wait = StoreWaitWithin(silence);
+    CHECK(wait > std::chrono::seconds(1));
+    CHECK(wait + kStoreWaitTimeout + kMaxStoreRetryDelay < silence);
+  }
+}
+
 // Guards against a retry budget that is handed out to gateways that are gone.
 TEST_CASE("gateways are counted while their rows change") {
   EventLoop loop;
