Share the orderly close of a caller's connection; drop an unused function

The same four lines stood in the end of an answer and in the close of an idle connection. FlushLog() was never called. Behaviour is unchanged.

--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -66,7 +66,7 @@
                             .on_end =
                                 [weak](TcpEnd) {
                                   if (const auto self = weak.lock()) {
-                                    self->OnEnd();
+                                    self->CloseNow();
                                   }
                                 },
                             .on_drained =
@@ -140,10 +140,6 @@
   m_hooks->on_request(shared_from_this(), std::move(m_request));
 }
 
-void GatewayCaller::OnEnd() {
-  CloseNow();
-}
-
 void GatewayCaller::CloseNow() {
   if (m_closed) {
     return;
@@ -242,10 +238,7 @@
   m_on_drained = nullptr;
   m_last_activity = m_loop->Now();
   if (!m_keep_alive || m_hooks->is_draining()) {
-    m_closed = true;
-    m_loop->Cancel(m_timer);
-    m_connection->FinishAndClose(kCallerLinger);
-    m_hooks->on_closed(this);
+    CloseInOrder();
     return;
   }
   ArmTimer();
@@ -281,6 +274,10 @@
   if (m_closed || m_is_busy || m_parser.is_inside_message()) {
     return;
   }
+  CloseInOrder();
+}
+
+void GatewayCaller::CloseInOrder() {
   m_closed = true;
   m_loop->Cancel(m_timer);
   m_connection->FinishAndClose(kCallerLinger);
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -79,13 +79,14 @@
   void OnHead(Http1Head head);
   void OnBody(std::string_view data);
   void OnRequestWhole();
-  void OnEnd();
   void CheckFault();
   void RefuseAndClose(int status, ResultCode code);
   void FinishAnswer();
   void ArmTimer();
   void OnTimer();
   void CloseNow();
+  /// Ends the connection after what was written has been sent.
+  void CloseInOrder();
   std::string RenderHead(int status, const HttpHeaders& headers) const;
 
   EventLoop* m_loop;
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -175,10 +175,4 @@
   return g_sink == nullptr ? 0 : g_sink->output().dropped();
 }
 
-void FlushLog() {
-  if (g_sink != nullptr) {
-    g_sink->output().Flush();
-  }
-}
-
 }  // namespace bramleybank
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -85,8 +85,6 @@
 
 /// @returns lines dropped because nobody read them in time.
 uint64_t DroppedLogLines();
-/// Writes lines that are still kept, as far as the reader takes them.
-void FlushLog();
 
 }  // namespace bramleybank
 
