--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -27,6 +27,6 @@
 export -f check_file
 export BUILD cache headers
 
-git ls-files -co --exclude-standard 'src/*.cc' 'tools/*.cc' |
+git ls-files -co --exclude-standard 'src/*.cc' 'tools/*.cc' 'platform/*.cc' |
   xargs -P "$JOBS" -I{} bash -c 'check_file {}'
 echo "lint: clean"
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -90,7 +90,8 @@
   RetryBudget budget{
       clock, random,
       RetryLimits{.share = settings.retry_share,
-                  .extra = settings.retry_extra / kUnknownPeerCount}};
+                  .extra = settings.retry_extra /
+                           static_cast<double>(kUnknownPeerCount)}};
   StreamSilenceMonitor silence;
   GatewayPeers peers{loop, store, settings.name, settings.place.failure_domain,
                      random};
@@ -230,7 +231,8 @@
   endpoint_watch->SetPause(std::clamp<Duration>(
       kEndpointPausePerPeer * static_cast<int64_t>(peers.count()),
       kMinEndpointPause, kMaxEndpointPause));
-  budget.SetExtra(settings.retry_extra / static_cast<double>(peers.count()));
+  budget.SetExtra(settings.retry_extra /
+                  static_cast<double>(peers.budget_shares()));
 }
 
 bool Gateway::Impl::OpenHttpPort(HttpServer* server,
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -97,4 +97,8 @@
   return static_cast<size_t>(others) + 1;
 }
 
+size_t GatewayPeers::budget_shares() const {
+  return m_is_known ? count() : kUnknownPeerCount;
+}
+
 }  // namespace bramleybank
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -39,8 +39,11 @@
   /// Called when the list may have changed.
   void SetChangeHandler(std::function<void()> handler);
 
-  /// @returns how many gateways are alive, this one included.
+  /// @returns how many gateways are alive, this one included, as far as known.
   size_t count() const;
+  /// @returns by how many gateways a budget is divided: a high number until the
+  /// first list has been read.
+  size_t budget_shares() const;
 
  private:
   struct Peer {
--- /dev/null
+++ b/tests/process_gateway.cc
@@ -0,0 +1,199 @@
+// The real daemon as a gateway, against stand-ins that speak the users' wire.
+#include <doctest/doctest.h>
+
+#include "wire_deployment.h"
+#include "wire_names.h"
+
+namespace bramleybank::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t kEvents = 40;
+
+// Guards against a path that works with fakes only: names, formats and calls
+// as real processes use them.
+TEST_CASE("calls and streams are served whole, with the customer's name") {
+  const WireDeployment site({});
+  const HttpAnswer call = site.Call(0, "POST", "/calls/book?n=1", "call-1");
+  CHECK(call.status == 200);
+  CHECK(call.body == "answer to call-1");
+  CHECK(FindHeader(call.headers, platform::kMarkHeader).has_value());
+  const auto runs = site.RunsOf("call-1");
+  REQUIRE(runs.size() == 1);
+  CHECK(runs[0].at("method") == "POST");
+  CHECK(runs[0].at("target") == "/calls/book?n=1");
+  CHECK(runs[0].at("body") == "body of call-1");
+  CHECK(runs[0].at("customer") == "customer-1");
+  CHECK(runs[0].at("authorization") == "");
+  const auto stream = site.Stream(1, "stream-1");
+  site.CheckWhole(*stream, "stream-1", kEvents);
+  CHECK(site.RunsOf("stream-1").size() == 1);
+}
+
+// Guards against requests that reach a server without a route or a key.
+TEST_CASE("requests without a route or a known key do not run") {
+  const WireDeployment site({});
+  CHECK(site.Call(0, "GET", "/other/x", "call-1").status == 404);
+  CHECK(site.Call(0, "GET", "/reads/x", "call-2", "wrong").status == 401);
+  CHECK(site.RunsOf("call-1").empty());
+  CHECK(site.RunsOf("call-2").empty());
+}
+
+// Guards against a stream that loses, repeats or mixes events, and against a
+// second reading of the prompt where a copy of the memory exists.
+TEST_CASE("a stream goes on from its copy when its engine is killed") {
+  WireDeployment site({});
+  const auto stream = site.Stream(0, "stream-1");
+  // An engine's copy is used once its run has made events for 250 ms.
+  stream->WaitForEvents(20);
+  site.engine(site.engine_of("stream-1")).Kill();
+  site.CheckWhole(*stream, "stream-1", kEvents);
+  const auto runs = site.RunsOf("stream-1");
+  REQUIRE(runs.size() == 1);
+  CHECK(runs[0].at("is_restored") == true);
+  CHECK(runs[0].at("first_event").get<uint64_t>() >= 20);
+}
+
+// Guards against half an event that is joined with the next engine's bytes.
+TEST_CASE("a stream that breaks off inside an event goes on whole") {
+  const WireDeployment site({});
+  const auto stream = site.Stream(0, "stream-1");
+  site.ControlEngine(site.engine_of("stream-1"), {{"break_off", 1}});
+  site.CheckWhole(*stream, "stream-1", kEvents);
+  CHECK(site.RunsOf("stream-1").size() >= 2);
+}
+
+// Guards against an engine that keeps its connection open and sends nothing.
+TEST_CASE("a paused engine's stream goes on elsewhere") {
+  WireDeployment site({});
+  const auto stream = site.Stream(0, "stream-1");
+  stream->WaitForEvents(10);
+  ChildProcess& engine = site.engine(site.engine_of("stream-1"));
+  engine.Pause();
+  site.CheckWhole(*stream, "stream-1", kEvents);
+  engine.Continue();
+}
+
+// Guards against a second run of a request that may have run, and against a
+// refusal where a server has promised that it has not.
+TEST_CASE("a non-idempotent call runs once") {
+  const WireDeployment site({});
+  for (int i = 0; i < site.application_count(); ++i) {
+    site.ControlApplication(i, {{"lose_answers", 1}});
+  }
+  CHECK(site.Call(0, "POST", "/calls/x", "call-1").status == 502);
+  CHECK(site.RunsOf("call-1").size() == 1);
+  for (int i = 0; i < site.application_count(); ++i) {
+    site.ControlApplication(i, {{"lose_answers", 0}});
+  }
+  site.ControlApplication(0, {{"refuse", 1}});
+  CHECK(site.Call(0, "POST", "/calls/x", "call-2").status == 200);
+  CHECK(site.RunsOf("call-2").size() == 1);
+}
+
+// Guards against a failure that reaches the caller although another server
+// can answer an idempotent request.
+TEST_CASE("an idempotent call is repeated at another server") {
+  const WireDeployment site({});
+  for (const char* fault : {"lose_answers", "fail", "break_off"}) {
+    CAPTURE(fault);
+    site.ControlApplication(0, {{fault, 1}});
+    int calls = 0;
+    // Both servers get requests, so the fault shows before long.
+    WaitUntil("the fault", [&] {
+      const std::string id = fault + std::to_string(++calls);
+      CHECK(site.Call(0, "GET", "/reads/x", id).status == 200);
+      return site.RunsOf(id).size() == 2;
+    });
+  }
+}
+
+void CheckOutage(const std::string& how) {
+  CAPTURE(how);
+  const WireDeployment site({});
+  site.ControlStore({{"down", how}});
+  // Written while no gateway hears of it.
+  site.PublishConfig(2, "key-2", "/added/");
+  CHECK(site.Call(0, "GET", "/reads/x", "read-1").status == 200);
+  const auto stream = site.Stream(1, "stream-1");
+  site.CheckWhole(*stream, "stream-1", kEvents);
+  site.ControlStore({{"down", ""}, {"discard_history", true}});
+  for (int i = 0; i < site.gateway_count(); ++i) {
+    int calls = 0;
+    WaitUntil("the change at gateway " + std::to_string(i), [&] {
+      const std::string id =
+          "new-" + std::to_string(i) + "-" + std::to_string(++calls);
+      return site.Call(i, "GET", "/added/x", id, "key-2").status == 200;
+    });
+    // The older configuration must not come back.
+    CHECK(site.Call(i, "GET", "/reads/x", "old-" + std::to_string(i)).status ==
+          401);
+  }
+}
+
+// Guards against gateways that stop serving without the store, miss a change
+// made meanwhile, or trust history that the store has discarded.
+TEST_CASE("an outage of the store stops no request and hides no change") {
+  CheckOutage("busy");
+  CheckOutage("silent");
+  CheckOutage("reset");
+}
+
+// Guards against entries of living servers that are lost with their leases.
+TEST_CASE("servers whose entries lapsed in an outage are used again") {
+  const WireDeployment site({});
+  site.ControlStore({{"down", "busy"}});
+  WaitUntil("the end of all leases",
+            [&] { return site.StoreStats().at("entries") == 0; });
+  CHECK(site.Call(0, "GET", "/reads/x", "read-during").status == 200);
+  site.ControlStore({{"down", ""}});
+  site.WaitServing(0);
+  const auto stream = site.Stream(0, "stream-1");
+  site.CheckWhole(*stream, "stream-1", kEvents);
+}
+
+// Guards against a planned stop that cuts a stream, and against one that takes
+// new callers.
+TEST_CASE("a planned stop finishes open streams") {
+  WireDeployment site({});
+  const auto stream = site.Stream(0, "stream-1");
+  stream->WaitForEvents(3);
+  site.gateway(0).Terminate();
+  WaitUntil("not ready",
+            [&] { return Send("GET", site.ready_url(0)).status != 200; });
+  site.CheckWhole(*stream, "stream-1", kEvents);
+  CHECK(site.gateway(0).WaitExit() == 0);
+  CHECK(site.Call(1, "GET", "/reads/x", "read-1").status == 200);
+}
+
+// Guards against lasting state on a machine: a killed gateway knows nothing and
+// must serve again from the store alone.
+TEST_CASE("a killed gateway serves again from the store") {
+  WireDeployment site({});
+  site.PublishConfig(5, "key-1", "/added/");
+  site.gateway(0).Kill();
+  site.StartGateway(0);
+  site.WaitServing(0);
+  CHECK(site.Call(0, "GET", "/added/x", "read-1").status == 200);
+}
+
+// Guards against new requests at a server that has said that it leaves.
+TEST_CASE("a draining server gets no new requests") {
+  const WireDeployment site({});
+  site.ControlApplication(0, {{"draining", true}});
+  int streak = 0;
+  int calls = 0;
+  // Requests are spread over both servers, so a long streak at one of them
+  // tells that the other is not used any more.
+  WaitUntil("no request at the leaving server", [&] {
+    const std::string id = "read-" + std::to_string(++calls);
+    CHECK(site.Call(0, "GET", "/reads/x", id).status == 200);
+    const bool is_there = site.HasRunAtApplication(0, id);
+    streak = is_there ? 0 : streak + 1;
+    return streak >= 20;
+  });
+}
+
+}  // namespace
+}  // namespace bramleybank::testing
--- /dev/null
+++ b/tests/wire_deployment.h
@@ -0,0 +1,103 @@
+// A small site on the users' platform for tests: the stand-ins of its store and
+// servers, gateways, and a caller that speaks its wire.
+#ifndef BRAMLEYBANK_TESTS_WIRE_DEPLOYMENT_H_
+#define BRAMLEYBANK_TESTS_WIRE_DEPLOYMENT_H_
+
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "process_fixture.h"
+
+namespace bramleybank::testing {
+
+struct WireDeploymentOptions {
+  int domains = 2;
+  int gateways_per_domain = 1;
+  int engines_per_domain = 1;
+  int applications_per_domain = 1;
+  /// Lines of the [server] section of every engine.
+  std::string engine_settings = "event_ms = 20\nevents = 40\nwork_ms = 20\n";
+  /// Lines of the [server] section of every application.
+  std::string application_settings = "work_ms = 5\n";
+};
+
+/// Processes of one site, all on addresses of this test.
+class WireDeployment {
+ public:
+  explicit WireDeployment(const WireDeploymentOptions& options);
+  ~WireDeployment();
+
+  ChildProcess& store() { return *m_store; }
+  ChildProcess& gateway(int i) { return *m_gateways[i]; }
+  ChildProcess& engine(int i) { return *m_engines[i]; }
+  ChildProcess& application(int i) { return *m_applications[i]; }
+  int gateway_count() const { return static_cast<int>(m_gateways.size()); }
+  int engine_count() const { return static_cast<int>(m_engines.size()); }
+  int application_count() const {
+    return static_cast<int>(m_applications.size());
+  }
+
+  void StartGateway(int i);
+  void StartEngine(int i);
+  void StartApplication(int i);
+  void WaitGatewayReady(int i) const;
+  /// Waits until calls and streams through this gateway succeed.
+  void WaitServing(int i) const;
+
+  /// Writes the configuration with this version: routes /streams/, /calls/
+  /// (non-idempotent) and /reads/ (idempotent), a customer with the key `key`.
+  /// @param extra_route a prefix that is added as an idempotent route.
+  void PublishConfig(uint64_t version,
+                     const std::string& key = "key-1",
+                     const std::string& extra_route = {}) const;
+  void ControlStore(const nlohmann::json& control) const;
+  /// @returns what the store's stand-in counts.
+  nlohmann::json StoreStats() const;
+  void ControlEngine(int i, const nlohmann::json& control) const;
+  void ControlApplication(int i, const nlohmann::json& control) const;
+  bool HasRunAtApplication(int i, const std::string& request_id) const;
+  /// @returns the runs of a request on all servers that live.
+  std::vector<nlohmann::json> RunsOf(const std::string& request_id) const;
+
+  /// Sends a request through a gateway with the key `key`.
+  HttpAnswer Call(int gateway,
+                  const std::string& method,
+                  const std::string& path,
+                  const std::string& request_id,
+                  const std::string& key = "key-1") const;
+  /// Starts a stream through a gateway.
+  std::unique_ptr<StreamReader> Stream(int gateway,
+                                       const std::string& request_id) const;
+  /// Checks that a stream has ended whole, each event once and in order.
+  void CheckWhole(const StreamReader& stream,
+                  const std::string& request_id,
+                  size_t events) const;
+
+  int engine_of(const std::string& request_id) const;
+  std::string metrics_url(int gateway) const;
+  std::string ready_url(int gateway) const;
+
+ private:
+  std::string DomainOf(int i, int per_domain) const;
+  std::string ServerIni(const std::string& ip,
+                        const std::string& id,
+                        const std::string& service,
+                        const std::string& domain,
+                        const std::string& lines) const;
+  std::vector<std::string> ServerUrls() const;
+
+  const WireDeploymentOptions m_options;
+  std::unique_ptr<ChildProcess> m_store;
+  std::vector<std::unique_ptr<ChildProcess>> m_engines;
+  std::vector<std::unique_ptr<ChildProcess>> m_applications;
+  std::vector<std::unique_ptr<ChildProcess>> m_gateways;
+  // Starts of servers so far; each start has an id of its own.
+  int m_server_starts = 0;
+};
+
+}  // namespace bramleybank::testing
+
+#endif  // BRAMLEYBANK_TESTS_WIRE_DEPLOYMENT_H_
