Follow rollouts: probe, judge, shift, complete or roll back

The contract "rollout" is in force on every site, and an order under op/rollout was ignored: a bad version would have got its full share of the requests, and a good one would never have been completed.

rollout_judge (pure, phases in charts/rollout.scxml) tests the new version's bad answers against the old version's rate, per route and over all. rollout_gate holds a share of 0.06 without a word from others and stops by itself. rollout_director lets gateways exchange evidence and one of them decide, all through conditional rows; a lost driver is replaced, a late one changes nothing. Copies of runs stay within the allowed versions.

Tests: unit_rollout (17 cases: false alarms, detection before the 50th bad answer, one route only, three gateways with a lost driver, a late write, the store away, restart), process_gateway (real daemons, a good and a failing version).

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -252,6 +252,21 @@
 inline constexpr std::chrono::milliseconds kMinEndpointPause{100};
 inline constexpr std::chrono::milliseconds kMaxEndpointPause{1000};
 
+// Gateway: rollouts.
+/// Share of a service's requests that a version gets while it is probed. The
+/// platform allows a bad version a tenth.
+inline constexpr double kRolloutProbeShare = 0.06;
+/// Requests of each route that all gateways together send at once, so that a
+/// rollout of some seconds has evidence. The platform allows 50 a service.
+inline constexpr double kRolloutProbeExtra = 10;
+/// Gateways exchange what they have seen at this interval, or a longer one with
+/// many gateways.
+inline constexpr std::chrono::milliseconds kMinRolloutPollInterval{1000};
+inline constexpr std::chrono::milliseconds kRolloutPollIntervalPerPeer{20};
+inline constexpr std::chrono::microseconds kRolloutPollJitter{100000};
+/// A driver whose row is unchanged for so many reads is taken to be lost.
+inline constexpr int kMaxUnchangedRolloutReads = 3;
+
 // Gateway: peers.
 /// One write and one read of the store each. The interval grows with the number
 /// of gateways, so that all together make at most five calls a second.
--- a/src/endpoint_picker.cc
+++ b/src/endpoint_picker.cc
@@ -2,6 +2,7 @@
 #include "endpoint_picker.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <utility>
 
@@ -73,11 +74,54 @@
 
 const EndpointRecord* EndpointPicker::PickForAttempt(
     const EndpointPickQuery& query) const {
+  const EndpointRecord* picked = PickAmong(query);
+  if (picked != nullptr || query.versions == RolloutRule{}) {
+    return picked;
+  }
+  const bool may_use_others =
+      query.versions.kind == RolloutRule::Kind::kPreferred ||
+      IsOnlyVersion(query);
+  if (!may_use_others) {
+    return nullptr;
+  }
+  EndpointPickQuery any = query;
+  any.versions = {};
+  return PickAmong(any);
+}
+
+size_t EndpointPicker::PreferredCount(const EndpointPickQuery& query) const {
+  const auto count = std::ranges::count_if(
+      m_directory->OfService(query.service), [&](const EndpointRecord* record) {
+        return m_directory->IsUsable(*record) &&
+               query.versions.Allows(record->entry.version);
+      });
+  return static_cast<size_t>(
+      std::ceil(static_cast<double>(count) * query.versions.endpoint_share));
+}
+
+bool EndpointPicker::IsOnlyVersion(const EndpointPickQuery& query) const {
+  return std::ranges::all_of(
+      m_directory->OfService(query.service), [&](const EndpointRecord* record) {
+        return record->entry.version == query.versions.version;
+      });
+}
+
+const EndpointRecord* EndpointPicker::PickAmong(
+    const EndpointPickQuery& query) const {
   Cheapest sound(&m_random);
   Cheapest suspect(&m_random);
+  const bool is_limited = query.versions.endpoint_share < 1;
+  size_t left = is_limited ? PreferredCount(query) : 0;
   for (const EndpointRecord* record : m_directory->OfService(query.service)) {
     const EndpointEntry& entry = record->entry;
-    if (!m_directory->IsUsable(*record) || Contains(query.avoid, entry.id)) {
+    if (!m_directory->IsUsable(*record) ||
+        !query.versions.Allows(entry.version)) {
+      continue;
+    }
+    if (is_limited && left-- == 0) {
+      break;
+    }
+    if (Contains(query.avoid, entry.id)) {
       continue;
     }
     const double work =
@@ -90,12 +134,14 @@
 }
 
 const EndpointRecord* EndpointPicker::PickForBackup(
-    const EndpointRecord& primary) const {
+    const EndpointRecord& primary,
+    const RolloutRule& versions) const {
   Cheapest sound(&m_random);
   for (const EndpointRecord* record :
        m_directory->OfService(primary.entry.service)) {
     if (!m_directory->IsUsable(*record) || m_directory->IsSuspect(*record) ||
-        record->entry.failure_domain == primary.entry.failure_domain) {
+        record->entry.failure_domain == primary.entry.failure_domain ||
+        !versions.Allows(record->entry.version)) {
       continue;
     }
     // The copy may become the run, so both count alike here. The distance to
--- a/src/endpoint_picker.h
+++ b/src/endpoint_picker.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "hooks.h"
+#include "rollout_rule.h"
 
 namespace bramleybank {
 
@@ -29,6 +30,8 @@
   /// Ids that this request has tried.
   const std::vector<std::string>* avoid = nullptr;
   bool is_stream = false;
+  /// Versions that the request may go to.
+  RolloutRule versions;
 };
 
 /// Least loaded first, near before far. Answers the load of bursts and of lost
@@ -44,9 +47,16 @@
   const EndpointRecord* PickForAttempt(const EndpointPickQuery& query) const;
   /// @returns an engine for the copy of a run at `primary`: never in its
   /// failure domain, since domains fail as a whole. Null when there is none.
-  const EndpointRecord* PickForBackup(const EndpointRecord& primary) const;
+  /// @param versions that the run may go on with.
+  const EndpointRecord* PickForBackup(const EndpointRecord& primary,
+                                      const RolloutRule& versions = {}) const;
 
  private:
+  const EndpointRecord* PickAmong(const EndpointPickQuery& query) const;
+  /// @returns how many endpoints of the preferred version may be used.
+  size_t PreferredCount(const EndpointPickQuery& query) const;
+  /// @returns whether no endpoint of another version is known.
+  bool IsOnlyVersion(const EndpointPickQuery& query) const;
   double DistanceCost(const EndpointPickQuery& query,
                       std::string_view domain) const;
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -28,6 +28,7 @@
 #include "log_event.h"
 #include "metadata_store.h"
 #include "metric_registry.h"
+#include "rollout_director.h"
 #include "store_watch.h"
 #include "stream_silence_monitor.h"
 #include "tcp_listener.h"
@@ -67,11 +68,13 @@
   void Accept(int fd);
   void OnRequest(const std::shared_ptr<GatewayCaller>& caller,
                  GatewayRequest request);
-  void OnConfigRow(const StoreRow& row);
+  void OnOperatorRow(const StoreRow& row);
+  void OnRolloutRow(const StoreRow& row);
   void OnEndpointRow(const StoreRow& row);
   StoreWatchHooks WatchHooks(void (Impl::*on_row)(const StoreRow&),
                              const std::string& table);
   void OnPeersChanged();
+  Duration RolloutPollInterval() const;
   void ArmSilenceCheck();
   void CheckSilence();
   bool IsTooLate(bool is_stream) const;
@@ -97,6 +100,14 @@
                      random};
   std::shared_ptr<const GatewayConfig> config;
   EndpointAdopter adopter{loop, &codec, &directory, [this] { return config; }};
+  RolloutDirector rollouts{
+      loop,
+      store,
+      &rows,
+      settings.name,
+      {.random = random,
+       .gateways = [this] { return peers.budget_shares(); },
+       .poll_interval = [this] { return RolloutPollInterval(); }}};
   GatewayEnvironment environment;
   GatewayCallerHooks caller_hooks;
   TcpListener listener{loop};
@@ -126,6 +137,7 @@
       .silence = &silence,
       .metrics = &metrics,
       .adopter = &adopter,
+      .rollouts = &rollouts,
       .random = random,
       .config = [this] { return config; },
       .is_too_late = [this](bool is_stream) { return IsTooLate(is_stream); }};
@@ -148,7 +160,7 @@
       loop, store, rows.operator_table,
       StoreWatchTimes{.wait = StoreWaitWithin(settings.max_store_silence),
                       .pause = kConfigPause},
-      WatchHooks(&Impl::OnConfigRow, rows.operator_table));
+      WatchHooks(&Impl::OnOperatorRow, rows.operator_table));
   endpoint_watch = std::make_unique<StoreWatch>(
       loop, store, rows.endpoint_table,
       StoreWatchTimes{.wait = StoreWaitWithin(settings.max_store_silence),
@@ -177,7 +189,11 @@
       .random = random};
 }
 
-void Gateway::Impl::OnConfigRow(const StoreRow& row) {
+void Gateway::Impl::OnOperatorRow(const StoreRow& row) {
+  if (row.key.starts_with(rows.rollout_key_prefix)) {
+    OnRolloutRow(row);
+    return;
+  }
   if (row.key != rows.config_key || row.deleted) {
     return;
   }
@@ -197,6 +213,21 @@
       .Field("routes", static_cast<long long>(config->values().routes.size()));
 }
 
+void Gateway::Impl::OnRolloutRow(const StoreRow& row) {
+  const std::string service = row.key.substr(rows.rollout_key_prefix.size());
+  const auto order = row.deleted ? std::nullopt : rows.decode_rollout(row);
+  if (order && order->service == service) {
+    rollouts.OnOrder(*order);
+    return;
+  }
+  rollouts.OnOrderGone(service);
+  if (!row.deleted) {
+    LogLine(LogEventId::kRolloutRefused)
+        .Field("service", service)
+        .Field("row_version", static_cast<long long>(row.version));
+  }
+}
+
 void Gateway::Impl::OnEndpointRow(const StoreRow& row) {
   if (row.deleted) {
     directory.Remove(row.key);
@@ -235,6 +266,14 @@
                   static_cast<double>(peers.budget_shares()));
 }
 
+Duration Gateway::Impl::RolloutPollInterval() const {
+  const auto spread = static_cast<uint64_t>(kRolloutPollJitter.count());
+  return std::max<Duration>(kMinRolloutPollInterval,
+                            kRolloutPollIntervalPerPeer *
+                                static_cast<int64_t>(peers.count())) +
+         Duration(static_cast<int64_t>(random() % spread));
+}
+
 bool Gateway::Impl::OpenHttpPort(HttpServer* server,
                                  const std::string& address,
                                  HttpServer::Handler handler) {
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -16,6 +16,7 @@
 #include "gateway_headers.h"
 #include "log_event.h"
 #include "metric_registry.h"
+#include "rollout_director.h"
 #include "stream_silence_monitor.h"
 
 namespace bramleybank {
@@ -153,7 +154,13 @@
     return;
   }
   const EndpointRecord* endpoint = m_environment->picker->PickForAttempt(
-      {.service = m_service, .avoid = &m_tried, .is_stream = is_stream()});
+      {.service = m_service,
+       .avoid = &m_tried,
+       .is_stream = is_stream(),
+       .versions =
+           m_tried.empty()
+               ? m_environment->rollouts->NextRequest(m_service, m_route->name)
+               : m_environment->rollouts->Repeat(m_service)});
   if (endpoint == nullptr) {
     GiveUp(m_tried.empty() ? ResultCode::kNoEndpoint : ResultCode::kOverloaded);
     return;
@@ -169,6 +176,7 @@
   m_answer = {};
   m_body.clear();
   m_events = {};
+  m_attempt_has_event = false;
   m_tried.push_back(m_endpoint.id);
   ++m_sends;
   std::string message = RenderRequest(endpoint, restores);
@@ -206,7 +214,7 @@
 
 void GatewayExchange::MaintainBackup() {
   if (m_attempt && HasBackup()) {
-    m_backup.Maintain();
+    m_backup.Maintain(m_environment->rollouts->Repeat(m_service));
   }
 }
 
@@ -223,7 +231,8 @@
     attempt.restore = m_backup.Name();
   }
   if (is_stream() && HasBackup()) {
-    attempt.backup_address = m_backup.Open(endpoint);
+    attempt.backup_address =
+        m_backup.Open(endpoint, m_environment->rollouts->Repeat(m_service));
   }
   return attempt;
 }
@@ -305,6 +314,10 @@
   if (event.id) {
     m_last_event_id = event.id;
   }
+  if (!m_attempt_has_event) {
+    m_attempt_has_event = true;
+    ObserveVersion(/*failed=*/false);
+  }
   MeasureEvent();
   m_caller->WriteStream(event.bytes);
   return true;
@@ -360,6 +373,7 @@
   const bool failed = m_head.status >= kFirstServerError;
   EndAttempt(failed ? EndpointOutcome::kFailed : EndpointOutcome::kAnswered);
   ++m_runs;
+  ObserveVersion(failed);
   if (failed && !m_stream_started && MayTryAgain(RetryReason::kErrorEvent)) {
     TryEndpoint();
     return;
@@ -400,6 +414,12 @@
       [attempt = std::shared_ptr<GatewayAttempt>(std::move(m_attempt))] {});
 }
 
+void GatewayExchange::ObserveVersion(bool failed) {
+  m_environment->rollouts->Observe(
+      m_service, m_route->name, m_endpoint.version, failed,
+      m_environment->loop->Now() - m_attempt_start);
+}
+
 void GatewayExchange::LoseAttempt(EndpointOutcome outcome,
                                   RetryReason reason,
                                   std::string_view detail) {
@@ -409,6 +429,7 @@
   EndAttempt(outcome);
   if (may_have_run) {
     ++m_runs;
+    ObserveVersion(/*failed=*/true);
   }
   LogLine(LogEventId::kAttemptEnded)
       .Field("id", m_statement.request_id)
@@ -479,6 +500,9 @@
   m_timer = TimerHandle();
   const bool may_have_run = m_runs > 0 || (m_attempt && m_attempt->was_sent());
   if (m_attempt) {
+    if (may_have_run) {
+      ObserveVersion(/*failed=*/true);
+    }
     EndAttempt(EndpointOutcome::kCancelled);
   }
   if (m_stream_started) {
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -30,6 +30,7 @@
 class GatewayCaller;
 class GatewayConfig;
 class MetricRegistry;
+class RolloutDirector;
 class StreamSilenceMonitor;
 struct GatewayCodec;
 struct GatewayRoute;
@@ -44,6 +45,7 @@
   StreamSilenceMonitor* silence = nullptr;
   MetricRegistry* metrics = nullptr;
   EndpointAdopter* adopter = nullptr;
+  RolloutDirector* rollouts = nullptr;
   RandomHook random;
   /// Configuration in force; null before the first one.
   std::function<std::shared_ptr<const GatewayConfig>()> config;
@@ -97,6 +99,8 @@
                    RetryReason reason,
                    std::string_view detail);
   void EndAttempt(EndpointOutcome outcome);
+  /// Tells rollouts of an answer of the attempt's endpoint, or its loss.
+  void ObserveVersion(bool failed);
   bool MayTryAgain(RetryReason reason);
 
   void OnTimeout();
@@ -133,6 +137,7 @@
   AnswerStatement m_answer;
   std::string m_body;
   EventSplitter m_events;
+  bool m_attempt_has_event = false;
 
   // Ids of endpoints that this request has been sent to.
   std::vector<std::string> m_tried;
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -73,6 +73,16 @@
      "A row of the store names no endpoint that can be used."},
     {kEndpointAdopted, "endpoint_adopted", kInfo,
      "An engine that restarted while the store is away was probed."},
+    {kRolloutOrdered, "rollout_ordered", kInfo,
+     "An operator has ordered another version for a service."},
+    {kRolloutPhase, "rollout_phase", kInfo,
+     "The gateways have decided on the next phase of a rollout."},
+    {kRolloutStopped, "rollout_stopped", kWarning,
+     "This gateway sends nothing more to a version that fails."},
+    {kRolloutPublished, "rollout_published", kInfo,
+     "The operator's status of a rollout stands in the store."},
+    {kRolloutRefused, "rollout_refused", kError,
+     "A row of the store is not an order for a rollout."},
 };
 
 /// Lines kept for a reader of standard output that does not keep up.
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -46,6 +46,11 @@
   kDomainSilent = 703,
   kEntryUnreadable = 704,
   kEndpointAdopted = 705,
+  kRolloutOrdered = 706,
+  kRolloutPhase = 707,
+  kRolloutStopped = 708,
+  kRolloutPublished = 709,
+  kRolloutRefused = 710,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/src/metadata_store.h
+++ b/src/metadata_store.h
@@ -39,6 +39,8 @@
   std::vector<StoreRow> rows;
   /// Newest version of the store that the answer reflects.
   uint64_t version = 0;
+  /// Steady clock of the store.
+  Duration now{0};
   /// Whether rows after the last one remain to be read.
   bool has_more = false;
   /// Why the call failed.
--- /dev/null
+++ b/src/rollout_gate.cc
@@ -0,0 +1,110 @@
+// Shares and observations of one rollout.
+#include "rollout_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bramleybank/limits.h"
+
+namespace bramleybank {
+namespace {
+
+// An answer is slow when it takes so many times as long as usual.
+constexpr int kSlowFactor = 3;
+// Answers after which the usual time is known.
+constexpr int64_t kMinUsualAnswers = 5;
+constexpr uint64_t kRandomSteps = 1 << 20;
+
+}  // namespace
+
+RolloutGate::RolloutGate(RolloutOrder order, RandomHook random)
+    : m_order(std::move(order)), m_random(std::move(random)) {}
+
+RolloutRule RolloutGate::NextRequest(std::string_view route, size_t gateways) {
+  if (m_phase == RolloutPhase::kProbing && !m_is_stopped &&
+      TakeShare(route, gateways)) {
+    return {.kind = RolloutRule::Kind::kPreferred,
+            .version = m_order.version,
+            .endpoint_share = kRolloutProbeShare};
+  }
+  return Repeat();
+}
+
+bool RolloutGate::TakeShare(std::string_view route, size_t gateways) {
+  auto it = m_credit.find(route);
+  if (it == m_credit.end()) {
+    // A random start keeps the gateways from probing in step.
+    const double start = static_cast<double>(m_random() % kRandomSteps) /
+                         static_cast<double>(kRandomSteps);
+    const double extra =
+        kRolloutProbeExtra / static_cast<double>(std::max<size_t>(1, gateways));
+    it = m_credit.emplace(std::string(route), start + extra).first;
+  }
+  it->second += kRolloutProbeShare;
+  if (it->second < 1) {
+    return false;
+  }
+  it->second -= 1;
+  return true;
+}
+
+RolloutRule RolloutGate::Repeat() const {
+  const bool is_new_preferred =
+      !m_is_stopped && (m_phase == RolloutPhase::kShifting ||
+                        m_phase == RolloutPhase::kCompleted);
+  return {.kind = is_new_preferred ? RolloutRule::Kind::kPreferred
+                                   : RolloutRule::Kind::kAllBut,
+          .version = m_order.version,
+          .endpoint_share = 1};
+}
+
+bool RolloutGate::IsSlow(std::string_view route, Duration time) const {
+  const auto it = m_usual_times.find(route);
+  if (it == m_usual_times.end() || it->second.answers < kMinUsualAnswers) {
+    return false;
+  }
+  return time * it->second.answers > it->second.sum * kSlowFactor;
+}
+
+void RolloutGate::Observe(std::string_view route,
+                          std::string_view version,
+                          bool failed,
+                          Duration time) {
+  if (m_phase && IsFinal(*m_phase)) {
+    return;
+  }
+  const bool is_new = version == m_order.version;
+  const bool is_bad = failed || IsSlow(route, time);
+  RouteTally& tally = m_own[std::string(route)];
+  VersionTally& side = is_new ? tally.new_version : tally.old_version;
+  ++(is_bad ? side.bad : side.good);
+  if (!is_new && !failed) {
+    UsualTime& usual = m_usual_times[std::string(route)];
+    ++usual.answers;
+    usual.sum += time;
+  }
+}
+
+RolloutEvidence RolloutGate::Evidence() const {
+  RolloutEvidence evidence = m_earlier;
+  for (const auto& [route, tally] : m_own) {
+    evidence[route] += tally;
+  }
+  return evidence;
+}
+
+void RolloutGate::SetEarlierEvidence(RolloutEvidence evidence) {
+  m_earlier = std::move(evidence);
+}
+
+void RolloutGate::SetPhase(RolloutPhase phase) {
+  if (m_phase && IsFinal(*m_phase)) {
+    return;
+  }
+  m_phase = phase;
+  if (phase == RolloutPhase::kCompleted) {
+    m_is_stopped = false;
+  }
+}
+
+}  // namespace bramleybank
--- a/src/stream_backup.cc
+++ b/src/stream_backup.cc
@@ -32,12 +32,13 @@
   Close();
 }
 
-std::string StreamBackup::Open(const EndpointRecord& primary) {
+std::string StreamBackup::Open(const EndpointRecord& primary,
+                               const RolloutRule& versions) {
   // A copy from which this attempt goes on is used up by it.
   m_copy.reset();
   Close();
   m_primary = primary.entry;
-  const EndpointRecord* holder = m_picker->PickForBackup(primary);
+  const EndpointRecord* holder = m_picker->PickForBackup(primary, versions);
   if (holder == nullptr) {
     return "";
   }
@@ -76,7 +77,7 @@
   return {.address = m_holder->address, .handle = m_request_id};
 }
 
-void StreamBackup::Maintain() {
+void StreamBackup::Maintain(const RolloutRule& versions) {
   if (!m_first_event || m_order || m_orders >= kMaxCopyOrders ||
       m_loop->Now() - m_order_start < kCopyOrderInterval) {
     return;
@@ -95,7 +96,7 @@
   if (is_lost) {
     ReleaseHolder();
     m_copy.reset();
-    holder = m_picker->PickForBackup(*primary);
+    holder = m_picker->PickForBackup(*primary, versions);
     if (holder == nullptr) {
       return;
     }
--- a/src/stream_backup.h
+++ b/src/stream_backup.h
@@ -11,6 +11,7 @@
 #include "gateway_attempt.h"
 #include "gateway_request.h"
 #include "hooks.h"
+#include "rollout_rule.h"
 
 namespace bramleybank {
 
@@ -37,12 +38,15 @@
 
   /// An attempt starts at `primary`: chooses the engine for its copy.
   /// @returns the address to name with the request; empty when there is none.
-  std::string Open(const EndpointRecord& primary);
+  /// @param versions that the run may go on with.
+  std::string Open(const EndpointRecord& primary,
+                   const RolloutRule& versions = {});
   /// The first event of the attempt has arrived: the copy begins.
   void OnFirstEvent();
   /// Replaces a copy that was lost, and renews one made by order. Called at a
   /// regular interval while the attempt runs.
-  void Maintain();
+  /// @param versions that the run may go on with.
+  void Maintain(const RolloutRule& versions = {});
   /// Gives up the copy.
   void Close();
 
--- a/tests/process_gateway.cc
+++ b/tests/process_gateway.cc
@@ -1,6 +1,8 @@
 // The real daemon as a gateway, against stand-ins that speak the users' wire.
 #include <doctest/doctest.h>
 
+#include <utility>
+
 #include "wire_deployment.h"
 #include "wire_names.h"
 
@@ -178,6 +180,59 @@
   CHECK(site.Call(0, "GET", "/added/x", "read-1").status == 200);
 }
 
+/// Sends idempotent calls until the rollout has ended.
+/// @returns how many were sent, and how many of them ran at `first` or above.
+std::pair<int, int> CallUntilRolloutEnds(const WireDeployment& site,
+                                         int first) {
+  int calls = 0;
+  WaitUntil("the end of the rollout", [&] {
+    for (int i = 0; i < 10; ++i) {
+      const std::string id = "read-" + std::to_string(++calls);
+      CHECK(site.Call(i % site.gateway_count(), "GET", "/reads/x", id).status ==
+            200);
+    }
+    const std::string state = site.RolloutState();
+    return !state.empty() && state != "running";
+  });
+  int at_new = 0;
+  for (int i = first; i < site.application_count(); ++i) {
+    at_new += site.RunCountOfApplication(i);
+  }
+  return {calls, at_new};
+}
+
+// Guards against a good version that is not completed although its servers are
+// there, and against requests lost when the old ones stop at that moment.
+TEST_CASE("an ordered version that is good is completed") {
+  WireDeployment site({});
+  const int first = site.AddApplications("v2");
+  site.OrderRollout("v2", 8);
+  const auto [calls, at_new] = CallUntilRolloutEnds(site, first);
+  CHECK(site.RolloutState() == "completed");
+  CHECK(at_new > 0);
+  for (int i = 0; i < first; ++i) {
+    site.application(i).Kill();
+  }
+  for (int i = 0; i < site.gateway_count(); ++i) {
+    const std::string id = "after-" + std::to_string(i);
+    CHECK(site.Call(i, "POST", "/calls/x", id).status == 200);
+  }
+}
+
+// Guards against a bad version that is completed, or that gets more than a
+// tenth of the requests (and the 50 that the platform allows besides).
+TEST_CASE("an ordered version that fails is rolled back") {
+  WireDeployment site({});
+  const int first = site.AddApplications("v2");
+  for (int i = first; i < site.application_count(); ++i) {
+    site.ControlApplication(i, {{"fail", 1000000}});
+  }
+  site.OrderRollout("v2", 8);
+  const auto [calls, at_new] = CallUntilRolloutEnds(site, first);
+  CHECK(site.RolloutState() == "rolled_back");
+  CHECK(at_new <= (calls / 10) + 50);
+}
+
 // Guards against new requests at a server that has said that it leaves.
 TEST_CASE("a draining server gets no new requests") {
   const WireDeployment site({});
--- /dev/null
+++ b/tests/unit_rollout.cc
@@ -0,0 +1,471 @@
+// Rollouts: the judgement of a version, the shares of both versions, and the
+// agreement of several gateways through a store in memory.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "bramleybank/limits.h"
+#include "endpoint_directory.h"
+#include "endpoint_picker.h"
+#include "event_loop.h"
+#include "rollout_director.h"
+#include "rollout_judge.h"
+#include "rollout_records.h"
+#include "store_rows.h"
+
+namespace bramleybank {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kRounds = 1000;
+
+/// Answers of a version that fails with probability `rate`.
+VersionTally Draw(std::mt19937* random, int answers, double rate) {
+  std::bernoulli_distribution fails(rate);
+  VersionTally tally;
+  for (int i = 0; i < answers; ++i) {
+    ++(fails(*random) ? tally.bad : tally.good);
+  }
+  return tally;
+}
+
+/// Part of the rounds in which a version is found bad within `answers`.
+double FoundBad(double old_rate, double new_rate, int answers) {
+  std::mt19937 random(7);
+  int found = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    RolloutEvidence evidence;
+    RouteTally& tally = evidence["r"];
+    tally.old_version = Draw(&random, 200, old_rate);
+    bool is_bad = false;
+    // Asked after each answer, as gateways do.
+    for (int i = 0; i < answers && !is_bad; ++i) {
+      tally.new_version += Draw(&random, 1, new_rate);
+      is_bad = JudgeRollout(evidence) == RolloutVerdict::kBad;
+    }
+    found += is_bad ? 1 : 0;
+  }
+  return static_cast<double>(found) / kRounds;
+}
+
+// Guards against good versions that are taken back: a false alarm in a hundred
+// rollouts is the bound that the test is built for.
+TEST_CASE("a version as good as the old one is rarely found bad") {
+  CHECK(FoundBad(0.0, 0.0, 200) == 0);
+  CHECK(FoundBad(0.02, 0.02, 200) < 0.02);
+  CHECK(FoundBad(0.14, 0.14, 200) < 0.02);
+}
+
+// Guards against a bad version that stays: the operator's bound is 50 bad
+// answers.
+TEST_CASE("a version that fails is found before its fiftieth bad answer") {
+  CHECK(FoundBad(0.02, 0.5, 50) > 0.99);
+  CHECK(FoundBad(0.02, 0.3, 100) > 0.99);
+  CHECK(FoundBad(0.14, 0.5, 100) > 0.99);
+}
+
+// Guards against a bad route that is hidden by many good answers of others.
+TEST_CASE("a version that fails on one route only is found") {
+  RolloutEvidence evidence;
+  evidence["good"] = {.old_version = {.good = 500, .bad = 5},
+                      .new_version = {.good = 300, .bad = 3}};
+  CHECK(JudgeRollout(evidence) == RolloutVerdict::kUndecided);
+  evidence["bad"] = {.old_version = {.good = 50, .bad = 1},
+                     .new_version = {.good = 2, .bad = 6}};
+  CHECK(JudgeRollout(evidence) == RolloutVerdict::kBad);
+}
+
+TEST_CASE("phases follow the evidence and the time") {
+  using enum RolloutPhase;
+  const RolloutEvidence none;
+  const RolloutEvidence good = {
+      {"r",
+       {.old_version = {.good = 50, .bad = 1}, .new_version = {.good = 20}}}};
+  const RolloutEvidence bad = {{"r",
+                                {.old_version = {.good = 50, .bad = 1},
+                                 .new_version = {.good = 2, .bad = 9}}}};
+  const auto next = [](RolloutPhase phase, const RolloutEvidence& evidence,
+                       int elapsed_s) {
+    return NextPhase(phase, evidence, seconds(elapsed_s), seconds(100));
+  };
+  CHECK(next(kProbing, good, 10) == kProbing);
+  CHECK(next(kProbing, good, 60) == kShifting);
+  CHECK(next(kProbing, bad, 10) == kRolledBack);
+  // A version of which nothing is known must not be completed.
+  CHECK(next(kProbing, none, 60) == kRolledBack);
+  CHECK(next(kShifting, good, 70) == kShifting);
+  CHECK(next(kShifting, bad, 70) == kRolledBack);
+  CHECK(next(kShifting, good, 85) == kCompleted);
+  CHECK(next(kCompleted, bad, 90) == kCompleted);
+  CHECK(next(kRolledBack, good, 90) == kRolledBack);
+}
+
+TEST_CASE("decisions and reports are read back") {
+  const RolloutDecision decision{.order_id = 9,
+                                 .phase = RolloutPhase::kShifting,
+                                 .driver = "g1",
+                                 .started = seconds(3),
+                                 .published = true};
+  CHECK(DecodeDecision(EncodeDecision(decision)) == decision);
+  const RolloutReport report{
+      .order_id = 9,
+      .evidence = {{"r", {.old_version = {1, 2}, .new_version = {3, 4}}}}};
+  CHECK(DecodeReport(EncodeReport(report)) == report);
+  CHECK_FALSE(DecodeDecision("{}").has_value());
+  CHECK_FALSE(DecodeReport("x").has_value());
+}
+
+// Guards against a bad version that gets more than its share, and against one
+// that gets requests before the decision of the others is known.
+TEST_CASE("a gateway holds the share of the new version by itself") {
+  RolloutGate gate({.service = "s", .version = "v2"}, [] { return 0; });
+  using Kind = RolloutRule::Kind;
+  CHECK(gate.NextRequest("r", 8).kind == Kind::kAllBut);
+  gate.SetPhase(RolloutPhase::kProbing);
+  int probes = 0;
+  constexpr int kRequests = 2000;
+  for (int i = 0; i < kRequests; ++i) {
+    probes += gate.NextRequest("r", 8).kind == Kind::kPreferred ? 1 : 0;
+  }
+  CHECK(probes >= kRequests * kRolloutProbeShare);
+  CHECK(probes <= (kRequests * kRolloutProbeShare) + 3);
+  CHECK(gate.Repeat().kind == Kind::kAllBut);
+  gate.Stop();
+  CHECK(gate.NextRequest("r", 8).kind == Kind::kAllBut);
+  gate.SetPhase(RolloutPhase::kRolledBack);
+  // A final phase stays, whatever an old row says.
+  gate.SetPhase(RolloutPhase::kCompleted);
+  CHECK(gate.NextRequest("r", 8).kind == Kind::kAllBut);
+}
+
+// Guards against a version that is slow and never fails.
+TEST_CASE("answers several times slower than usual count as bad") {
+  RolloutGate gate({.service = "s", .version = "v2"}, [] { return 0; });
+  gate.SetPhase(RolloutPhase::kProbing);
+  for (int i = 0; i < 20; ++i) {
+    gate.Observe("r", "v1", false, milliseconds(30));
+  }
+  gate.Observe("r", "v2", false, milliseconds(40));
+  gate.Observe("r", "v2", false, milliseconds(200));
+  CHECK(gate.Evidence().at("r").new_version == VersionTally{1, 1});
+}
+
+/// A store of rows that several gateways share. Calls are answered in the next
+/// turn of the loop.
+class SharedStore : public MetadataStore {
+ public:
+  explicit SharedStore(EventLoop* loop) : m_loop(loop) {}
+
+  void Read(const std::string& table,
+            const std::string& after,
+            RowsCallback callback) override {
+    m_loop->Post([this, table, after, callback = std::move(callback)] {
+      StoreRows rows;
+      if (!is_down) {
+        rows.result = StoreResult::kOk;
+        rows.now = now;
+        for (const auto& [name, row] : m_rows) {
+          if (name.first == table && row.key > after) {
+            rows.rows.push_back(row);
+          }
+        }
+      }
+      callback(rows);
+    });
+  }
+  void WaitForChanges(const std::string&,
+                      uint64_t,
+                      Duration,
+                      RowsCallback) override {}
+  void Write(const StoreWrite& write, WriteCallback callback) override {
+    if (hold_next && hold_next(write)) {
+      held.push_back(write);
+      return;
+    }
+    m_loop->Post([this, write, callback = std::move(callback)] {
+      callback(is_down ? StoreResult::kUnavailable : Apply(write));
+    });
+  }
+
+  StoreResult Apply(const StoreWrite& write) {
+    StoreRow& row = m_rows[{write.table, write.key}];
+    if (write.expected_version && *write.expected_version != row.version) {
+      return StoreResult::kConflict;
+    }
+    row = {.key = write.key, .value = write.value, .version = ++m_version};
+    history.push_back(write);
+    return StoreResult::kOk;
+  }
+
+  /// States of the operator's status, in order, each once.
+  std::vector<RolloutPhase> Statuses() const {
+    std::vector<RolloutPhase> phases;
+    for (const StoreWrite& write : history) {
+      if (write.table == "status") {
+        phases.push_back(platform::DecodeRolloutStatus(write.value)->phase);
+      }
+    }
+    phases.erase(std::unique(phases.begin(), phases.end()), phases.end());
+    return phases;
+  }
+
+  bool is_down = false;
+  Duration now{0};
+  std::vector<StoreWrite> history;
+  /// Writes that it picks are kept in `held` without an answer.
+  std::function<bool(const StoreWrite&)> hold_next;
+  std::vector<StoreWrite> held;
+
+ private:
+  EventLoop* m_loop;
+  uint64_t m_version = 100;
+  std::map<std::pair<std::string, std::string>, StoreRow> m_rows;
+};
+
+/// Gateways that serve requests of one route and follow one order.
+struct Fleet {
+  Fleet() {
+    for (int i = 0; i < 3; ++i) {
+      Start(i);
+    }
+  }
+
+  void Start(int i) {
+    directors.resize(3);
+    directors[i] = std::make_unique<RolloutDirector>(
+        &loop, &store, &rows, "g" + std::to_string(i),
+        RolloutDirector::Hooks{
+            .random = [this] { return random(); },
+            .gateways = [] { return 3; },
+            .poll_interval = [] { return milliseconds(1); }});
+    directors[i]->OnOrder(order);
+  }
+
+  /// One request at each gateway; the version that it goes to fails by its
+  /// rate.
+  void Serve() {
+    for (const auto& director : directors) {
+      if (!director) {
+        continue;
+      }
+      const RolloutRule rule = director->NextRequest("s", "r");
+      const bool is_new = rule.kind == RolloutRule::Kind::kPreferred;
+      ++requests;
+      new_requests += is_new ? 1 : 0;
+      std::bernoulli_distribution fails(is_new ? new_rate : 0.02);
+      director->Observe("s", "r", is_new ? "v2" : "v1", fails(random),
+                        milliseconds(30));
+    }
+  }
+
+  /// Serves for a time of the store's clock, a request a gateway each 10 ms.
+  void Run(Duration time) {
+    for (Duration end = store.now + time; store.now < end;
+         store.now += milliseconds(10)) {
+      Serve();
+      loop.RunOnce(milliseconds(0));
+      loop.RunOnce(milliseconds(2));
+    }
+  }
+
+  bool AllIn(RolloutPhase phase) const {
+    return std::ranges::all_of(directors, [phase](const auto& director) {
+      return !director || director->PhaseOf("s") == phase;
+    });
+  }
+
+  EventLoop loop;
+  SharedStore store{&loop};
+  GatewayRows rows = platform::MakeGatewayRows();
+  RolloutOrder order{.service = "s",
+                     .version = "v2",
+                     .duration = seconds(4),
+                     .id = 50};
+  std::mt19937 random{3};
+  double new_rate = 0.02;
+  int requests = 0;
+  int new_requests = 0;
+  std::vector<std::unique_ptr<RolloutDirector>> directors;
+};
+
+TEST_CASE("a good version is completed in time") {
+  Fleet fleet;
+  fleet.Run(seconds(2));
+  CHECK(fleet.AllIn(RolloutPhase::kProbing));
+  CHECK(fleet.new_requests < fleet.requests / 10);
+  fleet.Run(milliseconds(1900));
+  CHECK(fleet.AllIn(RolloutPhase::kCompleted));
+  CHECK(fleet.store.Statuses() ==
+        std::vector{RolloutPhase::kProbing, RolloutPhase::kCompleted});
+}
+
+// Guards against a bad version that gets more than a tenth of the requests.
+TEST_CASE("a bad version is rolled back by all gateways") {
+  Fleet fleet;
+  fleet.new_rate = 0.5;
+  fleet.Run(seconds(4));
+  CHECK(fleet.AllIn(RolloutPhase::kRolledBack));
+  CHECK(fleet.new_requests <= fleet.requests / 10);
+  CHECK(fleet.store.Statuses().back() == RolloutPhase::kRolledBack);
+  const int before = fleet.new_requests;
+  fleet.Run(seconds(1));
+  CHECK(fleet.new_requests == before);
+}
+
+// Guards against a version that turns bad under load, after it was judged.
+TEST_CASE("a version that turns bad while it takes over is rolled back") {
+  Fleet fleet;
+  fleet.Run(milliseconds(2600));
+  fleet.new_rate = 0.6;
+  fleet.Run(milliseconds(1300));
+  CHECK(fleet.AllIn(RolloutPhase::kRolledBack));
+  CHECK(fleet.store.Statuses().back() == RolloutPhase::kRolledBack);
+}
+
+// Guards against a rollout that stands still when its driver is lost.
+TEST_CASE("another gateway drives on when the driver is gone") {
+  Fleet fleet;
+  fleet.Run(seconds(1));
+  const auto decision = std::ranges::find_if(
+      fleet.store.history,
+      [](const StoreWrite& write) { return write.key == "s"; });
+  REQUIRE(decision != fleet.store.history.end());
+  const std::string driver = DecodeDecision(decision->value)->driver;
+  fleet.directors[driver.back() - '0'].reset();
+  fleet.Run(milliseconds(2900));
+  CHECK(fleet.AllIn(RolloutPhase::kCompleted));
+  CHECK(fleet.store.Statuses().back() == RolloutPhase::kCompleted);
+}
+
+// Guards against a write of a driver that was paused: it takes effect after the
+// others have told the operator the end.
+TEST_CASE("a late write changes neither a decision nor a status") {
+  Fleet fleet;
+  int writes = 0;
+  fleet.store.hold_next = [&writes](const StoreWrite& write) {
+    return write.key == "s" && ++writes == 20;
+  };
+  fleet.Run(milliseconds(3900));
+  REQUIRE(fleet.store.held.size() == 1);
+  const auto statuses = fleet.store.Statuses();
+  CHECK(statuses.back() == RolloutPhase::kCompleted);
+  CHECK(fleet.store.Apply(fleet.store.held[0]) == StoreResult::kConflict);
+  fleet.Run(milliseconds(200));
+  CHECK(fleet.store.Statuses() == statuses);
+}
+
+// Guards against a gateway that starts in the middle of a rollout, or after its
+// end, and sends requests to a version that was taken back.
+TEST_CASE("a restarted gateway keeps to the decision") {
+  Fleet fleet;
+  fleet.new_rate = 0.5;
+  fleet.Run(seconds(4));
+  REQUIRE(fleet.AllIn(RolloutPhase::kRolledBack));
+  fleet.Start(1);
+  CHECK(fleet.directors[1]->NextRequest("s", "r").kind ==
+        RolloutRule::Kind::kAllBut);
+  const int before = fleet.new_requests;
+  fleet.Run(seconds(1));
+  CHECK(fleet.AllIn(RolloutPhase::kRolledBack));
+  CHECK(fleet.new_requests == before);
+}
+
+// Guards against a bad version that goes on being used because the store does
+// not answer: each gateway stops on what it sees itself.
+TEST_CASE("a gateway stops by itself while the store is away") {
+  Fleet fleet;
+  fleet.Run(milliseconds(200));
+  fleet.store.is_down = true;
+  fleet.new_rate = 0.9;
+  fleet.Run(seconds(3));
+  const int before = fleet.new_requests;
+  CHECK(fleet.new_requests <= fleet.requests / 10);
+  fleet.Run(seconds(1));
+  CHECK(fleet.new_requests == before);
+  fleet.store.is_down = false;
+  fleet.Run(seconds(1));
+  CHECK(fleet.AllIn(RolloutPhase::kRolledBack));
+}
+
+struct VersionFixture {
+  VersionFixture() {
+    for (int i = 0; i < 20; ++i) {
+      Add("old" + std::to_string(i), "v1");
+      Add("new" + std::to_string(i), "v2");
+    }
+  }
+  void Add(const std::string& id, const std::string& version) {
+    EndpointEntry entry;
+    entry.id = id;
+    entry.service = "s";
+    entry.version = version;
+    entry.failure_domain = id.back() % 2 == 0 ? "a" : "b";
+    entry.address = id + ":1";
+    directory.Update(entry);
+  }
+  EndpointDirectory directory{&SteadyNow};
+  EndpointPicker picker{&directory, {}, [this] { return random(); }};
+  std::mt19937 random{1};
+};
+
+// Guards against probes that are spread so thin that a version which fails
+// under load looks good.
+TEST_CASE("probes go to as small a share of the endpoints") {
+  VersionFixture fixture;
+  std::vector<std::string> used;
+  for (int i = 0; i < 200; ++i) {
+    const EndpointRecord* picked = fixture.picker.PickForAttempt(
+        {.service = "s",
+         .versions = {.kind = RolloutRule::Kind::kPreferred,
+                      .version = "v2",
+                      .endpoint_share = 0.1}});
+    REQUIRE(picked != nullptr);
+    CHECK(picked->entry.version == "v2");
+    used.push_back(picked->entry.id);
+  }
+  std::ranges::sort(used);
+  used.erase(std::unique(used.begin(), used.end()), used.end());
+  CHECK(used.size() == 2);
+}
+
+// Guards against a copy of a run at a version that may get no requests.
+TEST_CASE("a run and its copy stay within the allowed versions") {
+  VersionFixture fixture;
+  const RolloutRule rule{.kind = RolloutRule::Kind::kAllBut, .version = "v2"};
+  for (int i = 0; i < 50; ++i) {
+    const EndpointRecord* primary =
+        fixture.picker.PickForAttempt({.service = "s", .versions = rule});
+    REQUIRE(primary != nullptr);
+    CHECK(primary->entry.version == "v1");
+    CHECK(fixture.picker.PickForBackup(*primary, rule)->entry.version == "v1");
+  }
+}
+
+// Guards against a service without endpoints: after a completed rollout a
+// gateway that has just started must use what is there.
+TEST_CASE("a service that has only the excluded version is served by it") {
+  VersionFixture fixture;
+  const RolloutRule rule{.kind = RolloutRule::Kind::kAllBut, .version = "v3"};
+  CHECK(fixture.picker.PickForAttempt({.service = "s", .versions = rule}) !=
+        nullptr);
+  EndpointDirectory only(&SteadyNow);
+  EndpointEntry entry;
+  entry.id = "n";
+  entry.service = "s";
+  entry.version = "v2";
+  only.Update(entry);
+  const EndpointPicker picker(&only, {}, [] { return 0; });
+  const RolloutRule excluded{.kind = RolloutRule::Kind::kAllBut,
+                             .version = "v2"};
+  CHECK(picker.PickForAttempt({.service = "s", .versions = excluded}) !=
+        nullptr);
+}
+
+}  // namespace
+}  // namespace bramleybank
--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include "store_rows.h"
 #include "wire_names.h"
 
 namespace bramleybank::testing {
@@ -65,7 +66,8 @@
     : m_options(options),
       m_engines(options.domains * options.engines_per_domain),
       m_applications(options.domains * options.applications_per_domain),
-      m_gateways(options.domains * options.gateways_per_domain) {
+      m_gateways(options.domains * options.gateways_per_domain),
+      m_application_lines(m_applications.size()) {
   m_store = std::make_unique<ChildProcess>(
       "standin_row_store", "[listen]\nip = " + LoopbackIp(kStoreAddress) +
                                "\nport = " + kStorePort + "\n");
@@ -88,7 +90,7 @@
 WireDeployment::~WireDeployment() = default;
 
 std::string WireDeployment::DomainOf(int i, int per_domain) const {
-  return "domain-" + std::to_string(i / per_domain);
+  return "domain-" + std::to_string((i / per_domain) % m_options.domains);
 }
 
 std::string WireDeployment::ServerIni(const std::string& ip,
@@ -120,10 +122,43 @@
       "standin_wire_server",
       ServerIni(LoopbackIp(kFirstApplicationAddress + i), id, "apps",
                 DomainOf(i, m_options.applications_per_domain),
-                m_options.application_settings));
+                m_options.application_settings + m_application_lines[i]));
   WaitReady(ApplicationUrl(i, "/standin/runs"));
 }
 
+int WireDeployment::AddApplications(const std::string& version) {
+  const int first = application_count();
+  for (int domain = 0; domain < m_options.domains; ++domain) {
+    m_applications.emplace_back();
+    m_application_lines.push_back("version = " + version + "\n");
+    StartApplication(application_count() - 1);
+  }
+  return first;
+}
+
+void WireDeployment::OrderRollout(const std::string& version,
+                                  int duration_s) const {
+  const json order = {
+      {"service", "apps"}, {"to", version}, {"duration_s", duration_s}};
+  REQUIRE(Send("PUT",
+               Url(kStoreAddress, kStorePort,
+                   "/standin/operator?table=op&key=rollout%2Fapps"),
+               {}, order.dump())
+              .status == 200);
+}
+
+std::string WireDeployment::RolloutState() const {
+  const HttpAnswer answer =
+      Send("GET",
+           Url(kStoreAddress, kStorePort, "/api/rows-get?table=status&part="));
+  StoreRows rows;
+  if (!DecodeRows(answer.body, &rows) || rows.rows.empty()) {
+    return "";
+  }
+  CHECK(rows.rows[0].key == "rollout/apps");
+  return json::parse(rows.rows[0].value).at("state").get<std::string>();
+}
+
 void WireDeployment::StartGateway(int i) {
   const std::string ip = LoopbackIp(kFirstGatewayAddress + i);
   std::string regions;
@@ -206,6 +241,12 @@
   Control(ApplicationUrl(i, "/standin/control"), control);
 }
 
+int WireDeployment::RunCountOfApplication(int i) const {
+  const json record =
+      json::parse(Send("GET", ApplicationUrl(i, "/standin/runs")).body);
+  return static_cast<int>(record.at("runs").size());
+}
+
 bool WireDeployment::HasRunAtApplication(int i,
                                          const std::string& request_id) const {
   const HttpAnswer record = Send("GET", ApplicationUrl(i, "/standin/runs"));
--- a/tests/wire_deployment.h
+++ b/tests/wire_deployment.h
@@ -43,6 +43,9 @@
   void StartGateway(int i);
   void StartEngine(int i);
   void StartApplication(int i);
+  /// Starts one more application in each failure domain.
+  /// @returns the index of the first one.
+  int AddApplications(const std::string& version);
   void WaitGatewayReady(int i) const;
   /// Waits until calls and streams through this gateway succeed.
   void WaitServing(int i) const;
@@ -53,11 +56,16 @@
   void PublishConfig(uint64_t version,
                      const std::string& key = "key-1",
                      const std::string& extra_route = {}) const;
+  /// Orders another version of the applications.
+  void OrderRollout(const std::string& version, int duration_s) const;
+  /// @returns the state that the operator reads; empty before there is one.
+  std::string RolloutState() const;
   void ControlStore(const nlohmann::json& control) const;
   /// @returns what the store's stand-in counts.
   nlohmann::json StoreStats() const;
   void ControlEngine(int i, const nlohmann::json& control) const;
   void ControlApplication(int i, const nlohmann::json& control) const;
+  int RunCountOfApplication(int i) const;
   bool HasRunAtApplication(int i, const std::string& request_id) const;
   /// @returns the runs of a request on all servers that live.
   std::vector<nlohmann::json> RunsOf(const std::string& request_id) const;
@@ -94,6 +102,8 @@
   std::vector<std::unique_ptr<ChildProcess>> m_engines;
   std::vector<std::unique_ptr<ChildProcess>> m_applications;
   std::vector<std::unique_ptr<ChildProcess>> m_gateways;
+  // Settings that differ among the applications, by index.
+  std::vector<std::string> m_application_lines;
   // Starts of servers so far; each start has an id of its own.
   int m_server_starts = 0;
 };
