A randomized soak of the gateway against real processes

tests/soak_*: callers that keep their connections, a seeded mix of overlapping faults (gateways and servers killed, paused, stopped in order, reloaded; links delayed, reset, refused, cut one way or both, truncated; the store busy, silent, slow, losing answers or history; servers that refuse, fail, break off, fall silent, leave; configurations), and a judge of what callers and servers saw: whole answers with their own mark, events in order and once, one run of a non-idempotent call, true promises of "not run", no run that nobody sent, no older configuration within a start, no gateway that ends by itself, and service with the newest configuration afterwards.

--- a/makefile
+++ b/makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 CMAKE_FLAGS ?=
 
-.PHONY: all deps build run test bench lint format tables clean
+.PHONY: all deps build run test soak bench lint format tables clean
 
 all: build
 
@@ -20,6 +20,11 @@
 test: build
 	@cd $(BUILD) && ctest --output-on-failure -j 4
 
+# SEEDS, FIRST and SECONDS choose the run; see tests/soak_gateway.cc.
+soak: build
+	@SOAK_SEEDS=$(or $(SEEDS),50) SOAK_FIRST=$(or $(FIRST),1) \
+	  SOAK_SECONDS=$(or $(SECONDS),5) $(BUILD)/soak
+
 bench: build
 	@BUILD=$(BUILD) scripts/bench.sh
 
--- a/tests/process_fixture.cc
+++ b/tests/process_fixture.cc
@@ -94,6 +94,10 @@
 
 }  // namespace
 
+std::string NewTemporaryFile(const std::string& suffix) {
+  return NewFile(suffix);
+}
+
 std::string LoopbackIp(int host) {
   const auto pid = static_cast<unsigned>(getpid());
   return "127." + std::to_string(1 + ((pid >> 8U) % 250)) + "." +
@@ -156,6 +160,10 @@
   Signal(SIGTERM);
 }
 
+void ChildProcess::Hangup() {
+  Signal(SIGHUP);
+}
+
 bool ChildProcess::is_running() {
   if (m_pid < 0) {
     return false;
--- a/tests/process_fixture.h
+++ b/tests/process_fixture.h
@@ -23,6 +23,10 @@
 /// to 250 numbers the addresses of one test.
 std::string LoopbackIp(int host);
 
+/// @returns the path of a file that does not exist yet; it is removed with the
+/// test program.
+std::string NewTemporaryFile(const std::string& suffix);
+
 /// One program started by a test. It is killed with the object, and by the
 /// kernel if the test dies.
 class ChildProcess {
@@ -38,6 +42,7 @@
   void Pause();
   void Continue();
   void Terminate();
+  void Hangup();
   /// Waits for the end. @returns the exit code, or -1 after a signal.
   int WaitExit();
   bool is_running();
--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -23,6 +23,11 @@
 constexpr int kFirstGatewayAddress = 10;
 constexpr int kFirstEngineAddress = 60;
 constexpr int kFirstApplicationAddress = 160;
+constexpr int kProxyAddress = 2;
+constexpr char kProxyControlPort[] = "9900";
+// Ports of the proxy, one a link.
+constexpr int kFirstServerLinkPort = 10000;
+constexpr int kFirstStoreLinkPort = 11000;
 
 std::string Url(int address, const char* port, const std::string& path) {
   return "http://" + LoopbackIp(address) + ":" + port + path;
@@ -73,6 +78,9 @@
                                "\nport = " + kStorePort + "\n");
   WaitReady(Url(kStoreAddress, kStorePort, "/standin/stats"));
   PublishConfig(1);
+  if (m_options.is_proxied) {
+    StartProxy();
+  }
   for (int i = 0; i < engine_count(); ++i) {
     StartEngine(i);
   }
@@ -89,6 +97,47 @@
 
 WireDeployment::~WireDeployment() = default;
 
+void WireDeployment::StartProxy() {
+  std::string names;
+  std::string sections;
+  const auto add = [&](const std::string& name, int port,
+                       const std::string& target_ip, const char* target_port) {
+    names += (names.empty() ? "" : ",") + name;
+    sections += "[" + name + "]\nip = " + LoopbackIp(kProxyAddress) +
+                "\nport = " + std::to_string(port) +
+                "\ntarget_ip = " + target_ip +
+                "\ntarget_port = " + target_port + "\n";
+  };
+  for (int i = 0; i < server_count(); ++i) {
+    const int address = i < engine_count()
+                            ? kFirstEngineAddress + i
+                            : kFirstApplicationAddress + i - engine_count();
+    add("server-" + std::to_string(i), kFirstServerLinkPort + i,
+        LoopbackIp(address), kServerPort);
+  }
+  for (int i = 0; i < gateway_count(); ++i) {
+    add("store-" + std::to_string(i), kFirstStoreLinkPort + i,
+        LoopbackIp(kStoreAddress), kStorePort);
+  }
+  m_proxy = std::make_unique<ChildProcess>(
+      "fault_proxy", "[control]\nip = " + LoopbackIp(kProxyAddress) +
+                         "\nport = " + kProxyControlPort +
+                         "\n[pairs]\nnames = " + names + "\n" + sections);
+  WaitReady(Url(kProxyAddress, kProxyControlPort, "/stats"));
+}
+
+std::string WireDeployment::AdvertisedAddress(int server) const {
+  return m_proxy ? LoopbackIp(kProxyAddress) + ":" +
+                       std::to_string(kFirstServerLinkPort + server)
+                 : "";
+}
+
+std::string WireDeployment::StoreAddressFor(int gateway) const {
+  return m_proxy ? LoopbackIp(kProxyAddress) + ":" +
+                       std::to_string(kFirstStoreLinkPort + gateway)
+                 : LoopbackIp(kStoreAddress) + ":" + kStorePort;
+}
+
 std::string WireDeployment::DomainOf(int i, int per_domain) const {
   return "domain-" + std::to_string((i / per_domain) % m_options.domains);
 }
@@ -101,7 +150,7 @@
   return "[listen]\nip = " + ip + "\nport = " + kServerPort +
          "\n[platform]\nstore = " + LoopbackIp(kStoreAddress) + ":" +
          kStorePort + "\n[server]\nid = " + id + "\nservice = " + service +
-         "\nzone = " + domain + "\n" + lines;
+         "\nzone = " + domain + "\nrecord = " + m_record_path + "\n" + lines;
 }
 
 void WireDeployment::StartEngine(int i) {
@@ -111,7 +160,8 @@
       "standin_wire_server",
       ServerIni(LoopbackIp(kFirstEngineAddress + i), id, "engines",
                 DomainOf(i, m_options.engines_per_domain),
-                "engine = true\n" + m_options.engine_settings));
+                "engine = true\nadvertised = " + AdvertisedAddress(i) + "\n" +
+                    m_options.engine_settings));
   WaitReady(EngineUrl(i, "/standin/runs"));
 }
 
@@ -122,7 +172,8 @@
       "standin_wire_server",
       ServerIni(LoopbackIp(kFirstApplicationAddress + i), id, "apps",
                 DomainOf(i, m_options.applications_per_domain),
-                m_options.application_settings + m_application_lines[i]));
+                "advertised = " + AdvertisedAddress(engine_count() + i) + "\n" +
+                    m_options.application_settings + m_application_lines[i]));
   WaitReady(ApplicationUrl(i, "/standin/runs"));
 }
 
@@ -176,8 +227,7 @@
           domain.substr(domain.find('-') + 1) + "\nregions = " + regions +
           "\n[listen]\ncaller = " + ip + ":" + kCallerPort + "\nready = " + ip +
           ":" + kReadyPort + "\nmetrics = " + ip + ":" + kMetricsPort +
-          "\n[platform]\nstore = " + LoopbackIp(kStoreAddress) + ":" +
-          kStorePort + "\n");
+          "\n[platform]\nstore = " + StoreAddressFor(i) + "\n");
 }
 
 void WireDeployment::WaitGatewayReady(int i) const {
@@ -233,6 +283,18 @@
       Send("GET", Url(kStoreAddress, kStorePort, "/standin/stats")).body);
 }
 
+void WireDeployment::ControlServerLink(int server, const json& control) const {
+  json message = control;
+  message["pair"] = "server-" + std::to_string(server);
+  Control(Url(kProxyAddress, kProxyControlPort, "/control"), message);
+}
+
+void WireDeployment::ControlStoreLink(int gateway, const json& control) const {
+  json message = control;
+  message["pair"] = "store-" + std::to_string(gateway);
+  Control(Url(kProxyAddress, kProxyControlPort, "/control"), message);
+}
+
 void WireDeployment::ControlEngine(int i, const json& control) const {
   Control(EngineUrl(i, "/standin/control"), control);
 }
@@ -327,6 +389,10 @@
   return found;
 }
 
+std::string WireDeployment::caller_ip(int gateway) const {
+  return LoopbackIp(kFirstGatewayAddress + gateway);
+}
+
 std::string WireDeployment::metrics_url(int gateway) const {
   return Url(kFirstGatewayAddress + gateway, kMetricsPort, "/metrics");
 }
--- a/tests/wire_deployment.h
+++ b/tests/wire_deployment.h
@@ -22,6 +22,9 @@
   std::string engine_settings = "event_ms = 20\nevents = 40\nwork_ms = 20\n";
   /// Lines of the [server] section of every application.
   std::string application_settings = "work_ms = 5\n";
+  /// Whether a fault proxy stands before each server, and between each gateway
+  /// and the store.
+  bool is_proxied = false;
 };
 
 /// Processes of one site, all on addresses of this test.
@@ -61,6 +64,9 @@
   /// @returns the state that the operator reads; empty before there is one.
   std::string RolloutState() const;
   void ControlStore(const nlohmann::json& control) const;
+  /// Sets faults of the proxy on one link.
+  void ControlServerLink(int server, const nlohmann::json& control) const;
+  void ControlStoreLink(int gateway, const nlohmann::json& control) const;
   /// @returns what the store's stand-in counts.
   nlohmann::json StoreStats() const;
   void ControlEngine(int i, const nlohmann::json& control) const;
@@ -85,10 +91,23 @@
                   size_t events) const;
 
   int engine_of(const std::string& request_id) const;
+  /// @returns a prefix that only the configuration with this version has.
+  static std::string ProbeRoute(uint64_t version) {
+    return "/only-" + std::to_string(version) + "/";
+  }
+  std::string caller_ip(int gateway) const;
+  /// @returns the file to which servers add a line for each run.
+  const std::string& record_path() const { return m_record_path; }
+  /// Engines, then applications.
+  int server_count() const { return engine_count() + application_count(); }
   std::string metrics_url(int gateway) const;
   std::string ready_url(int gateway) const;
 
  private:
+  void StartProxy();
+  /// @returns ip:port at which others reach a server.
+  std::string AdvertisedAddress(int server) const;
+  std::string StoreAddressFor(int gateway) const;
   std::string DomainOf(int i, int per_domain) const;
   std::string ServerIni(const std::string& ip,
                         const std::string& id,
@@ -98,7 +117,9 @@
   std::vector<std::string> ServerUrls() const;
 
   const WireDeploymentOptions m_options;
+  const std::string m_record_path = NewTemporaryFile(".runs");
   std::unique_ptr<ChildProcess> m_store;
+  std::unique_ptr<ChildProcess> m_proxy;
   std::vector<std::unique_ptr<ChildProcess>> m_engines;
   std::vector<std::unique_ptr<ChildProcess>> m_applications;
   std::vector<std::unique_ptr<ChildProcess>> m_gateways;
