--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -24,13 +24,6 @@
 EndpointDirectory::EndpointDirectory(ClockHook clock)
     : m_clock(std::move(clock)) {}
 
-std::string EndpointDirectory::DomainKey(std::string_view service,
-                                         std::string_view domain) {
-  std::string key(service);
-  key.append("/").append(domain);
-  return key;
-}
-
 void EndpointDirectory::Update(const EndpointEntry& entry) {
   DropGone();
   auto it = m_records.find(entry.id);
@@ -166,7 +159,7 @@
   ++record->consecutive_losses;
   Extend(&record->suspect_until, now + kLostEndpointPause * (1 << doublings));
   DomainLosses& domain =
-      m_domains[DomainKey(record->entry.service, record->entry.failure_domain)];
+      m_domains[record->entry.service][record->entry.failure_domain];
   domain.lost_at.insert_or_assign(record->entry.id, now);
   std::erase_if(domain.lost_at, [&](const auto& item) {
     return now - item.second > kDomainLossWindow;
@@ -186,7 +179,7 @@
 
 void EndpointDirectory::SuspectDomain(std::string_view service,
                                       std::string_view domain) {
-  Extend(&m_domains[DomainKey(service, domain)].suspect_until,
+  Extend(&m_domains[std::string(service)][std::string(domain)].suspect_until,
          m_clock() + kLostDomainPause);
 }
 
@@ -204,8 +197,12 @@
 
 bool EndpointDirectory::IsDomainSuspect(std::string_view service,
                                         std::string_view domain) const {
-  const auto it = m_domains.find(DomainKey(service, domain));
-  return it != m_domains.end() && it->second.suspect_until &&
+  const auto domains = m_domains.find(service);
+  if (domains == m_domains.end()) {
+    return false;
+  }
+  const auto it = domains->second.find(domain);
+  return it != domains->second.end() && it->second.suspect_until &&
          *it->second.suspect_until > m_clock();
 }
 
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -98,8 +98,6 @@
   void SupersedeAddress(const EndpointRecord& record);
   void RecordLoss(EndpointRecord* record);
   void DropGone();
-  static std::string DomainKey(std::string_view service,
-                               std::string_view domain);
 
   ClockHook m_clock;
   bool m_store_lost = false;
@@ -111,7 +109,11 @@
   std::map<std::string, EndpointRecord, std::less<>> m_records;
   std::map<std::string, std::vector<const EndpointRecord*>, std::less<>>
       m_by_service;
-  std::map<std::string, DomainLosses, std::less<>> m_domains;
+  // By service, then failure domain.
+  std::map<std::string,
+           std::map<std::string, DomainLosses, std::less<>>,
+           std::less<>>
+      m_domains;
 };
 
 }  // namespace bramleybank
--- a/tests/soak_gateway.cc
+++ b/tests/soak_gateway.cc
@@ -38,7 +38,10 @@
 
 void Play(uint64_t seed, std::chrono::seconds time) {
   CAPTURE(seed);
-  WireDeployment site({.domains = 3, .is_proxied = true});
+  // Calls take long enough to be hit by a fault while they run.
+  WireDeployment site({.domains = 3,
+                       .application_settings = "work_ms = 40\n",
+                       .is_proxied = true});
   SoakTargets targets;
   targets.config_version = 2;
   site.PublishConfig(2, "key-1", WireDeployment::ProbeRoute(2));
