Complete a rollout 2.5 s before its deadline at the latest

With 0.85 of the time alone, an order of 12 s left 1.8 s for the last exchange, the decision and the status; one of 8 s left 1.2 s, about one exchange. The test of the phases fails without the margin.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -264,6 +264,9 @@
 inline constexpr std::chrono::milliseconds kMinRolloutPollInterval{1000};
 inline constexpr std::chrono::milliseconds kRolloutPollIntervalPerPeer{20};
 inline constexpr std::chrono::microseconds kRolloutPollJitter{100000};
+/// A rollout is completed at least so long before its time is over: the driver
+/// decides at its next exchange, then reads and writes the operator's status.
+inline constexpr std::chrono::milliseconds kRolloutDeadlineMargin{2500};
 /// A driver whose row is unchanged for so many reads is taken to be lost.
 inline constexpr int kMaxUnchangedRolloutReads = 3;
 
