--- a/src/rollout_director.cc
+++ b/src/rollout_director.cc
@@ -16,18 +16,9 @@
 
 constexpr char kTable[] = "rollouts";
 
-void Add(const RolloutEvidence& from, RolloutEvidence* to) {
-  for (const auto& [route, tally] : from) {
-    (*to)[route] += tally;
-  }
-}
-
 /// Adds the answers of both versions on all routes.
 void AddTallies(const RolloutEvidence& evidence, LogLine* line) {
-  RouteTally total;
-  for (const auto& [route, tally] : evidence) {
-    total += tally;
-  }
+  const RouteTally total = TotalOf(evidence);
   line->Field("old_good", static_cast<long long>(total.old_version.good))
       .Field("old_bad", static_cast<long long>(total.old_version.bad))
       .Field("new_good", static_cast<long long>(total.new_version.good))
@@ -116,7 +107,7 @@
 
 RolloutEvidence RolloutDirector::Total(const Rollout& rollout) const {
   RolloutEvidence total = rollout.gate.Evidence();
-  Add(rollout.others, &total);
+  AddEvidence(rollout.others, &total);
   return total;
 }
 
@@ -202,7 +193,7 @@
       continue;
     }
     if (row.key != own_key) {
-      Add(report->evidence, &rollout->others);
+      AddEvidence(report->evidence, &rollout->others);
     } else if (!rollout->is_read) {
       rollout->gate.SetEarlierEvidence(report->evidence);
     }
--- a/src/rollout_gate.cc
+++ b/src/rollout_gate.cc
@@ -87,9 +87,7 @@
 
 RolloutEvidence RolloutGate::Evidence() const {
   RolloutEvidence evidence = m_earlier;
-  for (const auto& [route, tally] : m_own) {
-    evidence[route] += tally;
-  }
+  AddEvidence(m_own, &evidence);
   return evidence;
 }
 
--- a/src/rollout_judge.cc
+++ b/src/rollout_judge.cc
@@ -3,7 +3,6 @@
 #include "rollout_judge.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <string>
 #include <string_view>
@@ -52,18 +51,10 @@
           std::log((1 - harmful) / (1 - usual)));
 }
 
-RouteTally Total(const RolloutEvidence& evidence) {
-  RouteTally total;
-  for (const auto& [route, tally] : evidence) {
-    total += tally;
-  }
-  return total;
-}
-
 /// @returns the highest odds of a route and of all together: some versions
 /// fail on one route only.
 double WorstLogOdds(const RolloutEvidence& evidence) {
-  double worst = LogOdds(Total(evidence));
+  double worst = LogOdds(TotalOf(evidence));
   for (const auto& [route, tally] : evidence) {
     worst = std::max(worst, LogOdds(tally));
   }
@@ -81,34 +72,15 @@
              : ParseRolloutPhase(it->second).value_or(phase);
 }
 
-struct PhaseName {
-  RolloutPhase phase;
-  std::string_view name;
-};
-constexpr std::array<PhaseName, 4> kPhaseNames = {
-    {{RolloutPhase::kProbing, "probing"},
-     {RolloutPhase::kShifting, "shifting"},
-     {RolloutPhase::kCompleted, "completed"},
-     {RolloutPhase::kRolledBack, "rolled_back"}}};
-
 }  // namespace
 
-std::string_view NameOf(RolloutPhase phase) {
-  return std::ranges::find(kPhaseNames, phase, &PhaseName::phase)->name;
-}
-
-std::optional<RolloutPhase> ParseRolloutPhase(std::string_view name) {
-  const auto* it = std::ranges::find(kPhaseNames, name, &PhaseName::name);
-  return it == kPhaseNames.end() ? std::nullopt : std::optional(it->phase);
-}
-
 RolloutVerdict JudgeRollout(const RolloutEvidence& evidence) {
   return WorstLogOdds(evidence) >= kBadLogOdds ? RolloutVerdict::kBad
                                                : RolloutVerdict::kUndecided;
 }
 
 bool IsLikelyGood(const RolloutEvidence& evidence) {
-  return Total(evidence).new_version.total() >= kMinAnswers &&
+  return TotalOf(evidence).new_version.total() >= kMinAnswers &&
          WorstLogOdds(evidence) < kLeaningBadLogOdds;
 }
 
--- a/src/rollout_order.h
+++ b/src/rollout_order.h
@@ -99,6 +99,10 @@
 /// By route.
 using RolloutEvidence = std::map<std::string, RouteTally, std::less<>>;
 
+void AddEvidence(const RolloutEvidence& from, RolloutEvidence* to);
+/// @returns the sum over all routes.
+RouteTally TotalOf(const RolloutEvidence& evidence);
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_SRC_ROLLOUT_ORDER_H_
--- a/tests/soak_caller.cc
+++ b/tests/soak_caller.cc
@@ -20,7 +20,6 @@
 
 using namespace platform;
 
-constexpr char kCallerPort[] = ":8740";
 // Callers leave a request after this time; a gateway must have ended it long
 // before. Only a hang takes so long.
 constexpr int kHangMs = 60000;
@@ -46,14 +45,15 @@
   }
 }
 
-bool SoakConnection::Connect(const std::string& ip) {
+bool SoakConnection::Connect(const std::string& address) {
   if (m_fd >= 0) {
     return true;
   }
-  const auto address = ParseTcpAddress(ip + kCallerPort);
+  const auto socket_address = ParseTcpAddress(address);
   m_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int started = connect(
-      m_fd, reinterpret_cast<const sockaddr*>(&*address), sizeof(*address));
+  const int started =
+      connect(m_fd, reinterpret_cast<const sockaddr*>(&*socket_address),
+              sizeof(*socket_address));
   int error = 0;
   socklen_t size = sizeof(error);
   const bool is_open =
@@ -66,10 +66,10 @@
   return is_open;
 }
 
-void SoakConnection::Exchange(const std::string& ip,
+void SoakConnection::Exchange(const std::string& address,
                               const std::string& request,
                               SoakOutcome* outcome) {
-  if (!Connect(ip)) {
+  if (!Connect(address)) {
     return;
   }
   bool keeps = false;
--- a/tests/soak_caller.h
+++ b/tests/soak_caller.h
@@ -40,7 +40,7 @@
 
 /// What all callers share with the soak's driver.
 struct SoakTargets {
-  /// ip of each gateway's caller port, and its starts so far.
+  /// ip:port of each gateway for callers, and its starts so far.
   std::vector<std::string> gateways;
   std::vector<std::unique_ptr<std::atomic<int>>> incarnations;
   /// Newest version of the configuration that has been written.
@@ -54,12 +54,12 @@
   ~SoakConnection();
   /// Sends a request and reads its answer. A request is sent once: when a kept
   /// connection turns out to be closed, that is what the caller sees.
-  void Exchange(const std::string& ip,
+  void Exchange(const std::string& address,
                 const std::string& request,
                 SoakOutcome* outcome);
 
  private:
-  bool Connect(const std::string& ip);
+  bool Connect(const std::string& address);
   void Close();
 
   int m_fd = -1;
--- a/tests/soak_gateway.cc
+++ b/tests/soak_gateway.cc
@@ -61,7 +61,7 @@
   targets.config_version = 2;
   site.PublishConfig(2, "key-1", WireDeployment::ProbeRoute(2));
   for (int i = 0; i < site.gateway_count(); ++i) {
-    targets.gateways.push_back(site.caller_ip(i));
+    targets.gateways.push_back(site.caller_address(i));
     targets.incarnations.push_back(std::make_unique<std::atomic<int>>(0));
   }
   std::vector<std::unique_ptr<SoakCaller>> callers;
--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -389,8 +389,8 @@
   return found;
 }
 
-std::string WireDeployment::caller_ip(int gateway) const {
-  return LoopbackIp(kFirstGatewayAddress + gateway);
+std::string WireDeployment::caller_address(int gateway) const {
+  return LoopbackIp(kFirstGatewayAddress + gateway) + ":" + kCallerPort;
 }
 
 std::string WireDeployment::metrics_url(int gateway) const {
--- a/tests/wire_deployment.h
+++ b/tests/wire_deployment.h
@@ -95,7 +95,8 @@
   static std::string ProbeRoute(uint64_t version) {
     return "/only-" + std::to_string(version) + "/";
   }
-  std::string caller_ip(int gateway) const;
+  /// @returns ip:port for callers.
+  std::string caller_address(int gateway) const;
   /// @returns the file to which servers add a line for each run.
   const std::string& record_path() const { return m_record_path; }
   /// Engines, then applications.
--- a/tools/standin_platform_server.cc
+++ b/tools/standin_platform_server.cc
@@ -12,6 +12,7 @@
 #include "http_path.h"
 #include "http_request.h"
 #include "http_responder.h"
+#include "standin_reply.h"
 
 namespace bramleybank {
 namespace {
@@ -40,11 +41,6 @@
   return PercentDecode(path.substr(prefix.size()));
 }
 
-void Reply(HttpResponder* responder, int status, const json& body) {
-  responder->Respond(status, {{"Content-Type", "application/json"}},
-                     body.dump(-1, ' ', false, json::error_handler_t::replace));
-}
-
 PlatformWrite ParseWrite(const json& value) {
   return {.key = value.at("key").get<std::string>(),
           .value = value.at("value").get<std::string>(),
@@ -96,7 +92,7 @@
   } else if (path == "/vms") {
     HandleVms(responder);
   } else {
-    Reply(responder.get(), 404, {{"error", "unknown path"}});
+    ReplyJson(responder.get(), 404, {{"error", "unknown path"}});
   }
 }
 
@@ -110,25 +106,25 @@
       SetVms(control.at("vms"));
     }
   } catch (const json::exception& fault) {
-    Reply(responder.get(), 400, {{"error", fault.what()}});
+    ReplyJson(responder.get(), 400, {{"error", fault.what()}});
     return;
   }
   // Closing a listener from inside its own handler is not allowed. The answer
   // follows, so that a refusing platform refuses once it is sent.
   m_loop->Post([this, responder] {
     m_ports.SetRefusing(m_faults.down == PlatformDown::kRefuse);
-    Reply(responder.get(), 200, {{"ok", true}});
+    ReplyJson(responder.get(), 200, {{"ok", true}});
   });
 }
 
 void PlatformServer::HandleStats(const Responder& responder) {
-  Reply(responder.get(), 200,
-        {{"reads", m_reads},
-         {"write_requests", m_write_requests},
-         {"rows_written", m_store.rows_written()},
-         {"conflicts", m_store.conflicts()},
-         {"refused", m_refused},
-         {"held", m_held}});
+  ReplyJson(responder.get(), 200,
+            {{"reads", m_reads},
+             {"write_requests", m_write_requests},
+             {"rows_written", m_store.rows_written()},
+             {"conflicts", m_store.conflicts()},
+             {"refused", m_refused},
+             {"held", m_held}});
 }
 
 void PlatformServer::RunWrite(double cost,
@@ -137,7 +133,7 @@
   const auto delay = m_write_gate.Admit(cost);
   if (!delay) {
     ++m_refused;
-    Reply(responder.get(), 503, {{"error", "write queue is full"}});
+    ReplyJson(responder.get(), 503, {{"error", "write queue is full"}});
     return;
   }
   m_loop->Schedule(*delay + milliseconds(m_faults.delay_ms),
@@ -176,7 +172,7 @@
   const auto delay = m_read_gate.Admit(1);
   if (!delay) {
     ++m_refused;
-    Reply(responder.get(), 503, {{"error", "read queue is full"}});
+    ReplyJson(responder.get(), 503, {{"error", "read queue is full"}});
     return;
   }
   m_loop->Schedule(*delay + milliseconds(m_faults.delay_ms),
@@ -204,7 +200,7 @@
   }
   const auto expected = ParseNumber(request.Header("X-Expected-Version"));
   if (request.method != "PUT" || !expected) {
-    Reply(responder.get(), 400, {{"error", "PUT with X-Expected-Version"}});
+    ReplyJson(responder.get(), 400, {{"error", "PUT with X-Expected-Version"}});
     return;
   }
   RunWrite(
@@ -229,7 +225,7 @@
       writes.push_back(ParseWrite(write));
     }
   } catch (const json::exception& fault) {
-    Reply(responder.get(), 400, {{"error", fault.what()}});
+    ReplyJson(responder.get(), 400, {{"error", fault.what()}});
     return;
   }
   const double cost =
@@ -281,7 +277,7 @@
     return;
   }
   if (request.method != "PUT") {
-    Reply(responder.get(), 405, {{"error", "GET or PUT"}});
+    ReplyJson(responder.get(), 405, {{"error", "GET or PUT"}});
     return;
   }
   RunWrite(1, responder, [this, name, bytes = request.body]() -> Answer {
@@ -294,13 +290,13 @@
                                    const Responder& responder) {
   const uint64_t bytes = ParseNumber(request.Query("bytes")).value_or(0);
   if (bytes > kMaxWeightBytes) {
-    Reply(responder.get(), 400, {{"error", "at most 64 MB a request"}});
+    ReplyJson(responder.get(), 400, {{"error", "at most 64 MB a request"}});
     return;
   }
   const auto delay = m_weight_gate.Admit(static_cast<double>(bytes));
   if (!delay) {
     ++m_refused;
-    Reply(responder.get(), 503, {{"error", "weight queue is full"}});
+    ReplyJson(responder.get(), 503, {{"error", "weight queue is full"}});
     return;
   }
   m_loop->Schedule(*delay, [responder, bytes] {
