--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -171,8 +171,8 @@
 inline constexpr std::chrono::hours kDeadMemberRetention{1};
 
 // Gateway: endpoints registered in the platform's store.
-/// An entry that is gone from the store is a last resort for this long. While
-/// the store is down entries lapse, and are back 2 s after its return.
+/// Entries that lapse while the store is down are back this long after its
+/// return; until then their endpoints are a last resort.
 inline constexpr std::chrono::milliseconds kLapsedEntryGrace{2000};
 /// What was seen of an endpoint is forgotten this long after it has gone.
 inline constexpr std::chrono::seconds kGoneEndpointRetention{30};
@@ -246,23 +246,67 @@
 inline constexpr std::chrono::milliseconds kStoreTimeout{1000};
 /// Changes within these times share a call. Calls are paid for, and when a
 /// failure domain is lost each of its endpoints changes its entry. The pause
-/// grows with the number of gateways, so that their calls together do not.
+/// grows with the gateways that read the store, so that their calls together do
+/// not.
 inline constexpr std::chrono::milliseconds kConfigPause{100};
-inline constexpr std::chrono::milliseconds kEndpointPausePerPeer{10};
+inline constexpr std::chrono::milliseconds kEndpointPausePerReader{10};
 inline constexpr std::chrono::milliseconds kMinEndpointPause{100};
 inline constexpr std::chrono::milliseconds kMaxEndpointPause{1000};
 
+// Gateway: relays.
+/// In a failure domain with fewer gateways each one reads the store itself:
+/// relays must call it more often, which a few readers do not pay back.
+inline constexpr size_t kMinRelayedGateways = 8;
+/// Gateways of a relayed domain that read the store. With two, the loss of one
+/// leaves the others a relay in their domain.
+inline constexpr size_t kRelaysPerDomain = 2;
+/// Parts of the shortest bound on news that one wait of a relay at the store,
+/// and one wait of a follower at its relay, may take. Both, their time-outs and
+/// the delay of the fallback fit into the bound, so that a relay that is cut
+/// off or frozen does not break it.
+inline constexpr double kRelayStoreWaitShare = 0.3;
+inline constexpr double kRelayWaitShare = 0.2;
+inline constexpr std::chrono::milliseconds kMaxRelayStoreWait{1500};
+inline constexpr std::chrono::milliseconds kMaxRelayWait{1000};
+inline constexpr std::chrono::milliseconds kMinRelayWait{200};
+/// Time-out of a call to a relay beyond its wait: a round trip between regions
+/// and the turn of a slow machine.
+inline constexpr std::chrono::milliseconds kRelayTimeout{300};
+/// Followers that lose their relay read the store at random moments within this
+/// time.
+inline constexpr std::chrono::milliseconds kRelayFallbackSpread{300};
+/// A source that failed is left out for this long; doubles with each failure in
+/// a row, and half of it is random.
+inline constexpr std::chrono::milliseconds kMinSourcePause{1000};
+inline constexpr std::chrono::milliseconds kMaxSourcePause{16000};
+/// A follower tries the store again sooner, since it is the last resort.
+inline constexpr std::chrono::milliseconds kMaxStoreSourcePause{4000};
+/// Waits at the store begin once the list of gateways is known, or after this
+/// time without one.
+inline constexpr std::chrono::milliseconds kRelayDecisionTime{2500};
+/// Deleted rows that a relay remembers for each table.
+inline constexpr size_t kMaxRelayTombstones = 4096;
+/// Rows of one answer; well below kMaxPeerBodyBytes.
+inline constexpr size_t kMaxRelayAnswerBytes = 512 * 1024;
+/// Waits that a relay holds open for each table.
+inline constexpr size_t kMaxRelayWaiters = 1024;
+/// The list of gateways is read again for an unknown sender at most this often.
+inline constexpr std::chrono::seconds kUnknownSenderReadInterval{5};
+/// Pause of a follower after changes. Its relay has already let those that come
+/// in series share a call.
+inline constexpr std::chrono::milliseconds kFollowerPause{20};
+
 // Gateway: rollouts.
-/// Share of a service's requests that a version gets while it is probed. The
-/// platform allows a bad version a tenth.
+/// Share of a service's requests that a version gets while it is probed, unless
+/// the settings bring other bounds.
 inline constexpr double kRolloutProbeShare = 0.06;
 /// Requests of each route that all gateways together send at once, so that a
-/// rollout of some seconds has evidence. The platform allows 50 a service.
+/// rollout of some seconds has evidence.
 inline constexpr double kRolloutProbeExtra = 10;
 /// Gateways exchange what they have seen at this interval, or a longer one with
-/// many gateways.
+/// many that read the store.
 inline constexpr std::chrono::milliseconds kMinRolloutPollInterval{1000};
-inline constexpr std::chrono::milliseconds kRolloutPollIntervalPerPeer{20};
+inline constexpr std::chrono::milliseconds kRolloutPollIntervalPerReader{20};
 inline constexpr std::chrono::microseconds kRolloutPollJitter{100000};
 /// A rollout is completed at least so long before its time is over: the driver
 /// decides at its next exchange, then reads and writes the operator's status.
--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -78,9 +78,15 @@
   EndpointRecord* record = FindMutable(id);
   if (record != nullptr && !record->gone_since) {
     record->gone_since = m_clock();
+    record->may_have_lapsed = IsOutageRecent();
   }
 }
 
+bool EndpointDirectory::IsOutageRecent() const {
+  return m_store_lost ||
+         (m_store_back && m_clock() - *m_store_back < kLapsedEntryGrace);
+}
+
 void EndpointDirectory::DropGone() {
   const TimePoint now = m_clock();
   if (now - m_last_sweep < kGoneEndpointSweepInterval) {
@@ -216,12 +222,10 @@
   if (record.is_misdirected || record.entry.state != EndpointState::kReady) {
     return false;
   }
-  if (record.is_adopted && !m_store_lost &&
-      m_clock() - m_store_back >= kLapsedEntryGrace) {
+  if (record.is_adopted && !IsOutageRecent()) {
     return false;
   }
-  return !record.gone_since ||
-         m_clock() - *record.gone_since < kLapsedEntryGrace;
+  return !record.gone_since || (record.may_have_lapsed && IsOutageRecent());
 }
 
 }  // namespace bramleybank
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -40,9 +40,12 @@
   int consecutive_losses = 0;
   /// Until then other endpoints are preferred.
   std::optional<TimePoint> suspect_until;
-  /// Set while the entry is gone from the store. Entries also lapse while the
-  /// store is down, so the endpoint stays a last resort for a short time.
+  /// Set while the entry is gone from the store.
   std::optional<TimePoint> gone_since;
+  /// The entry went during an outage of the store or just after it, so it may
+  /// have lapsed although the endpoint lives; it is a last resort until entries
+  /// must be back. One that goes at any other time has left.
+  bool may_have_lapsed = false;
   /// The address answered for another endpoint.
   bool is_misdirected = false;
   /// Learnt from the endpoint itself while the store was away.
@@ -98,10 +101,13 @@
   void SupersedeAddress(const EndpointRecord& record);
   void RecordLoss(EndpointRecord* record);
   void DropGone();
+  /// @returns whether entries that lapsed in an outage may still be missing.
+  bool IsOutageRecent() const;
 
   ClockHook m_clock;
   bool m_store_lost = false;
-  TimePoint m_store_back;
+  // When the store last came back; nothing before its first return.
+  std::optional<TimePoint> m_store_back;
   TimePoint m_last_sweep;
   // Id of the newest entry at each address.
   std::map<std::string, std::string, std::less<>> m_by_address;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -19,6 +19,7 @@
 #include "gateway_drain.h"
 #include "gateway_exchange.h"
 #include "gateway_peers.h"
+#include "gateway_relay.h"
 #include "gateway_rows.h"
 #include "gateway_settings.h"
 #include "http_request.h"
@@ -29,6 +30,7 @@
 #include "metadata_store.h"
 #include "metric_registry.h"
 #include "rollout_director.h"
+#include "rollout_records.h"
 #include "store_watch.h"
 #include "stream_silence_monitor.h"
 #include "tcp_listener.h"
@@ -60,6 +62,7 @@
 
   void Connect();
   bool OpenPorts();
+  bool OpenPeerPort();
   bool OpenHttpPort(HttpServer* server,
                     const std::string& address,
                     HttpServer::Handler handler);
@@ -74,6 +77,7 @@
   StoreWatchHooks WatchHooks(void (Impl::*on_row)(const StoreRow&),
                              const std::string& table);
   void OnPeersChanged();
+  void SetRetryExtra();
   Duration RolloutPollInterval() const;
   void ArmSilenceCheck();
   void CheckSilence();
@@ -96,18 +100,44 @@
                   .extra = settings.retry_extra /
                            static_cast<double>(kUnknownPeerCount)}};
   StreamSilenceMonitor silence;
-  GatewayPeers peers{loop, store, settings.name, settings.place.failure_domain,
-                     random};
+  const GatewayMember self{.name = settings.name,
+                           .failure_domain = settings.place.failure_domain,
+                           .peer_address = settings.peer_address};
+  GatewayPeers peers{loop, store, self, random};
+  GatewayRelay relay{loop,
+                     store,
+                     &metrics,
+                     self,
+                     {{rows.operator_table, RelayedStore::Following::kWatched},
+                      {rows.endpoint_table, RelayedStore::Following::kWatched},
+                      {kRolloutTable, RelayedStore::Following::kPolled}},
+                     std::min(settings.config_bound, settings.leave_bound),
+                     {.on_unknown_sender = [this] { peers.OnUnknownSender(); },
+                      .on_evidence =
+                          [this](const RelayEvidence& evidence) {
+                            return rollouts.OnEvidence(evidence.service,
+                                                       evidence.report);
+                          },
+                      .random = random}};
   std::shared_ptr<const GatewayConfig> config;
   EndpointAdopter adopter{loop, &codec, &directory, [this] { return config; }};
   RolloutDirector rollouts{
       loop,
-      store,
+      relay.store(),
       &rows,
       settings.name,
       {.random = random,
        .gateways = [this] { return peers.budget_shares(); },
-       .poll_interval = [this] { return RolloutPollInterval(); }}};
+       .poll_interval = [this] { return RolloutPollInterval(); },
+       .share = {.share = settings.probe_share, .extra = settings.probe_extra},
+       .is_reader = [this] { return relay.IsReader(); },
+       .hand_over =
+           [this](const std::string& service,
+                  const std::string& report,
+                  std::function<void(bool)> callback) {
+             relay.HandOver({.service = service, .report = report},
+                            std::move(callback));
+           }}};
   GatewayEnvironment environment;
   GatewayCallerHooks caller_hooks;
   TcpListener listener{loop};
@@ -157,12 +187,12 @@
       .is_draining = is_draining};
   peers.SetChangeHandler([this] { OnPeersChanged(); });
   operator_watch = std::make_unique<StoreWatch>(
-      loop, store, rows.operator_table,
+      loop, relay.store(), rows.operator_table,
       StoreWatchTimes{.wait = StoreWaitWithin(settings.max_store_silence),
                       .pause = kConfigPause},
       WatchHooks(&Impl::OnOperatorRow, rows.operator_table));
   endpoint_watch = std::make_unique<StoreWatch>(
-      loop, store, rows.endpoint_table,
+      loop, relay.store(), rows.endpoint_table,
       StoreWatchTimes{.wait = StoreWaitWithin(settings.max_store_silence),
                       .pause = kMinEndpointPause},
       WatchHooks(&Impl::OnEndpointRow, rows.endpoint_table));
@@ -259,9 +289,18 @@
 }
 
 void Gateway::Impl::OnPeersChanged() {
-  endpoint_watch->SetPause(std::clamp<Duration>(
-      kEndpointPausePerPeer * static_cast<int64_t>(peers.count()),
-      kMinEndpointPause, kMaxEndpointPause));
+  relay.SetMembers(peers.members());
+  const auto readers = static_cast<int64_t>(relay.reader_count());
+  endpoint_watch->SetPause(
+      relay.IsReader()
+          ? std::clamp<Duration>(kEndpointPausePerReader * readers,
+                                 kMinEndpointPause, kMaxEndpointPause)
+          : kFollowerPause);
+  operator_watch->SetPause(relay.IsReader() ? kConfigPause : kFollowerPause);
+  SetRetryExtra();
+}
+
+void Gateway::Impl::SetRetryExtra() {
   budget.SetExtra(settings.retry_extra /
                   static_cast<double>(peers.budget_shares()));
 }
@@ -269,8 +308,8 @@
 Duration Gateway::Impl::RolloutPollInterval() const {
   const auto spread = static_cast<uint64_t>(kRolloutPollJitter.count());
   return std::max<Duration>(kMinRolloutPollInterval,
-                            kRolloutPollIntervalPerPeer *
-                                static_cast<int64_t>(peers.count())) +
+                            kRolloutPollIntervalPerReader *
+                                static_cast<int64_t>(relay.reader_count())) +
          Duration(static_cast<int64_t>(random() % spread));
 }
 
@@ -287,6 +326,14 @@
   return false;
 }
 
+bool Gateway::Impl::OpenPeerPort() {
+  if (relay.Start()) {
+    return true;
+  }
+  last_reason = relay.last_reason();
+  return false;
+}
+
 bool Gateway::Impl::OpenPorts() {
   const auto port =
       listener.Start(settings.caller_address, [this](int fd) { Accept(fd); });
@@ -300,6 +347,7 @@
                              const std::shared_ptr<HttpResponder>& responder) {
                         AnswerReady(responder);
                       }) &&
+         OpenPeerPort() &&
          OpenHttpPort(&metrics_server, settings.metrics_address,
                       [this](const HttpRequest&,
                              const std::shared_ptr<HttpResponder>& responder) {
@@ -431,7 +479,7 @@
 void Gateway::Reload(const GatewaySettings& settings) {
   m_impl->settings.stop_grace = settings.stop_grace;
   m_impl->settings.retry_extra = settings.retry_extra;
-  m_impl->OnPeersChanged();
+  m_impl->SetRetryExtra();
 }
 
 void Gateway::Drain() {
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -2,10 +2,12 @@
 #include "gateway_peers.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "bramleybank/limits.h"
 #include "event_loop.h"
+#include "tcp_address.h"
 
 namespace bramleybank {
 namespace {
@@ -14,17 +16,30 @@
 // Rows unchanged for so many reads belong to gateways that are gone.
 constexpr int kMaxUnchangedReads = 3;
 
+/// A row holds the failure domain and the peer address, if there is one.
+std::string EncodeMember(const GatewayMember& member) {
+  return member.failure_domain + " " + member.peer_address;
+}
+
+GatewayMember DecodeMember(const StoreRow& row) {
+  GatewayMember member{.name = row.key};
+  std::istringstream words(row.value);
+  words >> member.failure_domain >> member.peer_address;
+  if (!ParseTcpAddress(member.peer_address)) {
+    member.peer_address.clear();
+  }
+  return member;
+}
+
 }  // namespace
 
 GatewayPeers::GatewayPeers(EventLoop* loop,
                            MetadataStore* store,
-                           std::string name,
-                           std::string failure_domain,
+                           GatewayMember self,
                            RandomHook random)
     : m_loop(loop),
       m_store(store),
-      m_name(std::move(name)),
-      m_failure_domain(std::move(failure_domain)),
+      m_self(std::move(self)),
       m_random(std::move(random)),
       m_alive(std::make_shared<GatewayPeers*>(this)) {}
 
@@ -42,13 +57,16 @@
 
 void GatewayPeers::Beat() {
   m_store->Write({.table = kTable,
-                  .key = m_name,
-                  .value = m_failure_domain,
+                  .key = m_self.name,
+                  .value = EncodeMember(m_self),
                   .expected_version = std::nullopt},
                  [](StoreResult) {});
   // The first read waits until gateways that start together have written.
   const Duration delay = m_is_known ? Duration{0} : kFirstPeerReadDelay;
-  m_timer = m_loop->Schedule(delay, [this] { ReadRows(); });
+  m_timer = m_loop->Schedule(delay, [this] {
+    ReadRows(/*is_beat=*/true);
+    ScheduleBeat();
+  });
 }
 
 Duration GatewayPeers::Interval() const {
@@ -57,28 +75,39 @@
                             kPeerBeatIntervalPerPeer * peers);
 }
 
-void GatewayPeers::ReadRows() {
-  m_store->Read(kTable, "",
-                [weak = std::weak_ptr(m_alive)](const StoreRows& rows) {
-                  if (const auto self = weak.lock()) {
-                    (*self)->OnRows(rows);
-                  }
-                });
+void GatewayPeers::OnUnknownSender() {
+  if (m_loop->Now() - m_last_read >= kUnknownSenderReadInterval) {
+    ReadRows(/*is_beat=*/false);
+  }
+}
+
+void GatewayPeers::ReadRows(bool is_beat) {
+  m_last_read = m_loop->Now();
+  m_store->Read(
+      kTable, "",
+      [weak = std::weak_ptr(m_alive), is_beat](const StoreRows& rows) {
+        if (const auto self = weak.lock()) {
+          (*self)->OnRows(rows, is_beat);
+        }
+      });
+}
+
+void GatewayPeers::ScheduleBeat() {
   const auto spread = static_cast<uint64_t>(kPeerBeatJitter.count());
   const Duration jitter(static_cast<int64_t>(m_random() % spread));
   m_timer = m_loop->Schedule(Interval() + jitter, [this] { Beat(); });
 }
 
-void GatewayPeers::OnRows(const StoreRows& rows) {
+void GatewayPeers::OnRows(const StoreRows& rows, bool is_beat) {
   if (rows.result != StoreResult::kOk) {
     return;
   }
   std::map<std::string, Peer> peers;
   for (const StoreRow& row : rows.rows) {
-    Peer peer{.version = row.version};
+    Peer peer{.member = DecodeMember(row), .version = row.version};
     const auto known = m_peers.find(row.key);
     if (known != m_peers.end() && known->second.version == row.version) {
-      peer.unchanged_reads = known->second.unchanged_reads + 1;
+      peer.unchanged_reads = known->second.unchanged_reads + (is_beat ? 1 : 0);
     }
     peers.emplace(row.key, peer);
   }
@@ -90,11 +119,22 @@
 }
 
 size_t GatewayPeers::count() const {
-  const auto others = std::ranges::count_if(m_peers, [this](const auto& item) {
-    return item.first != m_name &&
-           item.second.unchanged_reads < kMaxUnchangedReads;
-  });
-  return static_cast<size_t>(others) + 1;
+  return members().size();
+}
+
+bool GatewayPeers::IsAlive(const Peer& peer) const {
+  return peer.member.name != m_self.name &&
+         peer.unchanged_reads < kMaxUnchangedReads;
+}
+
+std::vector<GatewayMember> GatewayPeers::members() const {
+  std::vector<GatewayMember> members = {m_self};
+  for (const auto& [name, peer] : m_peers) {
+    if (IsAlive(peer)) {
+      members.push_back(peer.member);
+    }
+  }
+  return members;
 }
 
 size_t GatewayPeers::budget_shares() const {
--- /dev/null
+++ b/src/gateway_relay.cc
@@ -0,0 +1,161 @@
+// Dispatch of the peer port, and calls to other gateways.
+#include "gateway_relay.h"
+
+#include <ctime>
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "log_event.h"
+#include "metric_registry.h"
+#include "peer_client.h"
+#include "peer_server.h"
+#include "tcp_address.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusMalformed = 400;
+constexpr int kStatusRefused = 403;
+constexpr int kStatusUnknownPath = 404;
+constexpr int kStatusConflict = 409;
+
+/// Steady time that goes on while the VM is suspended, so that a relay that
+/// wakes does not take its image for a fresh one.
+TimePoint SuspendAwareNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
+}  // namespace
+
+GatewayRelay::GatewayRelay(EventLoop* loop,
+                           MetadataStore* store,
+                           MetricRegistry* metrics,
+                           const GatewayMember& self,
+                           RelayedStore::Tables tables,
+                           Duration news_bound,
+                           Hooks hooks)
+    : m_metrics(metrics),
+      m_self(self),
+      m_hooks(std::move(hooks)),
+      m_choice(self.name, self.failure_domain, &SteadyNow, m_hooks.random),
+      m_client(std::make_unique<PeerClient>(loop)),
+      m_server(std::make_unique<PeerServer>(loop)),
+      m_store(
+          loop,
+          store,
+          &m_choice,
+          metrics,
+          self.name,
+          std::move(tables),
+          RelayTimesWithin(news_bound),
+          {.call =
+               [this](const std::string& address,
+                      const std::string& path,
+                      std::string body,
+                      Duration timeout,
+                      const std::function<void(const std::string*)>& callback) {
+                 Call(address, path, std::move(body), timeout, callback);
+               },
+           .on_unknown_sender =
+               [this](const std::string&) { m_hooks.on_unknown_sender(); },
+           .age_clock = &SuspendAwareNow,
+           .random = m_hooks.random}) {
+  if (m_self.peer_address.empty()) {
+    // No relay will be used, so nothing waits for the list of gateways.
+    m_store.OnMembersChanged();
+  }
+}
+
+GatewayRelay::~GatewayRelay() = default;
+
+bool GatewayRelay::Start() {
+  if (m_self.peer_address.empty()) {
+    return true;
+  }
+  const std::string& address = m_self.peer_address;
+  const size_t colon = address.rfind(':');
+  const int port = std::stoi(address.substr(colon + 1));
+  const auto started =
+      m_server->Start(address.substr(0, colon), static_cast<uint16_t>(port),
+                      [this](const std::string& path, std::string_view body,
+                             PeerServer::ReplyFn reply) {
+                        OnRequest(path, body, std::move(reply));
+                      });
+  if (!started) {
+    m_last_reason = m_server->last_reason();
+  }
+  return started.has_value();
+}
+
+void GatewayRelay::SetMembers(const std::vector<GatewayMember>& members) {
+  m_choice.SetMembers(members);
+  m_store.OnMembersChanged();
+}
+
+void GatewayRelay::Call(
+    const std::string& address,
+    const std::string& path,
+    std::string body,
+    Duration timeout,
+    const std::function<void(const std::string* body)>& callback) {
+  m_client->Call(address, path, std::move(body), timeout,
+                 [callback](const PeerReply& reply) {
+                   const bool is_answer = reply.status == PeerStatus::kOk &&
+                                          reply.http_status == kStatusOk;
+                   callback(is_answer ? &reply.body : nullptr);
+                 });
+}
+
+void GatewayRelay::OnRequest(
+    const std::string& path,
+    std::string_view body,
+    std::function<void(int status, std::string body)> reply) {
+  if (path == kPathRelayRows) {
+    m_store.Serve(body, std::move(reply));
+  } else if (path == kPathRelayEvidence) {
+    reply(TakeEvidence(body), {});
+  } else {
+    m_metrics->Count("bramleybank_relay_answers_total", "result",
+                     "unknown_path");
+    reply(kStatusUnknownPath, {});
+  }
+}
+
+int GatewayRelay::TakeEvidence(std::string_view body) {
+  const auto evidence = DecodeRelayMessage<RelayEvidence>(body);
+  if (!evidence) {
+    m_metrics->Count("bramleybank_relay_answers_total", "result", "malformed");
+    LogLine(LogEventId::kRelayMalformed)
+        .Field("bytes", static_cast<long long>(body.size()));
+    return kStatusMalformed;
+  }
+  if (!m_choice.IsMember(evidence->sender)) {
+    LogLine(LogEventId::kRelaySenderUnknown).Field("sender", evidence->sender);
+    m_hooks.on_unknown_sender();
+    return kStatusRefused;
+  }
+  return m_hooks.on_evidence(*evidence) ? kStatusOk : kStatusConflict;
+}
+
+void GatewayRelay::HandOver(RelayEvidence evidence,
+                            std::function<void(bool)> callback) {
+  const RowSource relay = m_choice.Sources().front();
+  if (relay.is_store()) {
+    // No relay is in reach; the evidence waits for the next exchange.
+    callback(false);
+    return;
+  }
+  evidence.sender = m_self.name;
+  Call(relay.relay, kPathRelayEvidence, EncodeRelayMessage(evidence),
+       kRelayTimeout,
+       [callback = std::move(callback)](const std::string* answer) {
+         callback(answer != nullptr);
+       });
+}
+
+}  // namespace bramleybank
--- a/src/gateway_settings.cc
+++ b/src/gateway_settings.cc
@@ -1,6 +1,7 @@
 // Reads and checks the settings of a gateway.
 #include "gateway_settings.h"
 
+#include <algorithm>
 #include <cmath>
 #include <sstream>
 
@@ -13,6 +14,17 @@
 // rest covers windows that differ from those of this node.
 constexpr double kDefaultRetryShare = 0.6;
 constexpr double kDefaultRetryExtra = 100;
+// Parts of a bound of the platform that this node uses of its own accord.
+constexpr double kUsedRetryShare = 0.75;
+constexpr double kUsedRetryExtra = 2.0 / 3;
+constexpr double kUsedProbeShare = 0.6;
+constexpr double kUsedProbeExtra = 0.2;
+constexpr double kDefaultMaxProbeShare = 0.1;
+constexpr double kDefaultMaxProbeExtra = 50;
+constexpr int64_t kDefaultNewsBoundMs = 2500;
+constexpr int64_t kMinNewsBoundMs = 500;
+constexpr int64_t kMaxNewsBoundMs = 60000;
+constexpr double kMaxRetryShare = 100;
 constexpr double kMaxRetryExtra = 100000;
 constexpr int64_t kDefaultMaxStoreSilenceMs = 4000;
 constexpr int64_t kMinMaxStoreSilenceMs = 2000;
@@ -47,6 +59,28 @@
   return regions;
 }
 
+/// `max_share` and `max_extra` are what the platform allows to all nodes; a
+/// node uses a part of it unless `share` and `extra` say otherwise.
+void ReadShares(IniReader* reader, GatewaySettings* settings) {
+  const double max_share =
+      reader->Double("retries", "max_share",
+                     kDefaultRetryShare / kUsedRetryShare, 0, kMaxRetryShare);
+  const double max_extra =
+      reader->Double("retries", "max_extra",
+                     kDefaultRetryExtra / kUsedRetryExtra, 0, kMaxRetryExtra);
+  settings->retry_share = reader->Double(
+      "retries", "share", std::min(1.0, max_share * kUsedRetryShare), 0, 1);
+  settings->retry_extra = reader->Double(
+      "retries", "extra", max_extra * kUsedRetryExtra, 0, kMaxRetryExtra);
+  settings->probe_share =
+      kUsedProbeShare *
+      reader->Double("rollouts", "max_share", kDefaultMaxProbeShare, 0, 1);
+  settings->probe_extra =
+      kUsedProbeExtra * reader->Double("rollouts", "max_extra",
+                                       kDefaultMaxProbeExtra, 0,
+                                       kMaxRetryExtra);
+}
+
 }  // namespace
 
 bool IsGatewayFile(const std::string& file) {
@@ -64,6 +98,9 @@
   settings.caller_address = ReadAddress(reader, "caller");
   settings.ready_address = ReadAddress(reader, "ready");
   settings.metrics_address = ReadAddress(reader, "metrics");
+  if (!reader->String("listen", "peer", "").empty()) {
+    settings.peer_address = ReadAddress(reader, "peer");
+  }
   const std::string store = reader->RequiredString("platform", "store");
   if (!store.empty() && !ParseTcpAddress(store)) {
     reader->AddError("platform", "store", "ip:port");
@@ -72,14 +109,17 @@
   settings.max_store_silence = std::chrono::milliseconds(
       reader->Int("platform", "max_silence_ms", kDefaultMaxStoreSilenceMs,
                   kMinMaxStoreSilenceMs, kMaxMaxStoreSilenceMs));
+  settings.config_bound = std::chrono::milliseconds(
+      reader->Int("platform", "config_bound_ms", kDefaultNewsBoundMs,
+                  kMinNewsBoundMs, kMaxNewsBoundMs));
+  settings.leave_bound = std::chrono::milliseconds(
+      reader->Int("platform", "leave_bound_ms", kDefaultNewsBoundMs,
+                  kMinNewsBoundMs, kMaxNewsBoundMs));
   const double grace =
       reader->Double("drain", "stop_grace_s", kDefaultStopGraceSeconds, 1,
                      kMaxStopGraceSeconds);
   settings.stop_grace = Duration(std::llround(grace * kMicrosecondsPerSecond));
-  settings.retry_share =
-      reader->Double("retries", "share", kDefaultRetryShare, 0, 1);
-  settings.retry_extra =
-      reader->Double("retries", "extra", kDefaultRetryExtra, 0, kMaxRetryExtra);
+  ReadShares(reader, &settings);
   return settings;
 }
 
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -21,10 +21,16 @@
   std::string caller_address;
   std::string ready_address;
   std::string metrics_address;
+  /// Port for other gateways; empty when this one neither asks nor serves them.
+  std::string peer_address;
   // [platform]
   std::string store_url;
   /// A store that hangs is found within this time.
   Duration max_store_silence{0};
+  /// A configuration is in force everywhere within this time.
+  Duration config_bound{0};
+  /// An endpoint that leaves gets no new work after this time.
+  Duration leave_bound{0};
   // [drain]
   /// The process is killed this long after the signal to stop.
   Duration stop_grace{0};
@@ -33,6 +39,11 @@
   double retry_share = 0;
   /// Sends beyond that, of all gateways together within 10 s.
   double retry_extra = 0;
+  // [rollouts]
+  /// Share of a service's requests that an unproven version gets, and requests
+  /// of each route beyond it.
+  double probe_share = 0;
+  double probe_extra = 0;
 
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
--- /dev/null
+++ b/src/relay_choice.cc
@@ -0,0 +1,153 @@
+// Rendezvous hashing over the gateways of a failure domain.
+#include "relay_choice.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "bramleybank/limits.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr int kMaxPauseDoublings = 8;
+
+uint64_t Rank(std::string_view name, std::string_view seed) {
+  return XXH3_64bits_withSeed(name.data(), name.size(),
+                              XXH3_64bits(seed.data(), seed.size()));
+}
+
+}  // namespace
+
+RelayChoice::RelayChoice(std::string name,
+                         std::string failure_domain,
+                         ClockHook clock,
+                         RandomHook random)
+    : m_name(std::move(name)),
+      m_failure_domain(std::move(failure_domain)),
+      m_clock(std::move(clock)),
+      m_random(std::move(random)) {}
+
+void RelayChoice::SetMembers(const std::vector<GatewayMember>& members) {
+  m_has_members = true;
+  m_names.clear();
+  m_readers.clear();
+  m_domain_sizes.clear();
+  for (const GatewayMember& member : members) {
+    if (!member.peer_address.empty()) {
+      m_names.insert(member.name);
+      m_readers[member.failure_domain].push_back(member);
+    }
+  }
+  for (auto& [domain, readers] : m_readers) {
+    m_domain_sizes[domain] = readers.size();
+    std::ranges::sort(readers, {}, [&domain](const GatewayMember& member) {
+      return std::pair(Rank(member.name, domain), member.name);
+    });
+    if (readers.size() >= kMinRelayedGateways) {
+      readers.resize(kRelaysPerDomain);
+    }
+  }
+}
+
+bool RelayChoice::IsMember(std::string_view name) const {
+  return m_names.contains(name);
+}
+
+bool RelayChoice::IsRelayed() const {
+  const auto it = m_domain_sizes.find(m_failure_domain);
+  return it != m_domain_sizes.end() && it->second >= kMinRelayedGateways;
+}
+
+bool RelayChoice::IsReader() const {
+  if (!IsRelayed() || !IsMember(m_name)) {
+    return true;
+  }
+  const auto& readers = m_readers.find(m_failure_domain)->second;
+  return std::ranges::find(readers, m_name, &GatewayMember::name) !=
+         readers.end();
+}
+
+size_t RelayChoice::reader_count() const {
+  size_t count = 0;
+  for (const auto& [domain, readers] : m_readers) {
+    count += readers.size();
+  }
+  return std::max<size_t>(1, count);
+}
+
+bool RelayChoice::IsPaused(const std::string& relay) const {
+  const auto it = m_pauses.find(relay);
+  return it != m_pauses.end() && m_clock() < it->second.until;
+}
+
+void RelayChoice::AddReaders(const std::string& domain,
+                             std::vector<RowSource>* sources) const {
+  const auto it = m_readers.find(domain);
+  if (it == m_readers.end()) {
+    return;
+  }
+  std::vector<std::pair<uint64_t, std::string>> relays;
+  for (const GatewayMember& member : it->second) {
+    if (member.name != m_name && !IsPaused(member.peer_address)) {
+      // Each follower has its own order, so that they spread over the relays.
+      relays.emplace_back(Rank(member.name, m_name), member.peer_address);
+    }
+  }
+  std::ranges::sort(relays);
+  relays.resize(std::min(relays.size(), kRelaysPerDomain));
+  for (auto& [rank, address] : relays) {
+    sources->push_back({.relay = std::move(address)});
+  }
+}
+
+std::vector<RowSource> RelayChoice::Sources() const {
+  const RowSource store;
+  std::vector<RowSource> sources;
+  const bool is_reader = IsReader();
+  if (is_reader) {
+    sources.push_back(store);
+  }
+  AddReaders(m_failure_domain, &sources);
+  if (!is_reader && !IsPaused(store.relay)) {
+    sources.push_back(store);
+  }
+  // A whole domain may be cut from the store: one reader of another domain.
+  std::vector<RowSource> others;
+  for (const auto& [domain, readers] : m_readers) {
+    if (domain != m_failure_domain) {
+      AddReaders(domain, &others);
+    }
+  }
+  if (!others.empty()) {
+    sources.push_back(others[m_random() % others.size()]);
+  }
+  if (sources.empty()) {
+    sources.push_back(store);
+  }
+  return sources;
+}
+
+void RelayChoice::OnSuccess(const RowSource& source) {
+  m_pauses.erase(source.relay);
+}
+
+void RelayChoice::OnFailure(const RowSource& source) {
+  if (IsPaused(source.relay)) {
+    // Calls for several tables fail together.
+    return;
+  }
+  Pause& pause = m_pauses[source.relay];
+  const Duration longest =
+      source.is_store() ? kMaxStoreSourcePause : kMaxSourcePause;
+  const Duration bound =
+      std::min<Duration>(kMinSourcePause * (1 << pause.failures), longest);
+  pause.failures = std::min(pause.failures + 1, kMaxPauseDoublings);
+  const auto half = static_cast<uint64_t>(bound.count() / 2);
+  pause.until = m_clock() + bound / 2 +
+                Duration(static_cast<int64_t>(m_random() % (half + 1)));
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/relay_message.cc
@@ -0,0 +1,107 @@
+// Encoding and decoding of the messages of relays.
+#include "relay_message.h"
+
+#include "peer_codec_p.h"
+
+namespace bramleybank {
+namespace {
+
+void Pack(Packer& packer, const StoreRow& row) {
+  packer.pack_array(4);
+  Pack(packer, row.key);
+  packer.pack_uint64(row.version);
+  row.deleted ? packer.pack_true() : packer.pack_false();
+  Pack(packer, row.value);
+}
+
+}  // namespace
+
+// Found by argument-dependent look-up, so outside the unnamed namespace.
+static bool ConvertField(const msgpack::object& item, StoreRow& row) {
+  return ArrayReader(item)
+      .Read(row.key)
+      .Read(row.version)
+      .Read(row.deleted)
+      .ReadText(kMaxPeerBodyBytes, row.value)
+      .ok();
+}
+
+static bool ConvertField(const msgpack::object& item, RelayStatus& value) {
+  uint8_t status = 0;
+  if (!ConvertField(item, status)) {
+    return false;
+  }
+  // A refusal that this release does not know makes the sender look elsewhere.
+  value = status <= static_cast<uint8_t>(RelayStatus::kUnknownSender)
+              ? static_cast<RelayStatus>(status)
+              : RelayStatus::kNotReader;
+  return true;
+}
+
+static void ReadFields(ArrayReader& reader, RelayQuery& message) {
+  reader.Read(message.sender)
+      .Read(message.table)
+      .Read(message.wait_ms)
+      .Read(message.version)
+      .Read(message.after);
+}
+
+static void ReadFields(ArrayReader& reader, RelayAnswer& message) {
+  reader.Read(message.status)
+      .Read(message.age_ms)
+      .Read(message.version)
+      .Read(message.has_more)
+      .Read(message.rows);
+}
+
+static void ReadFields(ArrayReader& reader, RelayEvidence& message) {
+  reader.Read(message.sender)
+      .Read(message.service)
+      .ReadText(kMaxPeerBodyBytes, message.report);
+}
+
+std::string EncodeRelayMessage(const RelayQuery& message) {
+  return EncodeArray(message.format, 5, [&](Packer& packer) {
+    Pack(packer, message.sender);
+    Pack(packer, message.table);
+    packer.pack_uint32(message.wait_ms);
+    packer.pack_uint64(message.version);
+    Pack(packer, message.after);
+  });
+}
+
+std::string EncodeRelayMessage(const RelayAnswer& message) {
+  return EncodeArray(message.format, 5, [&](Packer& packer) {
+    packer.pack_uint8(static_cast<uint8_t>(message.status));
+    packer.pack_uint32(message.age_ms);
+    packer.pack_uint64(message.version);
+    message.has_more ? packer.pack_true() : packer.pack_false();
+    packer.pack_array(static_cast<uint32_t>(message.rows.size()));
+    for (const StoreRow& row : message.rows) {
+      Pack(packer, row);
+    }
+  });
+}
+
+std::string EncodeRelayMessage(const RelayEvidence& message) {
+  return EncodeArray(message.format, 3, [&](Packer& packer) {
+    Pack(packer, message.sender);
+    Pack(packer, message.service);
+    Pack(packer, message.report);
+  });
+}
+
+template <typename Message>
+std::optional<Message> DecodeRelayMessage(std::string_view bytes,
+                                          Reason* error) {
+  return DecodeMessage<Message>(bytes, error);
+}
+
+template std::optional<RelayQuery> DecodeRelayMessage(std::string_view,
+                                                      Reason*);
+template std::optional<RelayAnswer> DecodeRelayMessage(std::string_view,
+                                                       Reason*);
+template std::optional<RelayEvidence> DecodeRelayMessage(std::string_view,
+                                                         Reason*);
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/relay_message.h
@@ -0,0 +1,93 @@
+// Messages by which a gateway reads tables of the metadata store from another
+// gateway, and hands over what it has seen of a rollout.
+#ifndef BRAMLEYBANK_SRC_RELAY_MESSAGE_H_
+#define BRAMLEYBANK_SRC_RELAY_MESSAGE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "metadata_store.h"
+
+namespace bramleybank {
+
+struct Reason;
+
+/// Raised with every change of a message that older releases cannot skip.
+inline constexpr uint32_t kRelayFormatVersion = 1;
+
+// Paths of the requests on the peer port.
+inline constexpr char kPathRelayRows[] = "/relay/rows";
+inline constexpr char kPathRelayEvidence[] = "/relay/evidence";
+
+/// Asks for the rows of a table, or waits for changes of them.
+struct RelayQuery {
+  uint32_t format = kRelayFormatVersion;
+  /// Name of the gateway that asks.
+  std::string sender = {};
+  std::string table = {};
+  /// Longest wait for changes, in milliseconds; 0 reads rows.
+  uint32_t wait_ms = 0;
+  /// Waits: changes after this version of the store.
+  uint64_t version = 0;
+  /// Reads: rows whose keys are above this one.
+  std::string after = {};
+
+  friend bool operator==(const RelayQuery&, const RelayQuery&) = default;
+};
+
+enum class RelayStatus : uint8_t {
+  kOk = 0,
+  /// The asked version is older than the changes that are kept.
+  kHistoryGone = 1,
+  /// This gateway does not read the table from the store at present.
+  kNotReader = 2,
+  /// The store does not answer this gateway.
+  kStoreLost = 3,
+  /// The sender is not a known gateway.
+  kUnknownSender = 4,
+};
+
+/// Answer to a query.
+struct RelayAnswer {
+  uint32_t format = kRelayFormatVersion;
+  RelayStatus status = RelayStatus::kStoreLost;
+  /// Time since the store's answer on which this one rests, in milliseconds.
+  uint32_t age_ms = 0;
+  /// Version of the store that the rows reflect.
+  uint64_t version = 0;
+  bool has_more = false;
+  std::vector<StoreRow> rows = {};
+
+  friend bool operator==(const RelayAnswer&, const RelayAnswer&) = default;
+};
+
+/// Answers of both versions of a rollout that a gateway has seen since its last
+/// hand-over.
+struct RelayEvidence {
+  uint32_t format = kRelayFormatVersion;
+  std::string sender = {};
+  std::string service = {};
+  /// A report in the form of its row; see rollout_records.h.
+  std::string report = {};
+
+  friend bool operator==(const RelayEvidence&, const RelayEvidence&) = default;
+};
+
+std::string EncodeRelayMessage(const RelayQuery& message);
+std::string EncodeRelayMessage(const RelayAnswer& message);
+std::string EncodeRelayMessage(const RelayEvidence& message);
+
+/// Decodes bytes from another gateway. Never throws; memory is bounded by
+/// kMaxPeerBodyBytes and kMaxPeerMessageItems.
+/// @tparam Message one of the message structs above.
+/// @param error set to kPeerBadMessage when decoding fails; may be null.
+template <typename Message>
+std::optional<Message> DecodeRelayMessage(std::string_view bytes,
+                                          Reason* error = nullptr);
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_RELAY_MESSAGE_H_
--- /dev/null
+++ b/src/relayed_store.cc
@@ -0,0 +1,413 @@
+// Calls to the best source, and answers to the gateways that follow this one.
+#include "relayed_store.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "bramleybank/result_code.h"
+#include "event_loop.h"
+#include "log_event.h"
+#include "metric_registry.h"
+
+namespace bramleybank {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusMalformed = 400;
+
+Duration ShareOf(Duration bound, double share) {
+  return duration_cast<Duration>(bound * share);
+}
+
+std::string_view NameOf(RelayStatus status) {
+  switch (status) {
+    case RelayStatus::kOk:
+      return "ok";
+    case RelayStatus::kHistoryGone:
+      return "history_gone";
+    case RelayStatus::kNotReader:
+      return "not_reader";
+    case RelayStatus::kStoreLost:
+      return "store_lost";
+    case RelayStatus::kUnknownSender:
+      return "unknown_sender";
+  }
+  return "";
+}
+
+}  // namespace
+
+Duration RelayTimes::max_age() const {
+  return store_wait + kStoreWaitTimeout;
+}
+
+RelayTimes RelayTimesWithin(Duration bound) {
+  return {
+      .store_wait = std::clamp<Duration>(ShareOf(bound, kRelayStoreWaitShare),
+                                         kMinRelayWait, kMaxRelayStoreWait),
+      .relay_wait = std::clamp<Duration>(ShareOf(bound, kRelayWaitShare),
+                                         kMinRelayWait, kMaxRelayWait)};
+}
+
+RelayedStore::RelayedStore(EventLoop* loop,
+                           MetadataStore* store,
+                           RelayChoice* choice,
+                           MetricRegistry* metrics,
+                           std::string name,
+                           Tables tables,
+                           RelayTimes times,
+                           RelayedStoreHooks hooks)
+    : m_loop(loop),
+      m_store(store),
+      m_choice(choice),
+      m_metrics(metrics),
+      m_name(std::move(name)),
+      m_times(times),
+      m_hooks(std::move(hooks)) {
+  for (const auto& [table, following] : tables) {
+    m_tables[table].following = following;
+  }
+  m_decision_timer = m_loop->Schedule(kRelayDecisionTime, [this] {
+    m_decision_timer = TimerHandle();
+    OnMembersChanged();
+  });
+}
+
+RelayedStore::~RelayedStore() {
+  m_loop->Cancel(m_decision_timer);
+  for (auto& [name, table] : m_tables) {
+    for (const Waiter& waiter : table.waiters) {
+      m_loop->Cancel(waiter.timer);
+    }
+  }
+}
+
+RelayedStore::Table* RelayedStore::FindTable(std::string_view name) {
+  const auto it = m_tables.find(name);
+  return it == m_tables.end() ? nullptr : &it->second;
+}
+
+void RelayedStore::Read(const std::string& table,
+                        const std::string& after,
+                        RowsCallback callback) {
+  if (FindTable(table) == nullptr) {
+    m_store->Read(table, after, std::move(callback));
+    return;
+  }
+  auto call = std::make_shared<Call>();
+  call->table = table;
+  call->after = after;
+  call->callback = std::move(callback);
+  Begin(call);
+}
+
+void RelayedStore::WaitForChanges(const std::string& table,
+                                  uint64_t version,
+                                  Duration wait,
+                                  RowsCallback callback) {
+  if (FindTable(table) == nullptr) {
+    m_store->WaitForChanges(table, version, wait, std::move(callback));
+    return;
+  }
+  auto call = std::make_shared<Call>();
+  call->table = table;
+  call->version = version;
+  call->is_wait = true;
+  call->wait = wait;
+  call->callback = std::move(callback);
+  if (m_is_decided) {
+    Begin(call);
+  } else {
+    m_held.push_back(call);
+  }
+}
+
+void RelayedStore::Write(const StoreWrite& write, WriteCallback callback) {
+  m_store->Write(write, std::move(callback));
+}
+
+void RelayedStore::OnMembersChanged() {
+  m_is_decided = true;
+  for (const CallPtr& call : std::exchange(m_held, {})) {
+    Begin(call);
+  }
+}
+
+void RelayedStore::Begin(const CallPtr& call) {
+  call->sources = m_choice->Sources();
+  TryNext(call);
+}
+
+void RelayedStore::TryNext(const CallPtr& call) {
+  if (call->next == call->sources.size()) {
+    call->callback({.detail = call->detail});
+    return;
+  }
+  const RowSource source = call->sources[call->next++];
+  if (!source.is_store()) {
+    AskRelay(call, source);
+  } else if (call->next == 1) {
+    AskStore(call);
+  } else {
+    // The relay has failed for its other followers too.
+    const auto spread =
+        static_cast<uint64_t>(Duration(kRelayFallbackSpread).count());
+    m_loop->Schedule(Duration(static_cast<int64_t>(m_hooks.random() % spread)),
+                     WhileAlive([this, call] { AskStore(call); }));
+  }
+}
+
+void RelayedStore::AskStore(const CallPtr& call) {
+  const auto on_rows = WhileAlive(
+      [this, call](const StoreRows& rows) { OnStoreRows(call, rows); });
+  if (!call->is_wait) {
+    m_store->Read(call->table, call->after, on_rows);
+    return;
+  }
+  const Duration wait = m_choice->IsRelayed()
+                            ? std::min(call->wait, m_times.store_wait)
+                            : call->wait;
+  m_store->WaitForChanges(call->table, call->version, wait, on_rows);
+}
+
+void RelayedStore::OnStoreRows(const CallPtr& call, const StoreRows& rows) {
+  const RowSource store;
+  if (rows.result == StoreResult::kOk ||
+      rows.result == StoreResult::kHistoryGone) {
+    m_choice->OnSuccess(store);
+    Deliver(call, store, rows, Duration{0});
+    return;
+  }
+  m_choice->OnFailure(store);
+  Table* table = FindTable(call->table);
+  table->is_read_here = false;
+  RefuseWaiters(table, RelayStatus::kStoreLost);
+  call->detail = rows.detail;
+  TryNext(call);
+}
+
+void RelayedStore::AskRelay(const CallPtr& call, const RowSource& source) {
+  const Duration wait =
+      call->is_wait ? std::min(call->wait, m_times.relay_wait) : Duration{0};
+  const RelayQuery query{.sender = m_name,
+                         .table = call->table,
+                         .wait_ms = static_cast<uint32_t>(
+                             duration_cast<milliseconds>(wait).count()),
+                         .version = call->version,
+                         .after = call->after};
+  m_hooks.call(source.relay, kPathRelayRows, EncodeRelayMessage(query),
+               wait + kRelayTimeout,
+               WhileAlive([this, call, source](const std::string* body) {
+                 OnRelayAnswer(call, source, body);
+               }));
+}
+
+void RelayedStore::OnRelayAnswer(const CallPtr& call,
+                                 const RowSource& source,
+                                 const std::string* body) {
+  const auto answer =
+      body == nullptr ? std::nullopt : DecodeRelayMessage<RelayAnswer>(*body);
+  const Table* table = FindTable(call->table);
+  if (answer && answer->status == RelayStatus::kHistoryGone && call->is_wait) {
+    m_choice->OnSuccess(source);
+    call->callback({.result = StoreResult::kHistoryGone});
+    return;
+  }
+  const Duration age = answer ? milliseconds(answer->age_ms) : milliseconds(0);
+  // A read must not take back what this gateway knows already.
+  const bool is_older =
+      answer && !call->is_wait && answer->version < table->seen_version;
+  if (answer && answer->status == RelayStatus::kOk && !is_older &&
+      age <= m_times.max_age()) {
+    m_choice->OnSuccess(source);
+    Deliver(call, source,
+            {.result = StoreResult::kOk,
+             .rows = answer->rows,
+             .version = answer->version,
+             .has_more = answer->has_more},
+            age);
+    return;
+  }
+  call->detail = !answer                              ? "no answer of the relay"
+                 : answer->status != RelayStatus::kOk ? NameOf(answer->status)
+                                                      : "relay is out of date";
+  // A relay that lost the store is asked again: that is cheap, and it finds the
+  // store's return first.
+  if (!answer || answer->status != RelayStatus::kStoreLost) {
+    m_choice->OnFailure(source);
+  }
+  if (answer && table->following == Following::kPolled) {
+    call->callback({.detail = call->detail});
+    return;
+  }
+  TryNext(call);
+}
+
+void RelayedStore::Deliver(const CallPtr& call,
+                           const RowSource& source,
+                           const StoreRows& rows,
+                           Duration age) {
+  Table* table = FindTable(call->table);
+  NoteSource(*call, table, source, age);
+  if (rows.result == StoreResult::kOk) {
+    Feed(*call, table, rows);
+    table->fresh_at = m_hooks.age_clock() - age;
+    table->seen_version = std::max(table->seen_version, rows.version);
+    AnswerWaiters(table);
+  }
+  call->callback(rows);
+}
+
+void RelayedStore::NoteSource(const Call& call,
+                              Table* table,
+                              const RowSource& source,
+                              Duration age) {
+  m_metrics->Count("bramleybank_row_calls_total", "source",
+                   source.is_store() ? "store" : "relay");
+  m_metrics->Observe("bramleybank_row_age_seconds",
+                     std::chrono::duration<double>(age).count());
+  const bool was_read_here = table->is_read_here;
+  table->is_read_here = source.is_store();
+  if (was_read_here && !table->is_read_here) {
+    RefuseWaiters(table, RelayStatus::kNotReader);
+  }
+  if (table->source == source) {
+    return;
+  }
+  table->source = source;
+  LogLine(LogEventId::kRowSource)
+      .Field("table", call.table)
+      .Field("source", source.is_store() ? "store" : source.relay)
+      .Field("age_ms", duration_cast<milliseconds>(age).count())
+      .Field("reason", call.detail.empty() ? "members" : call.detail);
+}
+
+void RelayedStore::Feed(const Call& call, Table* table, const StoreRows& rows) {
+  if (call.is_wait) {
+    table->cache.AddChanges(call.version, rows);
+  } else {
+    table->cache.AddPage(call.after.empty(), rows);
+  }
+}
+
+Duration RelayedStore::AgeOf(const Table& table) const {
+  return std::max(Duration{0}, m_hooks.age_clock() - table.fresh_at);
+}
+
+void RelayedStore::CountServed(RelayStatus status) {
+  m_metrics->Count("bramleybank_relay_answers_total", "result", NameOf(status));
+}
+
+void RelayedStore::Serve(
+    std::string_view body,
+    std::function<void(int status, std::string body)> reply) {
+  const auto query = DecodeRelayMessage<RelayQuery>(body);
+  if (!query) {
+    m_metrics->Count("bramleybank_relay_answers_total", "result", "malformed");
+    LogLine(LogEventId::kRelayMalformed)
+        .Field("bytes", static_cast<long long>(body.size()));
+    reply(kStatusMalformed, {});
+    return;
+  }
+  const auto refuse = [&](RelayStatus status) {
+    CountServed(status);
+    reply(kStatusOk, EncodeRelayMessage(RelayAnswer{.status = status}));
+  };
+  Table* table = FindTable(query->table);
+  if (!m_choice->IsMember(query->sender)) {
+    LogLine(LogEventId::kRelaySenderUnknown).Field("sender", query->sender);
+    refuse(RelayStatus::kUnknownSender);
+    m_hooks.on_unknown_sender(query->sender);
+  } else if (table == nullptr || !table->is_read_here ||
+             !table->cache.is_complete()) {
+    refuse(RelayStatus::kNotReader);
+  } else if (query->wait_ms > 0) {
+    ServeWait(table, *query, std::move(reply));
+  } else {
+    const RelayAnswer answer = AnswerRead(*table, *query);
+    CountServed(answer.status);
+    reply(kStatusOk, EncodeRelayMessage(answer));
+  }
+}
+
+RelayAnswer RelayedStore::AnswerRead(const Table& table,
+                                     const RelayQuery& query) const {
+  if (AgeOf(table) > m_times.max_age()) {
+    return {.status = RelayStatus::kStoreLost};
+  }
+  StoreRows page = table.cache.PageAfter(query.after);
+  return {.status = RelayStatus::kOk,
+          .age_ms = static_cast<uint32_t>(
+              duration_cast<milliseconds>(AgeOf(table)).count()),
+          .version = page.version,
+          .has_more = page.has_more,
+          .rows = std::move(page.rows)};
+}
+
+RelayAnswer RelayedStore::AnswerChanges(const Table& table,
+                                        uint64_t version) const {
+  auto changes = table.cache.ChangesAfter(version);
+  if (!changes) {
+    return {.status = RelayStatus::kHistoryGone};
+  }
+  return {.status = RelayStatus::kOk,
+          .age_ms = static_cast<uint32_t>(
+              duration_cast<milliseconds>(AgeOf(table)).count()),
+          .version = changes->version,
+          .rows = std::move(changes->rows)};
+}
+
+void RelayedStore::ServeWait(
+    Table* table,
+    const RelayQuery& query,
+    std::function<void(int status, std::string body)> reply) {
+  const RelayAnswer now = AnswerChanges(*table, query.version);
+  const bool is_full = table->waiters.size() >= kMaxRelayWaiters;
+  if (now.status != RelayStatus::kOk || !now.rows.empty() || is_full) {
+    CountServed(now.status);
+    reply(kStatusOk, EncodeRelayMessage(now));
+    return;
+  }
+  const auto waiter = table->waiters.insert(
+      table->waiters.end(),
+      {.version = query.version, .timer = {}, .reply = std::move(reply)});
+  const Duration wait =
+      std::min<Duration>(milliseconds(query.wait_ms), kMaxRelayWait);
+  waiter->timer = m_loop->Schedule(wait, [this, table, waiter] {
+    const RelayAnswer answer = AnswerChanges(*table, waiter->version);
+    CountServed(answer.status);
+    const auto answer_fn = std::move(waiter->reply);
+    table->waiters.erase(waiter);
+    answer_fn(kStatusOk, EncodeRelayMessage(answer));
+  });
+}
+
+void RelayedStore::AnswerWaiters(Table* table) {
+  for (auto it = table->waiters.begin(); it != table->waiters.end();) {
+    const RelayAnswer answer = AnswerChanges(*table, it->version);
+    if (answer.status == RelayStatus::kOk && answer.rows.empty()) {
+      ++it;
+      continue;
+    }
+    m_loop->Cancel(it->timer);
+    CountServed(answer.status);
+    const auto reply = std::move(it->reply);
+    it = table->waiters.erase(it);
+    reply(kStatusOk, EncodeRelayMessage(answer));
+  }
+}
+
+void RelayedStore::RefuseWaiters(Table* table, RelayStatus status) {
+  for (const Waiter& waiter : std::exchange(table->waiters, {})) {
+    m_loop->Cancel(waiter.timer);
+    CountServed(status);
+    waiter.reply(kStatusOk, EncodeRelayMessage(RelayAnswer{.status = status}));
+  }
+}
+
+}  // namespace bramleybank
--- a/src/rollout_director.cc
+++ b/src/rollout_director.cc
@@ -14,8 +14,6 @@
 namespace bramleybank {
 namespace {
 
-constexpr char kTable[] = "rollouts";
-
 /// Adds the answers of both versions on all routes.
 void AddTallies(const RolloutEvidence& evidence, LogLine* line) {
   const RouteTally total = TotalOf(evidence);
@@ -62,7 +60,7 @@
   m_rollouts.erase(order.service);
   m_rollouts.emplace(std::piecewise_construct,
                      std::forward_as_tuple(order.service),
-                     std::forward_as_tuple(order, m_hooks.random));
+                     std::forward_as_tuple(order, m_hooks));
   SchedulePoll(Duration{0});
 }
 
@@ -105,8 +103,14 @@
   Judge(&it->second);
 }
 
+RolloutEvidence RolloutDirector::Own(const Rollout& rollout) const {
+  RolloutEvidence own = rollout.gate.Evidence();
+  SubtractEvidence(rollout.handed_over, &own);
+  return own;
+}
+
 RolloutEvidence RolloutDirector::Total(const Rollout& rollout) const {
-  RolloutEvidence total = rollout.gate.Evidence();
+  RolloutEvidence total = Own(rollout);
   AddEvidence(rollout.others, &total);
   return total;
 }
@@ -148,7 +152,7 @@
 }
 
 void RolloutDirector::ReadPage(const std::string& after) {
-  m_store->Read(kTable, after,
+  m_store->Read(kRolloutTable, after,
                 WhileAlive([this](const StoreRows& page) { OnPage(page); }));
 }
 
@@ -196,6 +200,7 @@
       AddEvidence(report->evidence, &rollout->others);
     } else if (!rollout->is_read) {
       rollout->gate.SetEarlierEvidence(report->evidence);
+      rollout->written = report->evidence;
     }
   }
   rollout->is_read = true;
@@ -229,22 +234,66 @@
 }
 
 void RolloutDirector::WriteReport(Rollout* rollout) {
-  const RolloutEvidence evidence = rollout->gate.Evidence();
+  const RolloutEvidence evidence = Own(*rollout);
   if (!rollout->is_read || rollout->is_over || evidence == rollout->written) {
     return;
   }
+  if (!m_hooks.is_reader()) {
+    HandOver(rollout);
+    return;
+  }
   rollout->written = evidence;
   const RolloutOrder& order = rollout->gate.order();
   // A report that is lost is followed by the next one, which says more.
   m_store->Write(
-      {.table = kTable,
+      {.table = kRolloutTable,
        .key = order.service + "/" + m_name,
        .value = EncodeReport({.order_id = order.id, .evidence = evidence}),
        .expected_version = std::nullopt},
       [](StoreResult) {});
 }
 
+void RolloutDirector::HandOver(Rollout* rollout) {
+  // What is written in a row of this gateway is counted there.
+  RolloutEvidence evidence = Own(*rollout);
+  SubtractEvidence(rollout->written, &evidence);
+  if (rollout->is_handing_over || TotalOf(evidence) == RouteTally{}) {
+    return;
+  }
+  rollout->is_handing_over = true;
+  const RolloutOrder& order = rollout->gate.order();
+  m_hooks.hand_over(order.service,
+                    EncodeReport({.order_id = order.id, .evidence = evidence}),
+                    WhileAlive([this, service = order.service, id = order.id,
+                                evidence](const bool& taken) {
+                      Rollout* found = FindRollout(service, id);
+                      if (found == nullptr) {
+                        return;
+                      }
+                      found->is_handing_over = false;
+                      if (taken) {
+                        AddEvidence(evidence, &found->handed_over);
+                      }
+                    }));
+}
+
+bool RolloutDirector::OnEvidence(std::string_view service,
+                                 const std::string& text) {
+  const auto report = DecodeReport(text);
+  Rollout* rollout = report ? FindRollout(service, report->order_id) : nullptr;
+  if (rollout == nullptr || !rollout->is_read || rollout->is_over ||
+      !m_hooks.is_reader()) {
+    return false;
+  }
+  rollout->gate.AddEarlierEvidence(report->evidence);
+  Judge(rollout);
+  return true;
+}
+
 bool RolloutDirector::MayDrive(const Rollout& rollout) const {
+  if (!m_hooks.is_reader()) {
+    return false;
+  }
   return !rollout.decision || rollout.decision->driver == m_name ||
          rollout.unchanged_reads >= kMaxUnchangedRolloutReads;
 }
@@ -258,7 +307,7 @@
                          order.duration);
   next.published =
       IsFinal(next.phase) && rollout->published && IsFinal(*rollout->published);
-  m_store->Write({.table = kTable,
+  m_store->Write({.table = kRolloutTable,
                   .key = order.service,
                   .value = EncodeDecision(next),
                   .expected_version = rollout->row_version},
--- a/src/rollout_director.h
+++ b/src/rollout_director.h
@@ -23,11 +23,12 @@
 
 /// Follows the orders of one gateway.
 ///
-/// Each gateway writes what it has seen, reads what the others have seen, and
-/// stops by itself as soon as the sum speaks against a version. One of them,
-/// the driver, also writes the decision, under a condition on its row. A driver
-/// whose row no longer changes is replaced. While no rollout runs, nothing is
-/// read or written.
+/// A gateway that reads the store writes what it has seen together with what
+/// others have handed over to it, so that rows grow with the failure domains.
+/// Each gateway reads these rows and stops by itself as soon as the sum speaks
+/// against a version. One of the readers, the driver, also writes the decision,
+/// under a condition on its row. A driver whose row no longer changes is
+/// replaced. While no rollout runs, nothing is read or written.
 class RolloutDirector {
  public:
   struct Hooks {
@@ -36,6 +37,16 @@
     std::function<size_t()> gateways;
     /// Time between two exchanges of evidence.
     std::function<Duration()> poll_interval;
+    /// What a version may get while it is probed.
+    RolloutShare share;
+    /// Whether this gateway reads and writes the rows of rollouts itself.
+    std::function<bool()> is_reader;
+    /// Hands a report of new evidence to a gateway that does; the callback
+    /// gets whether it was taken.
+    std::function<void(const std::string& service,
+                       const std::string& report,
+                       std::function<void(bool taken)> callback)>
+        hand_over;
   };
 
   /// @param name unique name of this gateway.
@@ -50,6 +61,9 @@
 
   /// An operator's order has been read; one that is known changes nothing.
   void OnOrder(const RolloutOrder& order);
+  /// Another gateway hands over evidence.
+  /// @returns whether it was taken.
+  bool OnEvidence(std::string_view service, const std::string& report);
   /// The order for this service is gone.
   void OnOrderGone(std::string_view service);
 
@@ -70,8 +84,8 @@
  private:
   /// One service's rollout.
   struct Rollout {
-    Rollout(const RolloutOrder& order, const RandomHook& random)
-        : gate(order, random) {}
+    Rollout(const RolloutOrder& order, const Hooks& hooks)
+        : gate(order, hooks.share, hooks.random) {}
 
     RolloutGate gate;
     // Decision as read last, and the version of its row (0 without a row).
@@ -83,6 +97,9 @@
     // Set once this gateway's earlier report could have been read.
     bool is_read = false;
     RolloutEvidence written;
+    // Part of this gateway's evidence that another one has taken over.
+    RolloutEvidence handed_over;
+    bool is_handing_over = false;
     // The operator's status as far as this gateway has confirmed it.
     std::optional<RolloutPhase> published;
     bool is_over = false;
@@ -97,6 +114,7 @@
   void TakeDecision(Rollout* rollout, const StoreRow* row);
   void Judge(Rollout* rollout);
   void WriteReport(Rollout* rollout);
+  void HandOver(Rollout* rollout);
   bool MayDrive(const Rollout& rollout) const;
   void Drive(Rollout* rollout, Duration now);
   void OnDriven(const std::string& service,
@@ -111,6 +129,7 @@
                      RolloutPhase phase);
 
   Rollout* FindRollout(std::string_view service, uint64_t order_id);
+  RolloutEvidence Own(const Rollout& rollout) const;
   RolloutEvidence Total(const Rollout& rollout) const;
 
   /// Calls `function` unless this object is gone by then.
--- a/src/rollout_gate.cc
+++ b/src/rollout_gate.cc
@@ -17,15 +17,17 @@
 
 }  // namespace
 
-RolloutGate::RolloutGate(RolloutOrder order, RandomHook random)
-    : m_order(std::move(order)), m_random(std::move(random)) {}
+RolloutGate::RolloutGate(RolloutOrder order,
+                         RolloutShare share,
+                         RandomHook random)
+    : m_order(std::move(order)), m_share(share), m_random(std::move(random)) {}
 
 RolloutRule RolloutGate::NextRequest(std::string_view route, size_t gateways) {
   if (m_phase == RolloutPhase::kProbing && !m_is_stopped &&
       TakeShare(route, gateways)) {
     return {.kind = RolloutRule::Kind::kPreferred,
             .version = m_order.version,
-            .endpoint_share = kRolloutProbeShare};
+            .endpoint_share = m_share.share};
   }
   return Repeat();
 }
@@ -37,10 +39,10 @@
     const double start = static_cast<double>(m_random() % kRandomSteps) /
                          static_cast<double>(kRandomSteps);
     const double extra =
-        kRolloutProbeExtra / static_cast<double>(std::max<size_t>(1, gateways));
+        m_share.extra / static_cast<double>(std::max<size_t>(1, gateways));
     it = m_credit.emplace(std::string(route), start + extra).first;
   }
-  it->second += kRolloutProbeShare;
+  it->second += m_share.share;
   if (it->second < 1) {
     return false;
   }
@@ -95,6 +97,10 @@
   m_earlier = std::move(evidence);
 }
 
+void RolloutGate::AddEarlierEvidence(const RolloutEvidence& evidence) {
+  AddEvidence(evidence, &m_earlier);
+}
+
 void RolloutGate::SetPhase(RolloutPhase phase) {
   if (m_phase && IsFinal(*m_phase)) {
     return;
--- a/src/rollout_gate.h
+++ b/src/rollout_gate.h
@@ -12,6 +12,7 @@
 #include "hooks.h"
 #include "rollout_order.h"
 #include "rollout_rule.h"
+#include "rollout_share.h"
 
 namespace bramleybank {
 
@@ -19,7 +20,7 @@
 /// the others: each gateway keeps the share of its own requests.
 class RolloutGate {
  public:
-  RolloutGate(RolloutOrder order, RandomHook random);
+  RolloutGate(RolloutOrder order, RolloutShare share, RandomHook random);
 
   /// A request arrives. @returns the rule for its first attempt.
   RolloutRule NextRequest(std::string_view route, size_t gateways);
@@ -37,6 +38,8 @@
   RolloutEvidence Evidence() const;
   /// Evidence that this gateway had written before a restart.
   void SetEarlierEvidence(RolloutEvidence evidence);
+  /// Evidence that another gateway has handed over.
+  void AddEarlierEvidence(const RolloutEvidence& evidence);
 
   /// The decision of all gateways.
   void SetPhase(RolloutPhase phase);
@@ -58,6 +61,7 @@
   bool IsSlow(std::string_view route, Duration time) const;
 
   const RolloutOrder m_order;
+  const RolloutShare m_share;
   const RandomHook m_random;
   // Unknown until the decision has been read; then the old version serves.
   std::optional<RolloutPhase> m_phase;
--- a/src/rollout_order.cc
+++ b/src/rollout_order.cc
@@ -34,6 +34,12 @@
   }
 }
 
+void SubtractEvidence(const RolloutEvidence& part, RolloutEvidence* from) {
+  for (const auto& [route, tally] : part) {
+    (*from)[route] -= tally;
+  }
+}
+
 RouteTally TotalOf(const RolloutEvidence& evidence) {
   RouteTally total;
   for (const auto& [route, tally] : evidence) {
--- a/src/rollout_order.h
+++ b/src/rollout_order.h
@@ -80,6 +80,11 @@
     bad += other.bad;
     return *this;
   }
+  VersionTally& operator-=(const VersionTally& other) {
+    good -= other.good;
+    bad -= other.bad;
+    return *this;
+  }
   friend bool operator==(const VersionTally&, const VersionTally&) = default;
 };
 
@@ -93,6 +98,11 @@
     new_version += other.new_version;
     return *this;
   }
+  RouteTally& operator-=(const RouteTally& other) {
+    old_version -= other.old_version;
+    new_version -= other.new_version;
+    return *this;
+  }
   friend bool operator==(const RouteTally&, const RouteTally&) = default;
 };
 
@@ -100,6 +110,8 @@
 using RolloutEvidence = std::map<std::string, RouteTally, std::less<>>;
 
 void AddEvidence(const RolloutEvidence& from, RolloutEvidence* to);
+/// Takes `part` out of `from`; what is not in it stays.
+void SubtractEvidence(const RolloutEvidence& part, RolloutEvidence* from);
 /// @returns the sum over all routes.
 RouteTally TotalOf(const RolloutEvidence& evidence);
 
--- a/src/rollout_records.h
+++ b/src/rollout_records.h
@@ -10,6 +10,9 @@
 
 namespace bramleybank {
 
+/// Table of these rows.
+inline constexpr char kRolloutTable[] = "rollouts";
+
 /// One gateway's evidence on one order.
 struct RolloutReport {
   uint64_t order_id = 0;
--- /dev/null
+++ b/src/row_cache.cc
@@ -0,0 +1,124 @@
+// Merging of reads and changes by the versions of rows.
+#include "row_cache.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "bramleybank/limits.h"
+
+namespace bramleybank {
+
+void RowCache::AddPage(bool is_first, const StoreRows& page) {
+  if (is_first) {
+    m_read_keys.clear();
+    m_read_version = page.version;
+  }
+  for (const StoreRow& row : page.rows) {
+    m_read_keys.insert(row.key);
+    Put(row);
+  }
+  if (!page.has_more || page.rows.empty()) {
+    FinishRead();
+  }
+}
+
+void RowCache::FinishRead() {
+  std::vector<std::string> gone;
+  for (const auto& [key, row] : m_rows) {
+    if (!row.deleted && row.version <= m_read_version &&
+        !m_read_keys.contains(key)) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    Put({.key = key, .value = {}, .version = m_read_version, .deleted = true});
+  }
+  if (!m_is_complete) {
+    // What went between the older image and this read is not known.
+    m_floor = std::max(m_floor, m_read_version);
+  }
+  m_is_complete = true;
+  m_version = std::max(m_version, m_read_version);
+  m_read_keys.clear();
+}
+
+void RowCache::AddChanges(uint64_t after, const StoreRows& changes) {
+  if (after > m_version) {
+    m_is_complete = false;
+  }
+  for (const StoreRow& row : changes.rows) {
+    Put(row);
+  }
+  m_version = std::max(m_version, changes.version);
+}
+
+void RowCache::Put(const StoreRow& row) {
+  const auto it = m_rows.find(row.key);
+  if (it != m_rows.end()) {
+    if (it->second.version > row.version) {
+      return;
+    }
+    m_order.erase({it->second.version, row.key});
+    m_tombstones -= it->second.deleted ? 1 : 0;
+    it->second = row;
+  } else {
+    m_rows.emplace(row.key, row);
+  }
+  m_order.emplace(row.version, row.key);
+  m_tombstones += row.deleted ? 1 : 0;
+  DropOldTombstones();
+}
+
+void RowCache::DropOldTombstones() {
+  if (m_tombstones <= kMaxRelayTombstones) {
+    return;
+  }
+  const auto oldest = std::ranges::find_if(m_order, [this](const auto& item) {
+    return m_rows.at(item.second).deleted;
+  });
+  m_floor = std::max(m_floor, oldest->first);
+  m_rows.erase(oldest->second);
+  m_order.erase(oldest);
+  --m_tombstones;
+}
+
+std::optional<StoreRows> RowCache::ChangesAfter(uint64_t version) const {
+  if (!m_is_complete || version < m_floor) {
+    return std::nullopt;
+  }
+  StoreRows changes{.result = StoreResult::kOk, .version = m_version};
+  size_t bytes = 0;
+  for (auto it = m_order.lower_bound({version + 1, std::string()});
+       it != m_order.end(); ++it) {
+    const StoreRow& row = m_rows.at(it->second);
+    bytes += row.key.size() + row.value.size();
+    if (bytes > kMaxRelayAnswerBytes && !changes.rows.empty() &&
+        changes.rows.back().version != row.version) {
+      // The rest follows with the next wait; rows of one version stay together.
+      changes.version = changes.rows.back().version;
+      break;
+    }
+    changes.rows.push_back(row);
+  }
+  return changes;
+}
+
+StoreRows RowCache::PageAfter(const std::string& after) const {
+  StoreRows page{.result = StoreResult::kOk, .version = m_version};
+  size_t bytes = 0;
+  for (auto it = after.empty() ? m_rows.begin() : m_rows.upper_bound(after);
+       it != m_rows.end(); ++it) {
+    if (it->second.deleted) {
+      continue;
+    }
+    bytes += it->first.size() + it->second.value.size();
+    if (bytes > kMaxRelayAnswerBytes && !page.rows.empty()) {
+      page.has_more = true;
+      break;
+    }
+    page.rows.push_back(it->second);
+  }
+  return page;
+}
+
+}  // namespace bramleybank
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -64,8 +64,7 @@
   }
   for (const StoreRow& row : rows.rows) {
     m_seen.insert(row.key);
-    m_known.insert(row.key);
-    m_hooks.on_row(row);
+    TakeRow(row);
   }
   if (rows.has_more && !rows.rows.empty()) {
     m_read_after = rows.rows.back().key;
@@ -77,7 +76,11 @@
 
 void StoreWatch::FinishRead() {
   std::vector<std::string> gone;
-  std::ranges::set_difference(m_known, m_seen, std::back_inserter(gone));
+  for (const auto& [key, version] : m_known) {
+    if (!m_seen.contains(key)) {
+      gone.push_back(key);
+    }
+  }
   for (const std::string& key : gone) {
     m_known.erase(key);
     m_hooks.on_row({.key = key, .version = m_read_version, .deleted = true});
@@ -87,6 +90,19 @@
   Wait();
 }
 
+void StoreWatch::TakeRow(const StoreRow& row) {
+  const auto known = m_known.find(row.key);
+  if (known != m_known.end() && row.version < known->second) {
+    return;
+  }
+  if (row.deleted) {
+    m_known.erase(row.key);
+  } else {
+    m_known.insert_or_assign(row.key, row.version);
+  }
+  m_hooks.on_row(row);
+}
+
 void StoreWatch::Wait() {
   m_store->WaitForChanges(
       m_table, m_version, m_times.wait,
@@ -109,12 +125,7 @@
   }
   OnSuccess();
   for (const StoreRow& row : rows.rows) {
-    if (row.deleted) {
-      m_known.erase(row.key);
-    } else {
-      m_known.insert(row.key);
-    }
-    m_hooks.on_row(row);
+    TakeRow(row);
   }
   m_version = std::max(m_version, rows.version);
   if (rows.rows.empty()) {
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -68,6 +69,7 @@
   void OnRead(const StoreRows& rows);
   void OnChanges(const StoreRows& rows);
   void FinishRead();
+  void TakeRow(const StoreRow& row);
   void OnFailure(const std::string& detail, void (StoreWatch::*retry)());
   void OnSuccess();
 
@@ -76,8 +78,10 @@
   const std::string m_table;
   StoreWatchTimes m_times;
   const StoreWatchHooks m_hooks;
-  // Keys reported and not gone; a full read reports the others as gone.
-  std::set<std::string> m_known;
+  // Versions of the rows reported and not gone; a full read reports the others
+  // as gone. A row never goes back to an older version, since a read of several
+  // pages may be ahead of the changes that follow it.
+  std::map<std::string, uint64_t> m_known;
   // Keys of the full read in progress, and the version of its first page.
   std::set<std::string> m_seen;
   std::string m_read_after;
--- a/tests/unit_endpoint_directory.cc
+++ b/tests/unit_endpoint_directory.cc
@@ -75,8 +75,10 @@
   CHECK(fixture.directory.IsUsable(*fixture.directory.Find("a0")));
 }
 
-// Guards against work for an endpoint that leaves.
-TEST_CASE("a draining endpoint gets no work, a gone one only as last resort") {
+// Guards against work for an endpoint that leaves: an entry that is removed
+// while the store is stable is no last resort, since a second attempt there
+// breaks the bound on leaving where that is tight.
+TEST_CASE("a draining endpoint gets no work, and one that has left neither") {
   Fixture fixture(1);
   EndpointEntry draining = MakeEntry("a0", "a", "a0:1");
   draining.state = EndpointState::kDraining;
@@ -84,13 +86,28 @@
   fixture.directory.Remove("b0");
   CHECK(fixture.Pick() == "c0");
   fixture.directory.Remove("c0");
-  CHECK_FALSE(fixture.Pick().empty());
-  fixture.now += kLapsedEntryGrace;
   CHECK(fixture.Pick().empty());
   fixture.directory.Update(MakeEntry("b0", "b", "b0:1"));
   CHECK(fixture.Pick() == "b0");
 }
 
+// Guards against callers that are refused because the entries of living
+// endpoints lapsed with the store.
+TEST_CASE("an entry that went with the store is a last resort for a time") {
+  Fixture fixture(1);
+  fixture.directory.SetStoreLost(true);
+  fixture.directory.SetStoreLost(false);
+  fixture.directory.Remove("b0");
+  fixture.directory.Remove("c0");
+  CHECK(fixture.Pick() == "a0");
+  fixture.directory.Remove("a0");
+  CHECK_FALSE(fixture.Pick().empty());
+  fixture.now += kLapsedEntryGrace;
+  CHECK(fixture.Pick().empty());
+  fixture.directory.Remove("b0");
+  CHECK(fixture.Pick().empty());
+}
+
 // Guards against sending streams into a failure domain that is going down.
 TEST_CASE("two losses in a domain make it suspect, one does not") {
   Fixture fixture(3);
--- a/tests/unit_rollout.cc
+++ b/tests/unit_rollout.cc
@@ -128,7 +128,7 @@
 // Guards against a bad version that gets more than its share, and against one
 // that gets requests before the decision of the others is known.
 TEST_CASE("a gateway holds the share of the new version by itself") {
-  RolloutGate gate({.service = "s", .version = "v2"}, [] { return 0; });
+  RolloutGate gate({.service = "s", .version = "v2"}, {}, [] { return 0; });
   using Kind = RolloutRule::Kind;
   CHECK(gate.NextRequest("r", 8).kind == Kind::kAllBut);
   gate.SetPhase(RolloutPhase::kProbing);
@@ -150,7 +150,7 @@
 
 // Guards against a version that is slow and never fails.
 TEST_CASE("answers several times slower than usual count as bad") {
-  RolloutGate gate({.service = "s", .version = "v2"}, [] { return 0; });
+  RolloutGate gate({.service = "s", .version = "v2"}, {}, [] { return 0; });
   gate.SetPhase(RolloutPhase::kProbing);
   for (int i = 0; i < 20; ++i) {
     gate.Observe("r", "v1", false, milliseconds(30));
@@ -234,7 +234,8 @@
 
 /// Gateways that serve requests of one route and follow one order.
 struct Fleet {
-  explicit Fleet(Duration duration = seconds(4)) {
+  explicit Fleet(Duration duration = seconds(4), bool relayed = false)
+      : has_relay(relayed) {
     order.duration = duration;
     for (int i = 0; i < 3; ++i) {
       Start(i);
@@ -248,7 +249,15 @@
         RolloutDirector::Hooks{
             .random = [this] { return random(); },
             .gateways = [] { return 3; },
-            .poll_interval = [] { return milliseconds(1); }});
+            .poll_interval = [] { return milliseconds(1); },
+            .share = {},
+            .is_reader = [this, i] { return IsReader(i); },
+            .hand_over =
+                [this, i](const std::string& service, const std::string& report,
+                          const std::function<void(bool)>& callback) {
+                  callback(i != 0 && directors[0] &&
+                           directors[0]->OnEvidence(service, report));
+                }});
     directors[i]->OnOrder(order);
   }
 
@@ -279,6 +288,8 @@
     }
   }
 
+  bool IsReader(int i) const { return !has_relay || i == 0; }
+
   bool AllIn(RolloutPhase phase) const {
     return std::ranges::all_of(directors, [phase](const auto& director) {
       return !director || director->PhaseOf("s") == phase;
@@ -294,6 +305,8 @@
                      .id = 50};
   std::mt19937 random{3};
   double new_rate = 0.02;
+  /// The first gateway reads the store for the others.
+  bool has_relay;
   int requests = 0;
   int new_requests = 0;
   std::vector<std::unique_ptr<RolloutDirector>> directors;
@@ -310,6 +323,60 @@
         std::vector{RolloutPhase::kProbing, RolloutPhase::kCompleted});
 }
 
+// Guards against rows of evidence that grow with the gateways, and against
+// evidence that is lost or counted twice on its way through a relay.
+TEST_CASE("a relay writes the evidence of its followers") {
+  for (const double rate : {0.02, 0.5}) {
+    Fleet fleet(seconds(4), /*relayed=*/true);
+    fleet.new_rate = rate;
+    fleet.Run(milliseconds(3900));
+    CHECK(fleet.AllIn(rate < 0.1 ? RolloutPhase::kCompleted
+                                 : RolloutPhase::kRolledBack));
+    CHECK(fleet.new_requests <=
+          (rate < 0.1 ? fleet.requests : fleet.requests / 10));
+    std::optional<RolloutReport> last;
+    for (const StoreWrite& write : fleet.store.history) {
+      CHECK(write.key != "s/g1");
+      CHECK(write.key != "s/g2");
+      if (write.key == "s/g0") {
+        last = DecodeReport(write.value);
+      }
+    }
+    REQUIRE(last.has_value());
+    const RouteTally total = TotalOf(last->evidence);
+    const int64_t counted =
+        total.old_version.total() + total.new_version.total();
+    CHECK(counted <= fleet.requests);
+    if (rate < 0.1) {
+      CHECK(counted > fleet.requests / 2);
+    } else {
+      CHECK(total.new_version.bad > 0);
+    }
+  }
+}
+
+// Guards against evidence of a gateway that is counted in its own row and again
+// at a relay, when it becomes a follower.
+TEST_CASE("evidence that is written already is not handed over") {
+  Fleet fleet;
+  fleet.Run(milliseconds(500));
+  fleet.has_relay = true;
+  fleet.Run(milliseconds(500));
+  int64_t counted = 0;
+  std::map<std::string, RouteTally> rows;
+  for (const StoreWrite& write : fleet.store.history) {
+    if (const auto report = DecodeReport(write.value)) {
+      rows[write.key] = TotalOf(report->evidence);
+    }
+  }
+  for (const auto& [key, tally] : rows) {
+    counted += tally.old_version.total() + tally.new_version.total();
+  }
+  CHECK(rows.size() == 3);
+  CHECK(counted <= fleet.requests);
+  CHECK(counted >= fleet.requests * 9 / 10);
+}
+
 // Guards against a bad version that gets more than a tenth of the requests.
 TEST_CASE("a bad version is rolled back by all gateways") {
   Fleet fleet;
--- a/tests/unit_store_watch.cc
+++ b/tests/unit_store_watch.cc
@@ -108,7 +108,8 @@
 TEST_CASE("gateways are counted while their rows change") {
   EventLoop loop;
   FakeStore store;
-  GatewayPeers peers(&loop, &store, "me", "d", [] { return 0; });
+  GatewayPeers peers(&loop, &store, {.name = "me", .failure_domain = "d"},
+                     [] { return 0; });
   CHECK(peers.count() == 1);
   // Guards against a reload before the first list that grants this gateway the
   // budget of all.
--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -18,6 +18,7 @@
 constexpr char kCallerPort[] = "8740";
 constexpr char kReadyPort[] = "8749";
 constexpr char kMetricsPort[] = "7200";
+constexpr char kPeerPort[] = "7201";
 // Numbers of the loopback addresses of one deployment.
 constexpr int kStoreAddress = 1;
 constexpr int kFirstGatewayAddress = 10;
@@ -227,7 +228,7 @@
           domain.substr(domain.find('-') + 1) + "\nregions = " + regions +
           "\n[listen]\ncaller = " + ip + ":" + kCallerPort + "\nready = " + ip +
           ":" + kReadyPort + "\nmetrics = " + ip + ":" + kMetricsPort +
-          "\n[platform]\nstore = " + StoreAddressFor(i) + "\n");
+          "\npeer = " + ip + ":" + kPeerPort + "\n[platform]\nstore = " + StoreAddressFor(i) + "\n");
 }
 
 void WireDeployment::WaitGatewayReady(int i) const {
