Test relays with real daemons: one frozen, one killed, one that wakes

Cause: the relay's tests so far run on one loop in memory. Change: ten gateways of one domain follow two relays; gauges tell who reads the store and how many gateways are known.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -368,6 +368,8 @@
                    static_cast<double>(directory.size()));
   metrics.SetGauge("bramleybank_config_version",
                    config ? static_cast<double>(config->version()) : 0);
+  metrics.SetGauge("bramleybank_gateways", static_cast<double>(peers.count()));
+  metrics.SetGauge("bramleybank_reads_store", relay.IsReader() ? 1 : 0);
   metrics.SetGauge("bramleybank_log_lines_dropped",
                    static_cast<double>(DroppedLogLines()));
   metrics.SetGauge("bramleybank_open_requests",
--- a/tests/process_gateway.cc
+++ b/tests/process_gateway.cc
@@ -1,8 +1,11 @@
 // The real daemon as a gateway, against stand-ins that speak the users' wire.
 #include <doctest/doctest.h>
 
+#include <set>
+#include <string>
 #include <utility>
 
+#include "bramleybank/limits.h"
 #include "wire_deployment.h"
 #include "wire_names.h"
 
@@ -147,6 +150,66 @@
   }
 }
 
+/// @returns the gateways that read the store, once all know all others.
+std::set<int> WaitForRelays(const WireDeployment& site) {
+  std::set<int> relays;
+  WaitUntil("all gateways agree on two relays", [&] {
+    relays.clear();
+    bool is_listed = true;
+    for (int i = 0; i < site.gateway_count(); ++i) {
+      const std::string text = Send("GET", site.metrics_url(i)).body;
+      is_listed = is_listed && text.find("bramleybank_gateways " +
+                                         std::to_string(site.gateway_count()) +
+                                         "\n") != std::string::npos;
+      if (text.find("bramleybank_reads_store 1\n") != std::string::npos) {
+        relays.insert(i);
+      }
+    }
+    return is_listed && relays.size() == kRelaysPerDomain;
+  });
+  return relays;
+}
+
+/// Checks that every gateway but those left out has the configuration.
+void CheckInForce(const WireDeployment& site,
+                  uint64_t version,
+                  const std::set<int>& out) {
+  int calls = 0;
+  for (int i = 0; i < site.gateway_count(); ++i) {
+    if (!out.contains(i)) {
+      WaitUntil("a configuration is in force", [&] {
+        const std::string id = "probe-" + std::to_string(version) + "-" +
+                               std::to_string(i) + "-" +
+                               std::to_string(++calls);
+        return site.Call(i, "GET", WireDeployment::ProbeRoute(version) + "x",
+                         id)
+                   .status == 200;
+      });
+    }
+  }
+}
+
+// Guards against gateways without news because the relay that they follow is
+// frozen or killed, and against calls to the store that grow with the gateways.
+TEST_CASE("gateways of a large domain follow relays, and outlive them") {
+  WireDeployment site({.domains = 1, .gateways_per_domain = 10});
+  const std::set<int> relays = WaitForRelays(site);
+  site.PublishConfig(20, "key-1", WireDeployment::ProbeRoute(20));
+  CheckInForce(site, 20, {});
+  site.gateway(*relays.begin()).Pause();
+  site.PublishConfig(21, "key-1", WireDeployment::ProbeRoute(21));
+  CheckInForce(site, 21, {*relays.begin()});
+  site.gateway(*relays.rbegin()).Kill();
+  site.PublishConfig(22, "key-1", WireDeployment::ProbeRoute(22));
+  CheckInForce(site, 22, relays);
+  // A relay that wakes knows what it has missed, and takes nobody back.
+  site.gateway(*relays.begin()).Continue();
+  CheckInForce(site, 22, {*relays.rbegin()});
+  CHECK(site.Call(*relays.begin(), "GET", WireDeployment::ProbeRoute(21) + "x",
+                  "old-route")
+            .status == 404);
+}
+
 // Guards against entries of living servers that are lost with their leases.
 TEST_CASE("servers whose entries lapsed in an outage are used again") {
   const WireDeployment site({});
