Refuse requests whose end is ambiguous on both caller ports

Cause: the caller port of the product's own interface took a length beside a transfer coding, two lengths and unknown codings (which then hung); both ports took blanks before the colon, folded lines and bare LF line ends. Change: one check of the length for both parsers; libmicrohttpd in its strict mode; Http1HeadScanner before libhttp-parser, which has no such mode. Ruled out: one parser for both ports, since libmicrohttpd owns its sockets. Measured: the new cases of unit_http1_parser and process_input fail before the change (eight heads accepted) and pass now.

--- a/src/http1_parser.cc
+++ b/src/http1_parser.cc
@@ -60,7 +60,7 @@
     if (!self->m_field.empty()) {
       self->FinishHeader();
     }
-    if (self->HasAmbiguousLength()) {
+    if (HasAmbiguousLength(self->m_head.headers)) {
       self->m_fault = Http1Fault::kAmbiguousLength;
       return -1;
     }
@@ -133,21 +133,6 @@
   m_in_value = false;
 }
 
-bool Http1Parser::HasAmbiguousLength() const {
-  size_t lengths = 0;
-  size_t codings = 0;
-  bool unknown_coding = false;
-  for (const auto& [name, value] : m_head.headers) {
-    if (HeaderNameEquals(name, "Content-Length")) {
-      ++lengths;
-    } else if (HeaderNameEquals(name, "Transfer-Encoding")) {
-      ++codings;
-      unknown_coding = unknown_coding || !HeaderNameEquals(value, "chunked");
-    }
-  }
-  return lengths + codings > 1 || unknown_coding;
-}
-
 void Http1Parser::Feed(std::string_view bytes) {
   if (m_fault != Http1Fault::kNone) {
     return;
@@ -160,6 +145,10 @@
 }
 
 void Http1Parser::Parse(std::string_view bytes) {
+  if (m_direction == Direction::kRequests && !m_scanner.Scan(bytes)) {
+    Fail(Http1Fault::kMalformed);
+    return;
+  }
   const size_t parsed = http_parser_execute(
       &m_library->parser, Library::Settings(), bytes.data(), bytes.size());
   const auto error = static_cast<enum http_errno>(m_library->parser.http_errno);
@@ -189,6 +178,7 @@
     return;
   }
   m_paused = false;
+  m_scanner.Restart();
   http_parser_pause(&m_library->parser, 0);
   if (!m_kept.empty()) {
     const std::string bytes = std::exchange(m_kept, {});
--- a/src/http1_parser.h
+++ b/src/http1_parser.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "http1_head_scanner.h"
 #include "http_types.h"
 
 namespace bramleybank {
@@ -78,7 +79,6 @@
   void Parse(std::string_view bytes);
   void Fail(Http1Fault fault);
   void FinishHeader();
-  bool HasAmbiguousLength() const;
 
   const Direction m_direction;
   const size_t m_max_head_bytes;
@@ -86,6 +86,8 @@
   std::unique_ptr<Library> m_library;
   Http1Head m_head;
   size_t m_head_bytes = 0;
+  // Requests only.
+  Http1HeadScanner m_scanner;
   std::string m_field;
   std::string m_value;
   bool m_in_value = false;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -314,6 +314,10 @@
     m_refusal = ResultCode::kBadHeader;
     return;
   }
+  if (HasAmbiguousLength(request.headers)) {
+    m_refusal = ResultCode::kBadHeader;
+    return;
+  }
   const auto length = request.Header("Content-Length");
   if (length && std::strtoull(length->c_str(), nullptr, 10) >
                     m_server->options.max_body_bytes) {
@@ -456,7 +460,8 @@
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, options.connection_pool_bytes,
       MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(options.idle_timeout.count()),
-      MHD_OPTION_UNESCAPE_CALLBACK, &KeepEscapes, nullptr, MHD_OPTION_END);
+      MHD_OPTION_UNESCAPE_CALLBACK, &KeepEscapes, nullptr,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
   if (daemon == nullptr) {
     return false;
   }
--- a/src/http_types.cc
+++ b/src/http_types.cc
@@ -41,4 +41,19 @@
   return encoded;
 }
 
+bool HasAmbiguousLength(const HttpHeaders& headers) {
+  size_t lengths = 0;
+  size_t codings = 0;
+  bool unknown_coding = false;
+  for (const auto& [name, value] : headers) {
+    if (HeaderNameEquals(name, "Content-Length")) {
+      ++lengths;
+    } else if (HeaderNameEquals(name, "Transfer-Encoding")) {
+      ++codings;
+      unknown_coding = unknown_coding || !HeaderNameEquals(value, "chunked");
+    }
+  }
+  return lengths + codings > 1 || unknown_coding;
+}
+
 }  // namespace bramleybank
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -23,6 +23,10 @@
 /// @returns `text` with every byte outside the unreserved set percent-encoded.
 std::string PercentEncode(std::string_view text);
 
+/// @returns whether two readers may take the body to end at different places:
+/// its length is given more than once, or in a coding other than "chunked".
+bool HasAmbiguousLength(const HttpHeaders& headers);
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_SRC_HTTP_TYPES_H_
--- a/tests/process_input.cc
+++ b/tests/process_input.cc
@@ -120,6 +120,49 @@
   }
 }
 
+/// @returns everything that arrives until the daemon closes.
+std::string ReadToClose(int fd) {
+  std::string received;
+  std::vector<char> buffer(65536);
+  for (;;) {
+    const ssize_t count = recv(fd, buffer.data(), buffer.size(), 0);
+    if (count <= 0) {
+      close(fd);
+      return received;
+    }
+    received.append(buffer.data(), static_cast<size_t>(count));
+  }
+}
+
+// Guards against a second request that is hidden inside another one: wherever
+// two readers could find different ends of the first, it is refused and the
+// connection is closed without another answer.
+TEST_CASE("a request whose end is ambiguous is refused and closed") {
+  Deployment deployment({.domains = 1});
+  const std::string hidden = "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n";
+  const std::string length =
+      "Content-Length: " + std::to_string(hidden.size()) + "\r\n";
+  const std::vector<std::string> headers = {
+      length + "Transfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\n" + length,
+      length + "Content-Length: 0\r\n",
+      "Transfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: chunked, identity\r\n",
+      "Content-Length : 0\r\n",
+      "X: y\r\n Content-Length: 0\r\n",
+      "X: y\nContent-Length: 0\r\n"};
+  for (const std::string& header : headers) {
+    CAPTURE(header);
+    const int fd = OpenConnection(
+        LoopbackIp(10), "POST /v1/completions HTTP/1.1\r\nHost: x\r\n" +
+                            header + "\r\n0\r\n\r\n" + hidden);
+    REQUIRE(fd >= 0);
+    const std::string answer = ReadToClose(fd);
+    CHECK(answer.starts_with("HTTP/1.1 400"));
+    CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+  }
+}
+
 TEST_CASE("a slow caller pauses its stream and gets all of it") {
   // 30,000 events of some 350 bytes are far more than the sockets hold, so the
   // daemon must stop reading from the engine.
--- a/tests/unit_http1_parser.cc
+++ b/tests/unit_http1_parser.cc
@@ -74,6 +74,41 @@
   }
 }
 
+// Guards against a second request that an endpoint reads out of a head that it
+// understands differently; the bytes may arrive one by one.
+TEST_CASE("a head that readers understand differently is refused") {
+  const std::vector<std::string> heads = {
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length\t: 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nHost: h\r\nX: a\r\n Content-Length: 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\n Host: h\r\nContent-Length: 3\r\n\r\nabc",
+      "POST / HTTP/1.1\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nHost: h\nContent-Length: 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\n\nabc",
+      "POST / HTTP/1.1\r\nHost: h\rX: y\r\nContent-Length: 3\r\n\r\nabc"};
+  for (const std::string& head : heads) {
+    CAPTURE(head);
+    for (const bool one_by_one : {false, true}) {
+      Recorder recorder(Http1Parser::Direction::kRequests);
+      const size_t step = one_by_one ? 1 : head.size();
+      for (size_t at = 0; at < head.size(); at += step) {
+        recorder.parser.Feed(std::string_view(head).substr(at, step));
+      }
+      CHECK(recorder.parser.fault() == Http1Fault::kMalformed);
+      CHECK(recorder.complete == 0);
+    }
+  }
+  // Bodies may hold such bytes, and so may the second request of a connection.
+  Recorder recorder(Http1Parser::Direction::kRequests);
+  recorder.parser.Feed(
+      "\r\nPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n\n b\n"
+      "GET / HTTP/1.1\nHost: h\r\n\r\n");
+  CHECK(recorder.complete == 1);
+  recorder.parser.Resume();
+  CHECK(recorder.complete == 1);
+  CHECK(recorder.parser.fault() == Http1Fault::kMalformed);
+}
+
 // Guards against unbounded memory for headers.
 TEST_CASE("headers over the limit are refused") {
   Recorder recorder(Http1Parser::Direction::kRequests);
