End attempts whose bytes bring no answer, and never pass on a cut body

Cause: a body over 16 MB was cut at the limit and passed on with the endpoint's mark; any byte of a stream counted as progress, so one that trickles never ended, and an event without end grew in memory; a stream whose caller had been slow once was no longer watched for silence. Change: AnswerBuffer ends the attempt at its own limit or at one for all answers; only new events count as progress; an event has a limit.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -197,6 +197,12 @@
 inline constexpr std::chrono::milliseconds kEndpointConnectTimeout{300};
 inline constexpr size_t kMaxEndpointHeadBytes = 32 * 1024;
 inline constexpr size_t kMaxWholeAnswerBytes = 16 * 1024 * 1024;
+/// Answers that a gateway holds at once, until each is whole. The smallest VMs
+/// have 160 MB.
+inline constexpr size_t kMaxBufferedAnswerBytes = 64 * 1024 * 1024;
+/// One event of a stream. An engine's event of some tokens has a few hundred
+/// bytes.
+inline constexpr size_t kMaxEventBytes = 256 * 1024;
 /// Longest pause of a stream before it is moved. An engine that reads another
 /// prompt makes an event of 8 tokens in about 230 ms.
 inline constexpr std::chrono::milliseconds kMaxEventSilence{400};
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -138,6 +138,7 @@
              relay.HandOver({.service = service, .report = report},
                             std::move(callback));
            }}};
+  size_t buffered_bytes = 0;
   GatewayEnvironment environment;
   GatewayCallerHooks caller_hooks;
   TcpListener listener{loop};
@@ -168,6 +169,7 @@
       .metrics = &metrics,
       .adopter = &adopter,
       .rollouts = &rollouts,
+      .buffered_bytes = &buffered_bytes,
       .random = random,
       .config = [this] { return config; },
       .is_too_late = [this](bool is_stream) { return IsTooLate(is_stream); }};
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -53,6 +53,7 @@
       m_statement(environment->codec->decode_request(m_request.headers)),
       m_on_over(std::move(on_over)),
       m_config(environment->config()),
+      m_body(environment->buffered_bytes),
       m_backup(environment->loop,
                environment->codec,
                environment->directory,
@@ -174,7 +175,7 @@
   m_attempt_start = m_environment->loop->Now();
   m_head = {};
   m_answer = {};
-  m_body.clear();
+  m_body.Clear();
   m_events = {};
   m_attempt_has_event = false;
   m_tried.push_back(m_endpoint.id);
@@ -190,11 +191,7 @@
         .Field("backup", m_backup.holder_id())
         .Field("after_event",
                static_cast<long long>(m_last_event_id.value_or(0)));
-    m_environment->silence->Add(m_number,
-                                {.service = m_service,
-                                 .failure_domain = m_endpoint.failure_domain,
-                                 .endpoint_id = m_endpoint.id},
-                                m_attempt_start);
+    WatchSilence();
   }
   m_attempt = std::make_unique<GatewayAttempt>(
       m_environment->loop, m_endpoint.address, std::move(message),
@@ -206,6 +203,14 @@
   ArmAttemptTimer();
 }
 
+void GatewayExchange::WatchSilence() {
+  m_environment->silence->Add(m_number,
+                              {.service = m_service,
+                               .failure_domain = m_endpoint.failure_domain,
+                               .endpoint_id = m_endpoint.id},
+                              m_environment->loop->Now());
+}
+
 bool GatewayExchange::HasBackup() const {
   const GatewayService* service = m_config->FindService(m_service);
   return service != nullptr && service->engine && service->engine->backups &&
@@ -268,8 +273,9 @@
   const bool is_event_stream = is_stream() && IsSuccess(m_head.status) &&
                                m_answer.is_marked && !m_answer.is_foreign;
   if (!is_event_stream) {
-    if (m_body.size() + data.size() <= kMaxWholeAnswerBytes) {
-      m_body.append(data);
+    if (!m_body.Append(data)) {
+      LoseAttempt(EndpointOutcome::kFailed, RetryReason::kTooLarge,
+                  "the body is over the limit");
     }
     return;
   }
@@ -277,21 +283,39 @@
   RelayEvents();
 }
 
+bool GatewayExchange::IsProgress(const RawEvent& event) const {
+  if (event.id) {
+    return !m_last_event_id || *event.id > *m_last_event_id;
+  }
+  // Comments and empty lines keep a connection open and say nothing.
+  return event.bytes.find("data:") != std::string_view::npos;
+}
+
 void GatewayExchange::RelayEvents() {
+  bool has_progress = false;
   while (const auto event = m_events.Next()) {
+    has_progress = has_progress || IsProgress(*event);
     if (!PassEvent(*event)) {
       LoseAttempt(EndpointOutcome::kLost, RetryReason::kChunkGap,
                   "an event is missing");
       return;
     }
   }
-  m_environment->silence->OnEvent(m_number, m_environment->loop->Now());
+  if (m_events.pending_bytes() > kMaxEventBytes) {
+    LoseAttempt(EndpointOutcome::kLost, RetryReason::kTooLarge,
+                "an event is over the limit");
+    return;
+  }
+  if (has_progress) {
+    m_environment->silence->OnEvent(m_number, m_environment->loop->Now());
+  }
   if (m_caller->backlog_bytes() > kMaxCallerBacklogBytes) {
     m_attempt->SetReading(false);
     m_environment->silence->Remove(m_number);
     m_caller->SetDrainedHandler([this] {
       if (m_attempt) {
         m_attempt->SetReading(true);
+        WatchSilence();
       }
     });
   }
@@ -383,7 +407,7 @@
     return;
   }
   m_caller->Answer(m_head.status, WithoutConnectionHeaders(m_head.headers),
-                   m_body);
+                   m_body.bytes());
   Finish();
 }
 
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "answer_buffer.h"
 #include "bramleybank/handle.h"
 #include "bramleybank/result_code.h"
 #include "endpoint_directory.h"
@@ -46,6 +47,8 @@
   MetricRegistry* metrics = nullptr;
   EndpointAdopter* adopter = nullptr;
   RolloutDirector* rollouts = nullptr;
+  /// Bytes of answers that are not whole yet.
+  size_t* buffered_bytes = nullptr;
   RandomHook random;
   /// Configuration in force; null before the first one.
   std::function<std::shared_ptr<const GatewayConfig>()> config;
@@ -84,13 +87,17 @@
                                    bool restores);
   std::string RenderRequest(const EndpointRecord& endpoint, bool restores);
   bool HasBackup() const;
+  void WatchSilence();
 
   void OnHead(const Http1Head& head);
   void OnBody(std::string_view data);
   void OnAttemptEnd(AttemptEnd end);
   void OnWholeAnswer();
   void RelayEvents();
+  /// Passes an event on, unless the caller has it already.
+  /// @returns false when events before it are missing.
   bool PassEvent(const RawEvent& event);
+  bool IsProgress(const RawEvent& event) const;
   void MeasureEvent();
   void OnStreamWhole();
 
@@ -135,7 +142,7 @@
   TimePoint m_attempt_start;
   Http1Head m_head;
   AnswerStatement m_answer;
-  std::string m_body;
+  AnswerBuffer m_body;
   EventSplitter m_events;
   bool m_attempt_has_event = false;
 
--- a/src/limit_retry_budget.cc
+++ b/src/limit_retry_budget.cc
@@ -9,7 +9,7 @@
 
 constexpr std::string_view kNames[kRetryReasonCount] = {
     "connect_failed", "refused_by_endpoint", "error_event", "early_end",
-    "stalled",        "chunk_gap",           "hedge"};
+    "stalled",        "chunk_gap",           "hedge",       "too_large"};
 constexpr std::string_view kOverflowRoute = "(others)";
 // Above this exponent the bound is at its greatest anyway.
 constexpr int kMaxExponent = 10;
--- a/src/limit_retry_budget.h
+++ b/src/limit_retry_budget.h
@@ -24,8 +24,9 @@
   kStalled,
   kChunkGap,
   kHedge,
+  kTooLarge,
 };
-inline constexpr size_t kRetryReasonCount = 7;
+inline constexpr size_t kRetryReasonCount = 8;
 
 /// @returns the name for logs and metric labels.
 std::string_view NameOf(RetryReason reason);
--- a/tests/gateway_fakes.h
+++ b/tests/gateway_fakes.h
@@ -86,6 +86,11 @@
     std::string bytes;
     /// Whether the connection is closed after that.
     bool closes = true;
+    /// Sent again and again after `bytes`, until the peer closes.
+    std::string repeated = {};
+    Duration interval = std::chrono::milliseconds(5);
+    /// Sent one after the other instead, at the same interval.
+    std::vector<std::string> pieces = {};
   };
 
   FakeEndpoint(EventLoop* loop, std::vector<Step> script)
@@ -103,6 +108,7 @@
     std::shared_ptr<TcpConnection> connection;
     std::string input;
     bool answered = false;
+    bool is_gone = false;
   };
 
   void Accept(int fd) {
@@ -119,20 +125,50 @@
                    peer->input.find("\r\n\r\n") != std::string::npos) {
                  peer->answered = true;
                  m_requests.push_back(peer->input);
-                 Play(peer.get(), m_script[number]);
+                 Play(peer, m_script[number]);
                }
              },
-         .on_end = [this](TcpEnd) { ++m_closed_by_peer; },
+         .on_end =
+             [this, peer](TcpEnd) {
+               peer->is_gone = true;
+               ++m_closed_by_peer;
+             },
          .on_drained = nullptr});
   }
 
-  static void Play(Peer* peer, const Step& step) {
+  void Play(const std::shared_ptr<Peer>& peer, const Step& step) {
     peer->connection->Write(step.bytes);
-    if (step.closes) {
+    if (!step.pieces.empty()) {
+      SendPieces(peer, step.pieces, step.interval);
+    } else if (!step.repeated.empty()) {
+      Repeat(peer, step);
+    } else if (step.closes) {
       peer->connection->FinishAndClose(std::chrono::milliseconds(10));
     }
   }
 
+  void SendPieces(const std::shared_ptr<Peer>& peer,
+                  std::vector<std::string> pieces,
+                  Duration interval) {
+    if (peer->is_gone || pieces.empty()) {
+      return;
+    }
+    peer->connection->Write(pieces.front());
+    pieces.erase(pieces.begin());
+    m_loop->Schedule(interval,
+                     [this, peer, pieces = std::move(pieces), interval] {
+                       SendPieces(peer, pieces, interval);
+                     });
+  }
+
+  void Repeat(const std::shared_ptr<Peer>& peer, const Step& step) {
+    if (peer->is_gone) {
+      return;
+    }
+    peer->connection->Write(step.repeated);
+    m_loop->Schedule(step.interval, [this, peer, step] { Repeat(peer, step); });
+  }
+
   EventLoop* m_loop;
   std::vector<Step> m_script;
   TcpListener m_listener;
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base64.h"
+#include "bramleybank/limits.h"
 #include "event_loop.h"
 #include "gateway_codec.h"
 #include "gateway_fakes.h"
@@ -257,6 +258,93 @@
         std::string::npos);
 }
 
+/// An endpoint that sends `bytes`, then `repeated` until it is left.
+FakeEndpoint::Step Endless(const std::string& bytes,
+                           const std::string& repeated,
+                           Duration interval = std::chrono::milliseconds(5)) {
+  return {.bytes = bytes,
+          .closes = false,
+          .repeated = repeated,
+          .interval = interval};
+}
+
+// Guards against a stalled stream that never ends because its engine sends a
+// byte now and then, and against memory that grows with endless bytes: only
+// whole events that are new count as progress.
+TEST_CASE("a stream whose bytes bring no event goes on elsewhere") {
+  const std::string start = kStreamHead + Chunk(Event(1));
+  const std::vector<FakeEndpoint::Step> stalled = {
+      Endless(start + Chunk("id: 2\nda"), Chunk("x")),
+      Endless(start + Chunk("id: 2\nda"), Chunk(std::string(100'000, 'x'))),
+      Endless(start, Chunk(": ping\n\n")), Endless(start, Chunk(Event(1))),
+      Endless(start, Chunk("\n"))};
+  for (const FakeEndpoint::Step& step : stalled) {
+    CAPTURE(step.bytes);
+    Fixture fixture(
+        {{step}, {{.bytes = kStreamHead + Chunk(Event(2)) + "0\r\n\r\n"}}});
+    fixture.Send("POST /write/x");
+    fixture.WaitForAnswer("0\r\n\r\n");
+    CHECK(fixture.answer.find(Chunk(Event(2)) + "0\r\n\r\n") !=
+          std::string::npos);
+    CHECK(fixture.endpoints[1]->requests().size() == 1);
+  }
+}
+
+// Guards against slow but sound streams that are cut: each event arrives in
+// pieces, just within the longest pause.
+TEST_CASE("a slow stream whose events keep coming stays where it is") {
+  Fixture fixture(
+      {{{.bytes = kStreamHead,
+         .closes = false,
+         .repeated = "",
+         .interval = kMaxEventSilence / 3,
+         .pieces = {Chunk("id: 1\nda"), Chunk("ta: t\n\n"),
+                    Chunk("id: 2\ndata: t"), Chunk("\n\n"), "0\r\n\r\n"}}},
+       {{.bytes = kStreamHead + "0\r\n\r\n"}}});
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("0\r\n\r\n");
+  CHECK(fixture.answer.find(Chunk(Event(1)) + Chunk(Event(2)) + "0\r\n\r\n") !=
+        std::string::npos);
+  CHECK(fixture.endpoints[1]->requests().empty());
+}
+
+// Guards against bytes without end in the head or the body of an answer: the
+// attempt ends, memory stays bounded, and a cut body does not look whole.
+TEST_CASE("an answer without end is given up") {
+  const std::string block(200'000, 'x');
+  const std::vector<FakeEndpoint::Step> endless = {
+      Endless("", "x"),
+      Endless("HTTP/1.1 200 OK\r\n", "X: " + std::string(500, 'y') + "\r\n"),
+      Endless("HTTP/1.1 200 OK\r\nX: ", std::string(500, 'y')),
+      Endless("HTTP/1.1 200 OK\r\n" + kMarks + "\r\n", block),
+      Endless("HTTP/1.1 200 OK\r\n" + kMarks +
+                  "Content-Length: 99999999999\r\n\r\n",
+              block),
+      Endless("HTTP/1.1 500 Error\r\n" + kMarks +
+                  "Transfer-Encoding: chunked\r\n\r\n",
+              Chunk(block))};
+  for (const FakeEndpoint::Step& step : endless) {
+    CAPTURE(step.bytes);
+    Fixture fixture({{step}, {{.bytes = kWhole}}});
+    fixture.Send("GET /read/x");
+    fixture.WaitForAnswer("done");
+    CHECK(fixture.answer.starts_with("HTTP/1.1 200"));
+    fixture.WaitFor(
+        [&] { return fixture.endpoints[0]->closed_by_peer() == 1; });
+  }
+}
+
+// Guards against an answer that is cut at the daemon's limit and passed on with
+// the endpoint's mark.
+TEST_CASE("an answer over the limit is not passed on in part") {
+  const std::string body(kMaxWholeAnswerBytes + 1, 'x');
+  Fixture fixture({{{.bytes = "HTTP/1.1 200 OK\r\n" + kMarks + "\r\n" + body,
+                     .closes = false}}});
+  fixture.Send("POST /book/x");
+  fixture.WaitForAnswer("\r\n\r\n");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
+}
+
 TEST_CASE("a stream with a gap is not passed on") {
   Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)) + Chunk(Event(3))}},
                    {{.bytes = kStreamHead + Chunk(Event(2)) + "0\r\n\r\n"}}});
