--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -33,6 +33,7 @@
 #include "rollout_records.h"
 #include "store_watch.h"
 #include "stream_silence_monitor.h"
+#include "tcp_address.h"
 #include "tcp_listener.h"
 
 namespace bramleybank {
@@ -62,7 +63,6 @@
 
   void Connect();
   bool OpenPorts();
-  bool OpenPeerPort();
   bool OpenHttpPort(HttpServer* server,
                     const std::string& address,
                     HttpServer::Handler handler);
@@ -318,24 +318,15 @@
 bool Gateway::Impl::OpenHttpPort(HttpServer* server,
                                  const std::string& address,
                                  HttpServer::Handler handler) {
-  const size_t colon = address.rfind(':');
-  const int port = std::stoi(address.substr(colon + 1));
-  if (server->Start(address.substr(0, colon), static_cast<uint16_t>(port),
-                    std::move(handler))) {
+  // The settings have been checked.
+  const TcpEndpoint endpoint = SplitTcpAddress(address).value();
+  if (server->Start(endpoint.ip, endpoint.port, std::move(handler))) {
     return true;
   }
   last_reason = server->last_reason();
   return false;
 }
 
-bool Gateway::Impl::OpenPeerPort() {
-  if (relay.Start()) {
-    return true;
-  }
-  last_reason = relay.last_reason();
-  return false;
-}
-
 bool Gateway::Impl::OpenPorts() {
   const auto port =
       listener.Start(settings.caller_address, [this](int fd) { Accept(fd); });
@@ -344,12 +335,15 @@
     last_reason = listener.last_reason();
     return false;
   }
+  if (!relay.Start()) {
+    last_reason = relay.last_reason();
+    return false;
+  }
   return OpenHttpPort(&ready_server, settings.ready_address,
                       [this](const HttpRequest&,
                              const std::shared_ptr<HttpResponder>& responder) {
                         AnswerReady(responder);
                       }) &&
-         OpenPeerPort() &&
          OpenHttpPort(&metrics_server, settings.metrics_address,
                       [this](const HttpRequest&,
                              const std::shared_ptr<HttpResponder>& responder) {
--- a/src/gateway_relay.cc
+++ b/src/gateway_relay.cc
@@ -36,7 +36,7 @@
                            MetadataStore* store,
                            MetricRegistry* metrics,
                            const GatewayMember& self,
-                           RelayedStore::Tables tables,
+                           const RelayedStore::Tables& tables,
                            Duration news_bound,
                            Hooks hooks)
     : m_metrics(metrics),
@@ -51,7 +51,7 @@
           &m_choice,
           metrics,
           self.name,
-          std::move(tables),
+          tables,
           RelayTimesWithin(news_bound),
           {.call =
                [this](const std::string& address,
@@ -77,11 +77,10 @@
   if (m_self.peer_address.empty()) {
     return true;
   }
-  const std::string& address = m_self.peer_address;
-  const size_t colon = address.rfind(':');
-  const int port = std::stoi(address.substr(colon + 1));
+  // The settings have been checked.
+  const TcpEndpoint endpoint = SplitTcpAddress(m_self.peer_address).value();
   const auto started =
-      m_server->Start(address.substr(0, colon), static_cast<uint16_t>(port),
+      m_server->Start(endpoint.ip, endpoint.port,
                       [this](const std::string& path, std::string_view body,
                              PeerServer::ReplyFn reply) {
                         OnRequest(path, body, std::move(reply));
--- a/src/gateway_relay.h
+++ b/src/gateway_relay.h
@@ -43,7 +43,7 @@
                MetadataStore* store,
                MetricRegistry* metrics,
                const GatewayMember& self,
-               RelayedStore::Tables tables,
+               const RelayedStore::Tables& tables,
                Duration news_bound,
                Hooks hooks);
   ~GatewayRelay();
--- a/src/relay_choice.cc
+++ b/src/relay_choice.cc
@@ -43,8 +43,8 @@
   }
   for (auto& [domain, readers] : m_readers) {
     m_domain_sizes[domain] = readers.size();
-    std::ranges::sort(readers, {}, [&domain](const GatewayMember& member) {
-      return std::pair(Rank(member.name, domain), member.name);
+    std::ranges::sort(readers, {}, [](const GatewayMember& member) {
+      return std::pair(Rank(member.name, member.failure_domain), member.name);
     });
     if (readers.size() >= kMinRelayedGateways) {
       readers.resize(kRelaysPerDomain);
--- a/src/relayed_store.cc
+++ b/src/relayed_store.cc
@@ -59,7 +59,7 @@
                            RelayChoice* choice,
                            MetricRegistry* metrics,
                            std::string name,
-                           Tables tables,
+                           const Tables& tables,
                            RelayTimes times,
                            RelayedStoreHooks hooks)
     : m_loop(loop),
--- a/src/relayed_store.h
+++ b/src/relayed_store.h
@@ -80,7 +80,7 @@
                RelayChoice* choice,
                MetricRegistry* metrics,
                std::string name,
-               Tables tables,
+               const Tables& tables,
                RelayTimes times,
                RelayedStoreHooks hooks);
   ~RelayedStore() override;
--- a/src/tcp_address.h
+++ b/src/tcp_address.h
@@ -4,7 +4,9 @@
 
 #include <netinet/in.h>
 
+#include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace bramleybank {
@@ -12,6 +14,17 @@
 /// @returns the IPv4 socket address, or nothing when `text` is not ip:port.
 std::optional<sockaddr_in> ParseTcpAddress(std::string_view text);
 
+/// IP address and port of a text.
+struct TcpEndpoint {
+  std::string ip;
+  uint16_t port = 0;
+
+  friend bool operator==(const TcpEndpoint&, const TcpEndpoint&) = default;
+};
+
+/// @returns the parts of ip:port, or nothing when `text` is not of that form.
+std::optional<TcpEndpoint> SplitTcpAddress(std::string_view text);
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_SRC_TCP_ADDRESS_H_
