--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -223,12 +223,12 @@
   m_gateways[i].reset();
   m_gateways[i] = std::make_unique<ChildProcess>(
       "bramleybankd",
-      "[node]\nname = gateway-" + std::to_string(i) +
-          "\nfailure_domain = " + domain + "\nregion = region-" +
-          domain.substr(domain.find('-') + 1) + "\nregions = " + regions +
-          "\n[listen]\ncaller = " + ip + ":" + kCallerPort + "\nready = " + ip +
-          ":" + kReadyPort + "\nmetrics = " + ip + ":" + kMetricsPort +
-          "\npeer = " + ip + ":" + kPeerPort + "\n[platform]\nstore = " + StoreAddressFor(i) + "\n");
+      "[node]\nname = gateway-" + std::to_string(i) + "\nfailure_domain = " +
+          domain + "\nregion = region-" + domain.substr(domain.find('-') + 1) +
+          "\nregions = " + regions + "\n[listen]\ncaller = " + ip + ":" +
+          kCallerPort + "\nready = " + ip + ":" + kReadyPort +
+          "\nmetrics = " + ip + ":" + kMetricsPort + "\npeer = " + ip + ":" +
+          kPeerPort + "\n[platform]\nstore = " + StoreAddressFor(i) + "\n");
 }
 
 void WireDeployment::WaitGatewayReady(int i) const {
