Keep a relay that has not read a polled table

Change: such an answer ends the read and nothing else. Measured: the new case of unit_relay fails before and passes now.

--- a/src/relayed_store.cc
+++ b/src/relayed_store.cc
@@ -236,15 +236,17 @@
   call->detail = !answer                              ? "no answer of the relay"
                  : answer->status != RelayStatus::kOk ? NameOf(answer->status)
                                                       : "relay is out of date";
+  if (answer && table->following == Following::kPolled) {
+    // The relay has not read this table yet, or not lately; it may well serve
+    // the others.
+    call->callback({.detail = call->detail});
+    return;
+  }
   // A relay that lost the store is asked again: that is cheap, and it finds the
   // store's return first.
   if (!answer || answer->status != RelayStatus::kStoreLost) {
     m_choice->OnFailure(source);
   }
-  if (answer && table->following == Following::kPolled) {
-    call->callback({.detail = call->detail});
-    return;
-  }
   TryNext(call);
 }
 
--- a/tests/unit_relay.cc
+++ b/tests/unit_relay.cc
@@ -474,7 +474,8 @@
             &choice,
             &metrics,
             self.name,
-            {{"t", RelayedStore::Following::kWatched}},
+            {{"t", RelayedStore::Following::kWatched},
+             {"polled", RelayedStore::Following::kPolled}},
             kTestTimes,
             {.call =
                  [fleet](
@@ -572,6 +573,32 @@
   }
 }
 
+// Guards against followers that leave a sound relay for the store because it
+// has not read a table that is polled only now and then.
+TEST_CASE("a relay without a polled table keeps its followers") {
+  Fleet fleet(1, 12);
+  REQUIRE(fleet.Spreads("old", 11));
+  fleet.Run(milliseconds(200));
+  int answers = 0;
+  for (const auto& node : fleet.nodes) {
+    if (!node->choice.IsReader()) {
+      const RowSource relay = node->choice.Sources().front();
+      REQUIRE_FALSE(relay.is_store());
+      bool is_done = false;
+      node->store.Read("polled", "", [&](const StoreRows& rows) {
+        CHECK(rows.result == StoreResult::kUnavailable);
+        is_done = true;
+      });
+      while (!is_done) {
+        fleet.loop.RunOnce(milliseconds(2));
+      }
+      CHECK(node->choice.Sources().front() == relay);
+      ++answers;
+    }
+  }
+  CHECK(answers == 10);
+}
+
 // Guards against a daemon that takes an image from before for the present one:
 // a relay that lost its way to the store must not answer from what it has.
 TEST_CASE("a relay without the store refuses, and says why") {
