Relays: one report of refused messages, one answer builder, no derived state

Cause: a second reading of the change found the same checks and log lines in RelayedStore and GatewayRelay, two copies of an answer, a map of domain sizes of which one entry was used, an unused accessor and the jittered delay of StoreWatch written again. Change: relay_refusal, RelayedStore::ToAnswer, HalfRandom in hooks.h; rows of an answer are moved, not copied. Evidence of an unknown sender is now counted like other messages; nothing else behaves differently.

--- a/src/gateway_relay.cc
+++ b/src/gateway_relay.cc
@@ -5,10 +5,10 @@
 #include <utility>
 
 #include "bramleybank/limits.h"
-#include "log_event.h"
 #include "metric_registry.h"
 #include "peer_client.h"
 #include "peer_server.h"
+#include "relay_refusal.h"
 #include "tcp_address.h"
 
 namespace bramleybank {
@@ -61,8 +61,7 @@
                       const std::function<void(const std::string*)>& callback) {
                  Call(address, path, std::move(body), timeout, callback);
                },
-           .on_unknown_sender =
-               [this](const std::string&) { m_hooks.on_unknown_sender(); },
+           .on_unknown_sender = [this] { m_hooks.on_unknown_sender(); },
            .age_clock = &SuspendAwareNow,
            .random = m_hooks.random}) {
   if (m_self.peer_address.empty()) {
@@ -119,8 +118,7 @@
   } else if (path == kPathRelayEvidence) {
     reply(TakeEvidence(body), {});
   } else {
-    m_metrics->Count("bramleybank_relay_answers_total", "result",
-                     "unknown_path");
+    m_metrics->Count(kRelayAnswersMetric, "result", "unknown_path");
     reply(kStatusUnknownPath, {});
   }
 }
@@ -128,13 +126,11 @@
 int GatewayRelay::TakeEvidence(std::string_view body) {
   const auto evidence = DecodeRelayMessage<RelayEvidence>(body);
   if (!evidence) {
-    m_metrics->Count("bramleybank_relay_answers_total", "result", "malformed");
-    LogLine(LogEventId::kRelayMalformed)
-        .Field("bytes", static_cast<long long>(body.size()));
+    ReportMalformedMessage(m_metrics, body.size());
     return kStatusMalformed;
   }
   if (!m_choice.IsMember(evidence->sender)) {
-    LogLine(LogEventId::kRelaySenderUnknown).Field("sender", evidence->sender);
+    ReportUnknownSender(m_metrics, evidence->sender);
     m_hooks.on_unknown_sender();
     return kStatusRefused;
   }
--- a/src/hooks.h
+++ b/src/hooks.h
@@ -23,6 +23,13 @@
       std::chrono::steady_clock::now());
 }
 
+/// @returns a delay between half of `bound` and `bound`, so that callers that
+/// failed together do not come back together.
+inline Duration HalfRandom(Duration bound, const RandomHook& random) {
+  const auto half = static_cast<uint64_t>(bound.count() / 2);
+  return bound / 2 + Duration(static_cast<int64_t>(random() % (half + 1)));
+}
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_SRC_HOOKS_H_
--- a/src/relay_choice.cc
+++ b/src/relay_choice.cc
@@ -31,10 +31,9 @@
       m_random(std::move(random)) {}
 
 void RelayChoice::SetMembers(const std::vector<GatewayMember>& members) {
-  m_has_members = true;
   m_names.clear();
   m_readers.clear();
-  m_domain_sizes.clear();
+  m_is_relayed = false;
   for (const GatewayMember& member : members) {
     if (!member.peer_address.empty()) {
       m_names.insert(member.name);
@@ -42,12 +41,12 @@
     }
   }
   for (auto& [domain, readers] : m_readers) {
-    m_domain_sizes[domain] = readers.size();
     std::ranges::sort(readers, {}, [](const GatewayMember& member) {
       return std::pair(Rank(member.name, member.failure_domain), member.name);
     });
     if (readers.size() >= kMinRelayedGateways) {
       readers.resize(kRelaysPerDomain);
+      m_is_relayed = m_is_relayed || domain == m_failure_domain;
     }
   }
 }
@@ -56,13 +55,8 @@
   return m_names.contains(name);
 }
 
-bool RelayChoice::IsRelayed() const {
-  const auto it = m_domain_sizes.find(m_failure_domain);
-  return it != m_domain_sizes.end() && it->second >= kMinRelayedGateways;
-}
-
 bool RelayChoice::IsReader() const {
-  if (!IsRelayed() || !IsMember(m_name)) {
+  if (!m_is_relayed || !IsMember(m_name)) {
     return true;
   }
   const auto& readers = m_readers.find(m_failure_domain)->second;
@@ -145,9 +139,7 @@
   const Duration bound =
       std::min<Duration>(kMinSourcePause * (1 << pause.failures), longest);
   pause.failures = std::min(pause.failures + 1, kMaxPauseDoublings);
-  const auto half = static_cast<uint64_t>(bound.count() / 2);
-  pause.until = m_clock() + bound / 2 +
-                Duration(static_cast<int64_t>(m_random() % (half + 1)));
+  pause.until = m_clock() + HalfRandom(bound, m_random);
 }
 
 }  // namespace bramleybank
--- a/src/relay_choice.h
+++ b/src/relay_choice.h
@@ -40,14 +40,13 @@
 
   /// The list of gateways, this one included or not.
   void SetMembers(const std::vector<GatewayMember>& members);
-  bool has_members() const { return m_has_members; }
   bool IsMember(std::string_view name) const;
 
   /// @returns whether this gateway reads the store, as a relay or because its
   /// domain has none.
   bool IsReader() const;
   /// @returns whether gateways of this domain use relays.
-  bool IsRelayed() const;
+  bool IsRelayed() const { return m_is_relayed; }
   /// @returns how many gateways read the store, as far as known.
   size_t reader_count() const;
 
@@ -70,11 +69,11 @@
   const std::string m_failure_domain;
   const ClockHook m_clock;
   const RandomHook m_random;
-  bool m_has_members = false;
   std::set<std::string, std::less<>> m_names;
   // By failure domain, in the order of preference that all gateways share.
   std::map<std::string, std::vector<GatewayMember>, std::less<>> m_readers;
-  std::map<std::string, size_t, std::less<>> m_domain_sizes;
+  // Whether the own domain has enough gateways for relays.
+  bool m_is_relayed = false;
   // By address of a relay; the store has the empty one.
   std::map<std::string, Pause, std::less<>> m_pauses;
 };
--- a/src/relayed_store.cc
+++ b/src/relayed_store.cc
@@ -10,6 +10,7 @@
 #include "event_loop.h"
 #include "log_event.h"
 #include "metric_registry.h"
+#include "relay_refusal.h"
 
 namespace bramleybank {
 namespace {
@@ -210,7 +211,7 @@
 void RelayedStore::OnRelayAnswer(const CallPtr& call,
                                  const RowSource& source,
                                  const std::string* body) {
-  const auto answer =
+  auto answer =
       body == nullptr ? std::nullopt : DecodeRelayMessage<RelayAnswer>(*body);
   const Table* table = FindTable(call->table);
   if (answer && answer->status == RelayStatus::kHistoryGone && call->is_wait) {
@@ -227,7 +228,7 @@
     m_choice->OnSuccess(source);
     Deliver(call, source,
             {.result = StoreResult::kOk,
-             .rows = answer->rows,
+             .rows = std::move(answer->rows),
              .version = answer->version,
              .has_more = answer->has_more},
             age);
@@ -302,7 +303,7 @@
 }
 
 void RelayedStore::CountServed(RelayStatus status) {
-  m_metrics->Count("bramleybank_relay_answers_total", "result", NameOf(status));
+  m_metrics->Count(kRelayAnswersMetric, "result", NameOf(status));
 }
 
 void RelayedStore::Serve(
@@ -310,9 +311,7 @@
     std::function<void(int status, std::string body)> reply) {
   const auto query = DecodeRelayMessage<RelayQuery>(body);
   if (!query) {
-    m_metrics->Count("bramleybank_relay_answers_total", "result", "malformed");
-    LogLine(LogEventId::kRelayMalformed)
-        .Field("bytes", static_cast<long long>(body.size()));
+    ReportMalformedMessage(m_metrics, body.size());
     reply(kStatusMalformed, {});
     return;
   }
@@ -322,9 +321,10 @@
   };
   Table* table = FindTable(query->table);
   if (!m_choice->IsMember(query->sender)) {
-    LogLine(LogEventId::kRelaySenderUnknown).Field("sender", query->sender);
-    refuse(RelayStatus::kUnknownSender);
-    m_hooks.on_unknown_sender(query->sender);
+    ReportUnknownSender(m_metrics, query->sender);
+    reply(kStatusOk, EncodeRelayMessage(
+                         RelayAnswer{.status = RelayStatus::kUnknownSender}));
+    m_hooks.on_unknown_sender();
   } else if (table == nullptr || !table->is_read_here ||
              !table->cache.is_complete()) {
     refuse(RelayStatus::kNotReader);
@@ -337,18 +337,21 @@
   }
 }
 
+RelayAnswer RelayedStore::ToAnswer(const Table& table, StoreRows rows) const {
+  return {.status = RelayStatus::kOk,
+          .age_ms = static_cast<uint32_t>(
+              duration_cast<milliseconds>(AgeOf(table)).count()),
+          .version = rows.version,
+          .has_more = rows.has_more,
+          .rows = std::move(rows.rows)};
+}
+
 RelayAnswer RelayedStore::AnswerRead(const Table& table,
                                      const RelayQuery& query) const {
   if (AgeOf(table) > m_times.max_age()) {
     return {.status = RelayStatus::kStoreLost};
   }
-  StoreRows page = table.cache.PageAfter(query.after);
-  return {.status = RelayStatus::kOk,
-          .age_ms = static_cast<uint32_t>(
-              duration_cast<milliseconds>(AgeOf(table)).count()),
-          .version = page.version,
-          .has_more = page.has_more,
-          .rows = std::move(page.rows)};
+  return ToAnswer(table, table.cache.PageAfter(query.after));
 }
 
 RelayAnswer RelayedStore::AnswerChanges(const Table& table,
@@ -357,11 +360,7 @@
   if (!changes) {
     return {.status = RelayStatus::kHistoryGone};
   }
-  return {.status = RelayStatus::kOk,
-          .age_ms = static_cast<uint32_t>(
-              duration_cast<milliseconds>(AgeOf(table)).count()),
-          .version = changes->version,
-          .rows = std::move(changes->rows)};
+  return ToAnswer(table, *std::move(changes));
 }
 
 void RelayedStore::ServeWait(
--- a/src/relayed_store.h
+++ b/src/relayed_store.h
@@ -52,7 +52,7 @@
                      std::function<void(const std::string* body)> callback)>
       call;
   /// A gateway that is not listed has asked.
-  std::function<void(const std::string& name)> on_unknown_sender;
+  std::function<void()> on_unknown_sender;
   /// Clock for the age of facts; it includes time in which the VM was
   /// suspended.
   ClockHook age_clock;
@@ -157,6 +157,7 @@
                   const RowSource& source,
                   Duration age);
 
+  RelayAnswer ToAnswer(const Table& table, StoreRows rows) const;
   RelayAnswer AnswerRead(const Table& table, const RelayQuery& query) const;
   void ServeWait(Table* table,
                  const RelayQuery& query,
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -151,10 +151,8 @@
       kMinStoreRetryDelay * (1 << std::min(m_failures, kMaxDelayDoublings)),
       kMaxStoreRetryDelay);
   ++m_failures;
-  const auto half = static_cast<uint64_t>(bound.count() / 2);
-  const Duration delay =
-      bound / 2 + Duration(static_cast<int64_t>(m_hooks.random() % (half + 1)));
-  m_timer = m_loop->Schedule(delay, [this, retry] { (this->*retry)(); });
+  m_timer = m_loop->Schedule(HalfRandom(bound, m_hooks.random),
+                             [this, retry] { (this->*retry)(); });
 }
 
 }  // namespace bramleybank
--- a/tests/unit_relay.cc
+++ b/tests/unit_relay.cc
@@ -487,7 +487,7 @@
                    fleet->Call(address, path, std::move(body), timeout,
                                callback);
                  },
-             .on_unknown_sender = [](const std::string&) {},
+             .on_unknown_sender = [] {},
              .age_clock = &SteadyNow,
              .random = [fleet] { return fleet->random(); }}),
       watch(&fleet->loop,
