Send callers that come back to the engine that has read their prompt

Cause: a caller that came back in the middle of a stream had its prompt read again, since only the gateway that had served it knew where it ran. Change: each gateway keeps a row in the store with the prompts of its streams of the last 30 s and their engines (PromptLocations, PromptLocator). A gateway that gets a stream with a last event looks the prompt up, goes to that engine, or to another one that copies the prompt from there. Ruled out: placing by a hash of the prompt, which loads engines less evenly; copies of memory by the id of the run, since a client that comes back has a new id and two requests with one prompt could be confused.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -231,6 +231,21 @@
 /// What callers are told to wait when all endpoints are busy or unknown.
 inline constexpr std::chrono::milliseconds kBusyRetryAfter{300};
 
+// Gateway: prompts that engines have read.
+/// Engines keep prompts about this long under the usual load.
+inline constexpr std::chrono::seconds kPromptLocationLifetime{30};
+/// Entries of one row, each about 30 bytes; a row may have 64 KB.
+inline constexpr size_t kMaxPromptLocations = 1000;
+/// Shortest time between two writes of a gateway's row. A stream has its first
+/// event after about a second, and only then is there anything to go on with.
+inline constexpr std::chrono::milliseconds kPromptWriteInterval{1000};
+inline constexpr std::chrono::milliseconds kPromptWriteIntervalPerReader{80};
+/// A lookup that finds nothing in rows that were read within this time does not
+/// read them again.
+inline constexpr std::chrono::milliseconds kPromptTableFreshness{200};
+/// A caller that comes back waits at most this long for the lookup.
+inline constexpr std::chrono::milliseconds kPromptLookupTimeout{150};
+
 // Gateway: planned stops.
 /// The balancer asks once a second and stops sending after two misses.
 inline constexpr std::chrono::milliseconds kDrainNoticeTime{2500};
--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -218,6 +218,12 @@
          IsDomainSuspect(record.entry.service, record.entry.failure_domain);
 }
 
+bool EndpointDirectory::IsReachable(const EndpointRecord& record) const {
+  return !record.gone_since && !record.is_misdirected &&
+         record.consecutive_losses == 0 &&
+         !IsDomainSuspect(record.entry.service, record.entry.failure_domain);
+}
+
 bool EndpointDirectory::IsUsable(const EndpointRecord& record) const {
   if (record.is_misdirected || record.entry.state != EndpointState::kReady) {
     return false;
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -84,6 +84,9 @@
   /// @returns whether new work may go there at all.
   bool IsUsable(const EndpointRecord& record) const;
 
+  /// @returns whether it seems to be alive, though it may be full or leaving.
+  bool IsReachable(const EndpointRecord& record) const;
+
   const EndpointRecord* Find(std::string_view id) const;
   /// @returns the records of a service, in a stable order.
   const std::vector<const EndpointRecord*>& OfService(
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -29,6 +29,7 @@
 #include "log_event.h"
 #include "metadata_store.h"
 #include "metric_registry.h"
+#include "prompt_locator.h"
 #include "rollout_director.h"
 #include "rollout_records.h"
 #include "store_watch.h"
@@ -79,6 +80,7 @@
   void OnPeersChanged();
   void SetRetryExtra();
   Duration RolloutPollInterval() const;
+  Duration PromptWriteInterval() const;
   void ArmSilenceCheck();
   void CheckSilence();
   bool IsTooLate(bool is_stream) const;
@@ -138,6 +140,8 @@
              relay.HandOver({.service = service, .report = report},
                             std::move(callback));
            }}};
+  PromptLocator prompts{loop, store, settings.name,
+                        [this] { return PromptWriteInterval(); }};
   size_t buffered_bytes = 0;
   GatewayEnvironment environment;
   GatewayCallerHooks caller_hooks;
@@ -169,6 +173,7 @@
       .metrics = &metrics,
       .adopter = &adopter,
       .rollouts = &rollouts,
+      .prompts = &prompts,
       .buffered_bytes = &buffered_bytes,
       .random = random,
       .config = [this] { return config; },
@@ -319,6 +324,12 @@
          Duration(static_cast<int64_t>(random() % spread));
 }
 
+Duration Gateway::Impl::PromptWriteInterval() const {
+  return std::max<Duration>(
+      kPromptWriteInterval,
+      kPromptWriteIntervalPerReader * static_cast<int64_t>(peers.count()));
+}
+
 bool Gateway::Impl::OpenHttpPort(HttpServer* server,
                                  const std::string& address,
                                  HttpServer::Handler handler) {
@@ -475,6 +486,7 @@
   m_impl->operator_watch->Start();
   m_impl->endpoint_watch->Start();
   m_impl->peers.Start();
+  m_impl->prompts.Start();
   return true;
 }
 
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -16,6 +16,7 @@
 #include "gateway_headers.h"
 #include "log_event.h"
 #include "metric_registry.h"
+#include "prompt_locator.h"
 #include "rollout_director.h"
 #include "stream_silence_monitor.h"
 
@@ -55,6 +56,7 @@
                environment->directory,
                environment->picker,
                m_statement.request_id),
+      m_alive(std::make_shared<GatewayExchange*>(this)),
       m_last_event_id(m_statement.last_event_id) {}
 
 GatewayExchange::~GatewayExchange() {
@@ -86,7 +88,24 @@
   ChooseService();
   StartTimers();
   m_environment->budget->OnFirstTry(m_service);
-  TryEndpoint();
+  const bool comes_back = is_stream() && m_last_event_id && HasBackup();
+  if (comes_back && !m_statement.prompt_parts.empty()) {
+    FindPrompt();
+  } else {
+    TryEndpoint();
+  }
+}
+
+void GatewayExchange::FindPrompt() {
+  m_environment->prompts->Find(
+      m_statement.prompt_parts,
+      [weak = std::weak_ptr(m_alive)](const std::string& endpoint_id) {
+        const auto self = weak.lock();
+        if (self && !(*self)->m_is_over) {
+          (*self)->m_prompt_location = endpoint_id;
+          (*self)->TryEndpoint();
+        }
+      });
 }
 
 bool GatewayExchange::FindRoute() {
@@ -150,14 +169,7 @@
     StartAttempt(*holder, /*restores=*/true);
     return;
   }
-  const EndpointRecord* endpoint = m_environment->picker->PickForAttempt(
-      {.service = m_service,
-       .avoid = &m_tried,
-       .is_stream = is_stream(),
-       .versions =
-           m_tried.empty()
-               ? m_environment->rollouts->NextRequest(m_service, m_route->name)
-               : m_environment->rollouts->Repeat(m_service)});
+  const EndpointRecord* endpoint = PickEndpoint();
   if (endpoint == nullptr) {
     GiveUp(m_tried.empty() ? ResultCode::kNoEndpoint : ResultCode::kOverloaded);
     return;
@@ -165,6 +177,33 @@
   StartAttempt(*endpoint, /*restores=*/false);
 }
 
+const EndpointRecord* GatewayExchange::PromptLocation() const {
+  const EndpointRecord* record =
+      m_environment->directory->Find(m_prompt_location);
+  const bool is_known =
+      record != nullptr && m_environment->directory->IsReachable(*record);
+  return is_known ? record : nullptr;
+}
+
+const EndpointRecord* GatewayExchange::PickEndpoint() const {
+  const EndpointDirectory& directory = *m_environment->directory;
+  const RolloutRule versions =
+      m_tried.empty()
+          ? m_environment->rollouts->NextRequest(m_service, m_route->name)
+          : m_environment->rollouts->Repeat(m_service);
+  const EndpointRecord* known = PromptLocation();
+  if (known != nullptr && directory.IsUsable(*known) &&
+      !directory.IsSuspect(*known) && known->entry.service == m_service &&
+      versions.Allows(known->entry.version) &&
+      std::ranges::find(m_tried, known->entry.id) == m_tried.end()) {
+    return known;
+  }
+  return m_environment->picker->PickForAttempt({.service = m_service,
+                                                .avoid = &m_tried,
+                                                .is_stream = is_stream(),
+                                                .versions = versions});
+}
+
 void GatewayExchange::StartAttempt(const EndpointRecord& endpoint,
                                    bool restores) {
   m_endpoint = endpoint.entry;
@@ -184,9 +223,14 @@
         .Field("endpoint", m_endpoint.id)
         .Field("open_here", endpoint.open_attempts)
         .Field("restores", restores ? 1 : 0)
+        .Field("prompt_at", m_prompt_location)
         .Field("backup", m_backup.holder_id())
         .Field("after_event",
                static_cast<long long>(m_last_event_id.value_or(0)));
+    if (HasBackup() && !m_statement.prompt_parts.empty()) {
+      m_environment->prompts->OnStreamAt(m_statement.prompt_parts,
+                                         m_endpoint.id);
+    }
     WatchSilence();
   }
   m_attempt = std::make_unique<GatewayAttempt>(
@@ -211,6 +255,10 @@
   if (restores) {
     attempt.restore = m_backup.Name();
   }
+  const EndpointRecord* location = PromptLocation();
+  if (!restores && location != nullptr && location != &endpoint) {
+    attempt.prompt_source = location->entry.address;
+  }
   if (is_stream() && HasBackup()) {
     attempt.backup_address =
         m_backup.Open(endpoint, m_environment->rollouts->Repeat(m_service));
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -31,6 +31,7 @@
 class GatewayCaller;
 class GatewayConfig;
 class MetricRegistry;
+class PromptLocator;
 class RolloutDirector;
 class StreamSilenceMonitor;
 struct GatewayCodec;
@@ -47,6 +48,7 @@
   MetricRegistry* metrics = nullptr;
   EndpointAdopter* adopter = nullptr;
   RolloutDirector* rollouts = nullptr;
+  PromptLocator* prompts = nullptr;
   /// Bytes of answers that are not whole yet.
   size_t* buffered_bytes = nullptr;
   RandomHook random;
@@ -81,7 +83,11 @@
   void ChooseService();
   void StartTimers();
 
+  void FindPrompt();
   void TryEndpoint();
+  /// @returns the engine that has read the prompt, if it seems to be alive.
+  const EndpointRecord* PromptLocation() const;
+  const EndpointRecord* PickEndpoint() const;
   void StartAttempt(const EndpointRecord& endpoint, bool restores);
   AttemptStatement DescribeAttempt(const EndpointRecord& endpoint,
                                    bool restores);
@@ -152,6 +158,10 @@
   int m_runs = 0;
   int m_sends = 0;
   StreamBackup m_backup;
+  // Engine that has read the prompt; empty when it is not known.
+  std::string m_prompt_location;
+  // Callbacks that outlive this object find it expired.
+  std::shared_ptr<GatewayExchange*> m_alive;
 
   // Streams: the last event that the caller has, and whether any was sent.
   std::optional<uint64_t> m_last_event_id;
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -101,6 +101,7 @@
   }
   if (!m_attempt_has_event) {
     m_attempt_has_event = true;
+    m_prompt_location = m_endpoint.id;
     ObserveVersion(/*failed=*/false);
   }
   MeasureEvent();
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -42,6 +42,9 @@
   std::optional<uint64_t> last_event_id;
   /// Tokens of the prompt; 0 when not told.
   int64_t prompt_tokens = 0;
+  /// Names the parts of the prompt in their order; empty when not told. A
+  /// client that comes back sends the same.
+  std::string prompt_parts;
 
   friend bool operator==(const CallerStatement&,
                          const CallerStatement&) = default;
@@ -79,6 +82,9 @@
   std::string backup_address;
   /// The copy from which the endpoint goes on.
   std::optional<CopyName> restore;
+  /// Address of an engine from which the endpoint copies the prompt, as far as
+  /// it does not have it.
+  std::string prompt_source;
 
   friend bool operator==(const AttemptStatement&,
                          const AttemptStatement&) = default;
--- /dev/null
+++ b/src/prompt_locations.cc
@@ -0,0 +1,89 @@
+// Entries by hash; the oldest go first. A row has one line an entry: the hash
+// in hexadecimal digits, a blank and the id of the engine.
+#include "prompt_locations.h"
+
+#include <xxhash.h>
+
+#include <charconv>
+#include <cstdio>
+#include <optional>
+#include <utility>
+
+#include "bramleybank/limits.h"
+
+namespace bramleybank {
+namespace {
+
+constexpr int kHexadecimal = 16;
+
+std::optional<PromptHash> ParseHash(std::string_view text) {
+  PromptHash hash = 0;
+  const char* end = text.data() + text.size();
+  const auto [parsed_to, error] =
+      std::from_chars(text.data(), end, hash, kHexadecimal);
+  if (error != std::errc() || parsed_to != end) {
+    return std::nullopt;
+  }
+  return hash;
+}
+
+}  // namespace
+
+PromptHash HashPrompt(std::string_view prompt_parts) {
+  return XXH3_64bits(prompt_parts.data(), prompt_parts.size());
+}
+
+void PromptLocations::Add(PromptHash prompt,
+                          std::string_view endpoint_id,
+                          TimePoint now) {
+  m_entries.insert_or_assign(
+      prompt, Entry{.endpoint_id = std::string(endpoint_id), .added_at = now});
+  m_order.emplace_back(now, prompt);
+  DropOld(now);
+}
+
+void PromptLocations::Merge(std::string_view row, TimePoint now) {
+  while (!row.empty()) {
+    const std::string_view line = row.substr(0, row.find('\n'));
+    row.remove_prefix(std::min(row.size(), line.size() + 1));
+    const size_t blank = line.find(' ');
+    if (blank == std::string_view::npos || blank + 1 == line.size()) {
+      continue;
+    }
+    const auto hash = ParseHash(line.substr(0, blank));
+    if (hash && !m_entries.contains(*hash)) {
+      Add(*hash, line.substr(blank + 1), now);
+    }
+  }
+}
+
+void PromptLocations::DropOld(TimePoint now) {
+  while (!m_order.empty() &&
+         (now - m_order.front().first > kPromptLocationLifetime ||
+          m_entries.size() > kMaxPromptLocations)) {
+    const auto [added_at, prompt] = m_order.front();
+    m_order.pop_front();
+    const auto it = m_entries.find(prompt);
+    if (it != m_entries.end() && it->second.added_at == added_at) {
+      m_entries.erase(it);
+    }
+  }
+}
+
+std::string PromptLocations::Find(PromptHash prompt) const {
+  const auto it = m_entries.find(prompt);
+  return it == m_entries.end() ? "" : it->second.endpoint_id;
+}
+
+std::string PromptLocations::Encode() const {
+  std::string row;
+  for (const auto& [prompt, entry] : m_entries) {
+    char hash[kHexadecimal + 1];
+    const auto end =
+        std::to_chars(hash, hash + sizeof(hash), prompt, kHexadecimal).ptr;
+    row.append(hash, end).append(" ").append(entry.endpoint_id).append("\n");
+  }
+  return row;
+}
+
+}  // namespace bramleybank
--- /dev/null
+++ b/src/prompt_locator.cc
@@ -0,0 +1,135 @@
+// Lookups share one read of the table; writes are delayed so that streams that
+// begin within an interval share one.
+#include "prompt_locator.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "event_loop.h"
+
+namespace bramleybank {
+
+PromptLocator::PromptLocator(EventLoop* loop,
+                             MetadataStore* store,
+                             std::string name,
+                             std::function<Duration()> write_interval)
+    : m_loop(loop),
+      m_store(store),
+      m_name(std::move(name)),
+      m_write_interval(std::move(write_interval)),
+      m_alive(std::make_shared<PromptLocator*>(this)) {}
+
+PromptLocator::~PromptLocator() {
+  m_loop->Cancel(m_lookup_timer);
+  m_loop->Cancel(m_write_timer);
+}
+
+void PromptLocator::Start() {
+  Read();
+}
+
+void PromptLocator::OnStreamAt(std::string_view prompt_parts,
+                               std::string_view endpoint_id) {
+  m_own.Add(HashPrompt(prompt_parts), endpoint_id, m_loop->Now());
+  ScheduleWrite();
+}
+
+void PromptLocator::Find(
+    std::string_view prompt_parts,
+    std::function<void(const std::string& endpoint_id)> callback) {
+  const PromptHash prompt = HashPrompt(prompt_parts);
+  const std::string known = FindKnown(prompt);
+  const bool is_fresh =
+      m_is_loaded && m_loop->Now() - m_read_at < kPromptTableFreshness;
+  if (!known.empty() || (is_fresh && !m_is_reading)) {
+    callback(known);
+    return;
+  }
+  m_lookups.push_back({.prompt = prompt, .callback = std::move(callback)});
+  if (!m_lookup_timer.is_valid()) {
+    m_lookup_timer = m_loop->Schedule(kPromptLookupTimeout, [this] {
+      m_lookup_timer = TimerHandle();
+      FinishLookups();
+    });
+  }
+  Read();
+}
+
+std::string PromptLocator::FindKnown(PromptHash prompt) const {
+  const std::string own = m_own.Find(prompt);
+  return own.empty() ? m_others.Find(prompt) : own;
+}
+
+void PromptLocator::Read() {
+  if (m_is_reading) {
+    return;
+  }
+  m_is_reading = true;
+  m_store->Read(kPromptTable, "",
+                [weak = std::weak_ptr(m_alive)](const StoreRows& rows) {
+                  if (const auto self = weak.lock()) {
+                    (*self)->OnRows(rows);
+                  }
+                });
+}
+
+void PromptLocator::OnRows(const StoreRows& rows) {
+  m_is_reading = false;
+  if (rows.result == StoreResult::kOk) {
+    const TimePoint now = m_loop->Now();
+    m_read_at = now;
+    m_others = {};
+    for (const StoreRow& row : rows.rows) {
+      PromptLocations& target = row.key == m_name ? m_own : m_others;
+      target.Merge(row.value, now);
+    }
+    m_is_loaded = true;
+    if (m_own.size() > 0) {
+      ScheduleWrite();
+    }
+  }
+  FinishLookups();
+}
+
+void PromptLocator::FinishLookups() {
+  m_loop->Cancel(m_lookup_timer);
+  m_lookup_timer = TimerHandle();
+  for (const Lookup& lookup : std::exchange(m_lookups, {})) {
+    lookup.callback(FindKnown(lookup.prompt));
+  }
+}
+
+void PromptLocator::ScheduleWrite() {
+  if (m_write_timer.is_valid()) {
+    return;
+  }
+  const Duration since = m_loop->Now() - m_written_at;
+  m_write_timer = m_loop->Schedule(
+      std::max(m_write_interval() - since, Duration{0}), [this] {
+        m_write_timer = TimerHandle();
+        WriteRow();
+      });
+}
+
+void PromptLocator::WriteRow() {
+  m_written_at = m_loop->Now();
+  if (!m_is_loaded) {
+    Read();
+    ScheduleWrite();
+    return;
+  }
+  m_own.DropOld(m_written_at);
+  m_store->Write({.table = kPromptTable,
+                  .key = m_name,
+                  .value = m_own.Encode(),
+                  .expected_version = std::nullopt},
+                 [weak = std::weak_ptr(m_alive)](StoreResult result) {
+                   const auto self = weak.lock();
+                   if (self && result != StoreResult::kOk) {
+                     (*self)->ScheduleWrite();
+                   }
+                 });
+}
+
+}  // namespace bramleybank
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -16,6 +16,8 @@
 #include "gateway_fakes.h"
 #include "gateway_rows.h"
 #include "gateway_settings.h"
+#include "prompt_locations.h"
+#include "prompt_locator.h"
 #include "request_headers.h"
 #include "store_rows.h"
 
@@ -97,18 +99,20 @@
   }
 
   /// Sends a request and collects the answer.
+  /// @param headers whole lines.
   void Send(const std::string& method_and_path,
-            const std::string& key = "good") {
+            const std::string& key = "good",
+            const std::string& headers = "") {
     m_client = TcpConnection::Connect(
         &m_loop, "127.0.0.1:" + std::to_string(m_gateway.caller_port()),
         std::chrono::seconds(5),
         {.on_connected =
-             [this, method_and_path, key] {
+             [this, method_and_path, key, headers] {
                m_client->Write(method_and_path +
                                " HTTP/1.1\r\nHost: h.example\r\n"
                                "Request-Id: r1\r\nDeadline-Ms: 4000\r\n"
                                "Tenant: forged\r\nAuthorization: Bearer " +
-                               key + "\r\n\r\n");
+                               key + "\r\n" + headers + "\r\n");
              },
          .on_data = [this](std::string_view data) { answer += data; },
          .on_end = [this](TcpEnd) { closed = true; },
@@ -384,6 +388,52 @@
   CHECK(fixture.answer.starts_with("HTTP/1.1 503"));
 }
 
+const std::string kReturn =
+    "Prompt-Prefix: a:200,b:5000\r\nLast-Event-Id: 3\r\n";
+const std::string kRest =
+    kStreamHead + Chunk(Event(4)) + Chunk(Event(5)) + "0\r\n\r\n";
+
+// Guards against a prompt that is read again because the caller came back to
+// another gateway.
+TEST_CASE("a caller that comes back goes on where its prompt was read") {
+  Fixture fixture({{{.bytes = kRest}}, {{.bytes = kRest}}}, kEngineConfig);
+  PromptLocations locations;
+  locations.Add(HashPrompt("a:200,b:5000"), "e1", TimePoint{});
+  fixture.store.Answer(kPromptTable,
+                       {.result = StoreResult::kOk,
+                        .rows = {{.key = "g2", .value = locations.Encode()}}});
+  fixture.Send("POST /write/x", "good", kReturn);
+  fixture.WaitForAnswer("0\r\n\r\n");
+  CHECK(fixture.endpoints[0]->requests().empty());
+  REQUIRE(fixture.endpoints[1]->requests().size() == 1);
+  CHECK(fixture.endpoints[1]->requests()[0].find("Last-Event-Id: 3\r\n") !=
+        std::string::npos);
+}
+
+// Guards against the same when that engine has no room.
+TEST_CASE("another engine copies the prompt from the one that has read it") {
+  Fixture fixture({{{.bytes = kRest}}, {{.bytes = kNotRun}}}, kEngineConfig);
+  PromptLocations locations;
+  locations.Add(HashPrompt("a:200,b:5000"), "e1", TimePoint{});
+  fixture.store.Answer(kPromptTable,
+                       {.result = StoreResult::kOk,
+                        .rows = {{.key = "g2", .value = locations.Encode()}}});
+  fixture.Send("POST /write/x", "good", kReturn);
+  fixture.WaitForAnswer("0\r\n\r\n");
+  REQUIRE(fixture.endpoints[0]->requests().size() == 1);
+  CHECK(fixture.endpoints[0]->requests()[0].find(
+            "Kv-Fetch: " + fixture.endpoints[1]->address() + "\r\n") !=
+        std::string::npos);
+}
+
+// Guards against a caller that waits for a store that does not answer.
+TEST_CASE("a caller that comes back is served without the store") {
+  Fixture fixture({{{.bytes = kRest}}}, kEngineConfig);
+  fixture.Send("POST /write/x", "good", kReturn);
+  fixture.WaitForAnswer("0\r\n\r\n");
+  CHECK(fixture.endpoints[0]->requests().size() == 1);
+}
+
 // Guards against engines that are lost until the end of an outage of the store
 // because they restarted in it.
 TEST_CASE("an engine that restarted while the store is away is taken over") {
--- /dev/null
+++ b/tests/unit_prompt_locator.cc
@@ -0,0 +1,161 @@
+// Which engine has read which prompt: entries of one gateway, and the table
+// through which gateways share them.
+#include "prompt_locator.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "bramleybank/limits.h"
+#include "event_loop.h"
+#include "gateway_fakes.h"
+#include "prompt_locations.h"
+
+namespace bramleybank {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kTurn = milliseconds(5);
+
+const TimePoint kStart{seconds(100)};
+
+// Guards against a stream sent to the engine that it has left.
+TEST_CASE("the engine that read a prompt last is found") {
+  PromptLocations locations;
+  const PromptHash prompt = HashPrompt("a:200,b:5000");
+  CHECK(locations.Find(prompt).empty());
+  locations.Add(prompt, "e1", kStart);
+  locations.Add(prompt, "e2", kStart + seconds(1));
+  CHECK(locations.Find(prompt) == "e2");
+  CHECK(locations.Find(HashPrompt("a:200,b:5001")).empty());
+}
+
+// Guards against rows that grow with every stream of a day.
+TEST_CASE("old entries and those over the limit are dropped") {
+  PromptLocations locations;
+  locations.Add(1, "e1", kStart);
+  locations.Add(2, "e2", kStart + seconds(1));
+  locations.Add(1, "e3", kStart + seconds(2));
+  locations.DropOld(kStart + seconds(1) + kPromptLocationLifetime +
+                    milliseconds(1));
+  CHECK(locations.Find(1) == "e3");
+  CHECK(locations.Find(2).empty());
+  for (size_t i = 0; i < 2 * kMaxPromptLocations; ++i) {
+    locations.Add(1000 + i, "e1", kStart + seconds(3));
+  }
+  CHECK(locations.size() <= kMaxPromptLocations);
+}
+
+TEST_CASE("a row holds what it was made of") {
+  PromptLocations locations;
+  locations.Add(HashPrompt("a:1"), "e1", kStart);
+  locations.Add(HashPrompt("b:1"), "e2", kStart);
+  PromptLocations other;
+  other.Add(HashPrompt("b:1"), "e3", kStart);
+  other.Merge(locations.Encode(), kStart);
+  CHECK(other.Find(HashPrompt("a:1")) == "e1");
+  CHECK(other.Find(HashPrompt("b:1")) == "e3");
+}
+
+// Guards against a malformed row that takes the process down.
+TEST_CASE("lines that cannot be read are skipped") {
+  for (const std::string row :
+       {"", "\n", " ", "zz e1", "1", "1 ", "123456789012345678901 e1", "-1 e1",
+        "\n\n1\n \n"}) {
+    PromptLocations locations;
+    locations.Merge(row, kStart);
+    CHECK(locations.size() == 0);
+  }
+  PromptLocations locations;
+  locations.Merge("bad\n1f e1\n20 e2", kStart);
+  CHECK(locations.Find(0x1f) == "e1");
+  CHECK(locations.Find(0x20) == "e2");
+}
+
+/// A locator named g1 that may write at once.
+struct Fixture {
+  void Find(const std::string& prompt_parts) {
+    locator.Find(prompt_parts,
+                 [this](const std::string& id) { found.push_back(id); });
+  }
+  void Answer(const std::vector<StoreRow>& rows) {
+    store.Answer(kPromptTable, {.result = StoreResult::kOk, .rows = rows});
+  }
+  void RunFor(Duration time) {
+    const TimePoint end = loop.Now() + time;
+    while (loop.Now() < end) {
+      loop.RunOnce(kTurn);
+    }
+  }
+
+  EventLoop loop;
+  FakeStore store;
+  std::vector<std::string> found;
+  PromptLocator locator{&loop, &store, "g1", [] { return Duration{0}; }};
+};
+
+std::string RowOf(const std::string& prompt_parts, const std::string& id) {
+  PromptLocations locations;
+  locations.Add(HashPrompt(prompt_parts), id, kStart);
+  return locations.Encode();
+}
+
+// Guards against prompts that are read again after a loss of all gateways, and
+// against a restarted gateway that erases what it knew for the others.
+TEST_CASE("entries of an earlier process are found and kept") {
+  Fixture fixture;
+  fixture.locator.Start();
+  fixture.locator.OnStreamAt("c:1", "e3");
+  fixture.RunFor(kTurn);
+  CHECK(fixture.store.writes.empty());
+  fixture.Find("a:1");
+  CHECK(fixture.found.empty());
+  fixture.Answer({{.key = "g1", .value = RowOf("a:1", "e1")},
+                  {.key = "g2", .value = RowOf("b:1", "e2")}});
+  CHECK(fixture.found == std::vector<std::string>{"e1"});
+  fixture.Find("b:1");
+  CHECK(fixture.found == std::vector<std::string>{"e1", "e2"});
+  fixture.RunFor(2 * kTurn);
+  REQUIRE(fixture.store.writes.size() == 1);
+  CHECK(fixture.store.writes[0].key == "g1");
+  PromptLocations written;
+  written.Merge(fixture.store.writes[0].value, kStart);
+  CHECK(written.Find(HashPrompt("a:1")) == "e1");
+  CHECK(written.Find(HashPrompt("c:1")) == "e3");
+  CHECK(written.size() == 2);
+}
+
+// Guards against a call to the store for each of the callers that come back
+// together.
+TEST_CASE("lookups share one read") {
+  Fixture fixture;
+  fixture.locator.Start();
+  fixture.Answer({});
+  fixture.RunFor(kPromptTableFreshness + kTurn);
+  for (int i = 0; i < 20; ++i) {
+    fixture.Find("b:1");
+  }
+  CHECK(fixture.store.calls.size() == 1);
+  fixture.Answer({{.key = "g2", .value = RowOf("b:1", "e2")}});
+  CHECK(fixture.found == std::vector<std::string>(20, "e2"));
+  fixture.Find("d:1");
+  CHECK(fixture.found.back().empty());
+  CHECK(fixture.store.calls.empty());
+}
+
+// Guards against callers that wait for a store that does not answer.
+TEST_CASE("a lookup ends without the store") {
+  Fixture fixture;
+  fixture.locator.Start();
+  fixture.Find("a:1");
+  fixture.RunFor(kPromptLookupTimeout + 4 * kTurn);
+  CHECK(fixture.found == std::vector<std::string>{""});
+  fixture.store.Answer(kPromptTable, {.result = StoreResult::kUnavailable});
+  CHECK(fixture.found.size() == 1);
+}
+
+}  // namespace
+}  // namespace bramleybank
