Let requests wait for the first configuration after a start

Cause: a gateway that had just started refused each request until it had read configuration and endpoints, 20 to 110 ms later. Change: StartQueue keeps such requests for up to 0.6 s after the start and a third of their time, in bounded memory; resumed streams are served first.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -246,6 +246,14 @@
 /// A caller that comes back waits at most this long for the lookup.
 inline constexpr std::chrono::milliseconds kPromptLookupTimeout{150};
 
+// Gateway: start.
+/// Requests that arrive before the first configuration wait for it. Two calls
+/// to the store from another region take 90 ms.
+inline constexpr std::chrono::milliseconds kMaxStartWait{600};
+inline constexpr std::chrono::milliseconds kStartCheckInterval{20};
+inline constexpr size_t kMaxStartWaiters = 1024;
+inline constexpr size_t kMaxStartWaitBytes = 16 * 1024 * 1024;
+
 // Gateway: planned stops.
 /// The balancer asks once a second and stops sending after two misses.
 inline constexpr std::chrono::milliseconds kDrainNoticeTime{2500};
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -7,6 +7,7 @@
 #include <random>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "bramleybank/limits.h"
 #include "endpoint_adopter.h"
@@ -32,6 +33,7 @@
 #include "prompt_locator.h"
 #include "rollout_director.h"
 #include "rollout_records.h"
+#include "start_queue.h"
 #include "store_watch.h"
 #include "stream_silence_monitor.h"
 #include "tcp_address.h"
@@ -48,6 +50,12 @@
   return [engine] { return (*engine)(); };
 }
 
+/// A request that waits for the first configuration.
+struct StartWaiting {
+  std::shared_ptr<GatewayCaller> caller;
+  GatewayRequest request;
+};
+
 }  // namespace
 
 struct Gateway::Impl {
@@ -72,6 +80,16 @@
   void Accept(int fd);
   void OnRequest(const std::shared_ptr<GatewayCaller>& caller,
                  GatewayRequest request);
+  void StartExchange(uint64_t number,
+                     const std::shared_ptr<GatewayCaller>& caller,
+                     GatewayRequest request);
+  bool IsReady() const { return config && endpoints_known; }
+  bool WaitForStart(uint64_t number,
+                    const std::shared_ptr<GatewayCaller>& caller,
+                    const GatewayRequest& request);
+  void ArmStartCheck();
+  void ServeIfReady();
+  void ServeWaiting(const std::vector<uint64_t>& numbers);
   void OnOperatorRow(const StoreRow& row);
   void OnRolloutRow(const StoreRow& row);
   void OnEndpointRow(const StoreRow& row);
@@ -153,6 +171,10 @@
   std::unordered_map<GatewayCaller*, std::shared_ptr<GatewayCaller>> callers;
   std::map<uint64_t, std::unique_ptr<GatewayExchange>> exchanges;
   uint64_t next_exchange = 1;
+  // Requests that wait for the first configuration, by number.
+  StartQueue start_queue{loop->Now()};
+  std::map<uint64_t, StartWaiting> start_waiters;
+  TimerHandle start_timer;
   TimerHandle silence_timer;
   bool endpoints_known = false;
   std::unique_ptr<GatewayDrain> drain;
@@ -214,6 +236,7 @@
             if (is_endpoints && !std::exchange(endpoints_known, true)) {
               LogLine(LogEventId::kEndpointsRead)
                   .Field("endpoints", static_cast<long long>(directory.size()));
+              ServeIfReady();
             }
           },
       .on_reachable =
@@ -251,6 +274,13 @@
       .Field("config", static_cast<long long>(config->version()))
       .Field("row_version", static_cast<long long>(row.version))
       .Field("routes", static_cast<long long>(config->values().routes.size()));
+  ServeIfReady();
+}
+
+void Gateway::Impl::ServeIfReady() {
+  if (IsReady()) {
+    ServeWaiting(start_queue.TakeAll());
+  }
 }
 
 void Gateway::Impl::OnRolloutRow(const StoreRow& row) {
@@ -368,7 +398,7 @@
 
 void Gateway::Impl::AnswerReady(
     const std::shared_ptr<HttpResponder>& responder) const {
-  const bool ready = config && endpoints_known && !drain;
+  const bool ready = IsReady() && !drain;
   responder->Respond(ready ? kReadyStatus : kNotReadyStatus, {},
                      ready ? "ready\n" : "not ready\n");
 }
@@ -400,6 +430,58 @@
 void Gateway::Impl::OnRequest(const std::shared_ptr<GatewayCaller>& caller,
                               GatewayRequest request) {
   const uint64_t number = next_exchange++;
+  if (IsReady() || !WaitForStart(number, caller, request)) {
+    StartExchange(number, caller, std::move(request));
+  }
+}
+
+bool Gateway::Impl::WaitForStart(uint64_t number,
+                                 const std::shared_ptr<GatewayCaller>& caller,
+                                 const GatewayRequest& request) {
+  const CallerStatement statement = codec.decode_request(request.headers);
+  const bool waits =
+      start_queue.Add({.number = number,
+                       .bytes = request.body.size(),
+                       .resumes = statement.last_event_id.has_value(),
+                       .patience = statement.patience},
+                      loop->Now());
+  if (!waits) {
+    return false;
+  }
+  start_waiters.emplace(number, StartWaiting{caller, request});
+  caller->SetGoneHandler([this, number] {
+    start_queue.Remove(number);
+    start_waiters.erase(number);
+  });
+  ArmStartCheck();
+  return true;
+}
+
+void Gateway::Impl::ArmStartCheck() {
+  if (!start_timer.is_valid() && !start_queue.empty()) {
+    start_timer = loop->Schedule(kStartCheckInterval, [this] {
+      start_timer = TimerHandle();
+      ServeWaiting(start_queue.TakeExpired(loop->Now()));
+      ArmStartCheck();
+    });
+  }
+}
+
+void Gateway::Impl::ServeWaiting(const std::vector<uint64_t>& numbers) {
+  for (const uint64_t number : numbers) {
+    const auto it = start_waiters.find(number);
+    if (it == start_waiters.end()) {
+      continue;
+    }
+    StartWaiting waiting = std::move(it->second);
+    start_waiters.erase(it);
+    StartExchange(number, waiting.caller, std::move(waiting.request));
+  }
+}
+
+void Gateway::Impl::StartExchange(uint64_t number,
+                                  const std::shared_ptr<GatewayCaller>& caller,
+                                  GatewayRequest request) {
   auto exchange = std::make_unique<GatewayExchange>(
       &environment, number, caller, std::move(request), [this, number] {
         // The exchange is still inside one of its methods.
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -129,6 +129,12 @@
     REQUIRE(done());
   }
 
+  void RunTurns(int turns) {
+    for (int turn = 0; turn < turns; ++turn) {
+      m_loop.RunOnce(kTurn);
+    }
+  }
+
   void WaitForAnswer(const std::string& text) {
     WaitFor([&] { return answer.find(text) != std::string::npos; });
   }
@@ -388,6 +394,20 @@
   CHECK(fixture.answer.starts_with("HTTP/1.1 503"));
 }
 
+// Guards against a gateway that has just started and takes each caller's last
+// try while its configuration is under way.
+TEST_CASE("a request that comes before the configuration is served") {
+  Fixture fixture({{{.bytes = kWhole}}}, /*config=*/"");
+  fixture.Send("GET /read/x");
+  fixture.RunTurns(20);
+  CHECK(fixture.answer.empty());
+  fixture.store.Answer("op", {.result = StoreResult::kOk,
+                              .rows = {{.key = "config", .value = kConfig}},
+                              .version = 9});
+  fixture.WaitForAnswer("done");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 200"));
+}
+
 const std::string kReturn =
     "Prompt-Prefix: a:200,b:5000\r\nLast-Event-Id: 3\r\n";
 const std::string kRest =
