Leave endpoints alone that say that they leave or when they want requests

A refusal kept this gateway away for 100 ms only. Change: the adapter decodes both; EndpointDirectory gives a leaving endpoint no work until it starts anew, and a pausing one none for its time, not even as a last resort. When all endpoints of a service pause, callers are told the time at once. Copies of memory are not ordered from an engine that pauses.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -183,6 +183,8 @@
 inline constexpr std::chrono::milliseconds kLostEndpointPause{1000};
 /// An endpoint that is full gets no work for this long while there are others.
 inline constexpr std::chrono::milliseconds kRefusedEndpointPause{100};
+/// Longest time for which an endpoint that refused is left alone on its word.
+inline constexpr std::chrono::hours kMaxRequestedPause{1};
 /// Losses of this many endpoints of a failure domain within this time are
 /// taken for a loss of the domain.
 inline constexpr size_t kMinDomainLosses = 2;
--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -183,6 +183,36 @@
   }
 }
 
+bool EndpointDirectory::OnLeaving(std::string_view id) {
+  EndpointRecord* record = FindMutable(id);
+  return record != nullptr && !std::exchange(record->is_leaving, true);
+}
+
+void EndpointDirectory::OnPause(std::string_view id, Duration pause) {
+  if (EndpointRecord* record = FindMutable(id)) {
+    Extend(&record->paused_until, m_clock() + pause);
+  }
+}
+
+bool EndpointDirectory::IsPaused(const EndpointRecord& record) const {
+  return record.paused_until && *record.paused_until > m_clock();
+}
+
+std::optional<Duration> EndpointDirectory::PauseLeft(
+    std::string_view service) const {
+  std::optional<Duration> least;
+  for (const EndpointRecord* record : OfService(service)) {
+    if (IsUsable(*record)) {
+      return std::nullopt;
+    }
+    if (IsInService(*record)) {
+      const Duration left = *record->paused_until - m_clock();
+      least = least ? std::min(*least, left) : left;
+    }
+  }
+  return least;
+}
+
 void EndpointDirectory::SuspectDomain(std::string_view service,
                                       std::string_view domain) {
   Extend(&m_domains[std::string(service)][std::string(domain)].suspect_until,
@@ -225,7 +255,12 @@
 }
 
 bool EndpointDirectory::IsUsable(const EndpointRecord& record) const {
-  if (record.is_misdirected || record.entry.state != EndpointState::kReady) {
+  return IsInService(record) && !IsPaused(record);
+}
+
+bool EndpointDirectory::IsInService(const EndpointRecord& record) const {
+  if (record.is_misdirected || record.is_leaving ||
+      record.entry.state != EndpointState::kReady) {
     return false;
   }
   if (record.is_adopted && !IsOutageRecent()) {
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -38,6 +38,11 @@
   /// Copies of runs that this gateway has asked the endpoint to keep.
   int open_backups = 0;
   int consecutive_losses = 0;
+  /// The endpoint has refused and wants no requests until then.
+  std::optional<TimePoint> paused_until;
+  /// The endpoint itself has said that it stops, whatever its entry says. Holds
+  /// until it starts anew.
+  bool is_leaving = false;
   /// Until then other endpoints are preferred.
   std::optional<TimePoint> suspect_until;
   /// Set while the entry is gone from the store.
@@ -75,15 +80,26 @@
   void OnAttemptEnded(std::string_view id, EndpointOutcome outcome);
   void OnBackupOpened(std::string_view id);
   void OnBackupClosed(std::string_view id);
+  /// The endpoint has said in an answer that it stops.
+  /// @returns whether that is news.
+  bool OnLeaving(std::string_view id);
+  /// The endpoint has refused a request and wants none for `pause`.
+  void OnPause(std::string_view id, Duration pause);
   /// All endpoints of a service in a failure domain have fallen silent.
   void SuspectDomain(std::string_view service, std::string_view domain);
 
   /// @returns whether several endpoints of the domain were lost just now.
   bool IsDomainSuspect(std::string_view service, std::string_view domain) const;
   bool IsSuspect(const EndpointRecord& record) const;
+  bool IsPaused(const EndpointRecord& record) const;
+  /// @returns the time until an endpoint of a service may get work again;
+  /// nothing while one may, or when none is paused.
+  std::optional<Duration> PauseLeft(std::string_view service) const;
   /// @returns whether new work may go there at all.
   bool IsUsable(const EndpointRecord& record) const;
 
+  /// @returns whether it may get work now or once its pause is over.
+  bool IsInService(const EndpointRecord& record) const;
   /// @returns whether it seems to be alive, though it may be full or leaving.
   bool IsReachable(const EndpointRecord& record) const;
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -449,6 +449,7 @@
     return false;
   }
   start_waiters.emplace(number, StartWaiting{caller, request});
+  metrics.Count("bramleybank_start_waits_total");
   caller->SetGoneHandler([this, number] {
     start_queue.Remove(number);
     start_waiters.erase(number);
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -103,6 +103,9 @@
         const auto self = weak.lock();
         if (self && !(*self)->m_is_over) {
           (*self)->m_prompt_location = endpoint_id;
+          (*self)->m_environment->metrics->Count(
+              "bramleybank_prompt_lookups_total", "result",
+              endpoint_id.empty() ? "unknown" : "found");
           (*self)->TryEndpoint();
         }
       });
@@ -291,6 +294,27 @@
 void GatewayExchange::OnHead(const Http1Head& head) {
   m_head = head;
   m_answer = m_environment->codec->decode_answer(head, m_statement.request_id);
+  if (!m_answer.misdirected) {
+    NoteEndpointState();
+  }
+}
+
+void GatewayExchange::NoteEndpointState() {
+  EndpointDirectory* directory = m_environment->directory;
+  if (m_answer.is_leaving && directory->OnLeaving(m_endpoint.id)) {
+    LogLine(LogEventId::kEndpointLeaving)
+        .Field("endpoint", m_endpoint.id)
+        .Field("id", m_statement.request_id);
+    m_environment->metrics->Count("bramleybank_endpoints_leaving_total");
+  }
+  if (m_answer.pause) {
+    directory->OnPause(m_endpoint.id, *m_answer.pause);
+    LogLine(LogEventId::kEndpointPaused)
+        .Field("endpoint", m_endpoint.id)
+        .Field("id", m_statement.request_id)
+        .Field("pause_ms", Milliseconds(*m_answer.pause));
+    m_environment->metrics->Count("bramleybank_endpoint_pauses_total");
+  }
 }
 
 void GatewayExchange::OnBody(std::string_view data) {
@@ -490,7 +514,9 @@
            Duration{0});
     return;
   }
-  Refuse(code, kBusyRetryAfter);
+  // When endpoints have said when they want work again, callers are told so.
+  Refuse(code, m_environment->directory->PauseLeft(m_service).value_or(
+                   kBusyRetryAfter));
 }
 
 void GatewayExchange::Refuse(ResultCode code, Duration retry_after) {
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -96,6 +96,8 @@
   void WatchSilence();
 
   void OnHead(const Http1Head& head);
+  /// Takes note of what the answer says of its endpoint.
+  void NoteEndpointState();
   void OnBody(std::string_view data);
   void OnAttemptEnd(AttemptEnd end);
   void OnWholeAnswer();
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -100,6 +100,10 @@
   bool is_marked = false;
   /// The answer names another request.
   bool is_foreign = false;
+  /// The endpoint is about to stop.
+  bool is_leaving = false;
+  /// The endpoint refused and wants no requests from this gateway for so long.
+  std::optional<Duration> pause;
   /// Id of the endpoint that answered; empty when it does not tell.
   std::string endpoint_id;
 
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -92,6 +92,10 @@
     {kEndpointsRead, "endpoints_read", kInfo,
      "All registered endpoints are known; later changes have lines of their "
      "own."},
+    {kEndpointLeaving, "endpoint_leaving", kInfo,
+     "An endpoint has said in an answer that it stops; it gets no new work."},
+    {kEndpointPaused, "endpoint_paused", kInfo,
+     "An endpoint has refused a request and wants none for a while."},
 };
 
 /// Lines kept for a reader of standard output that does not keep up.
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -55,6 +55,8 @@
   kRolloutPublished = 709,
   kRolloutRefused = 710,
   kEndpointsRead = 711,
+  kEndpointLeaving = 712,
+  kEndpointPaused = 713,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/src/stream_backup.cc
+++ b/src/stream_backup.cc
@@ -83,12 +83,14 @@
     return;
   }
   const EndpointRecord* primary = m_directory->Find(m_primary->id);
-  if (primary == nullptr || m_directory->IsSuspect(*primary)) {
+  if (primary == nullptr || m_directory->IsSuspect(*primary) ||
+      m_directory->IsPaused(*primary)) {
     return;
   }
   const EndpointRecord* holder =
       m_holder ? m_directory->Find(m_holder->id) : nullptr;
-  const bool is_lost = holder == nullptr || !m_directory->IsUsable(*holder) ||
+  const bool is_lost = holder == nullptr ||
+                       !m_directory->IsInService(*holder) ||
                        m_directory->IsSuspect(*holder);
   if (!is_lost && !m_copy) {
     return;
--- a/tests/process_gateway.cc
+++ b/tests/process_gateway.cc
@@ -1,6 +1,7 @@
 // The real daemon as a gateway, against stand-ins that speak the users' wire.
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <set>
 #include <string>
 #include <utility>
@@ -318,5 +319,63 @@
   });
 }
 
+// Guards against new requests at a server whose answers say that it leaves
+// while its entry says that it is ready.
+TEST_CASE("a server that says in an answer that it leaves is left alone") {
+  const WireDeployment site({});
+  site.ControlApplication(0, {{"leaving", true}});
+  const int before = site.ArrivalsAtApplication(0);
+  int calls = 0;
+  const auto call = [&] {
+    const std::string id = "read-" + std::to_string(++calls);
+    CHECK(site.Call(0, "GET", "/reads/x", id).status == 200);
+  };
+  WaitUntil("an answer of the leaving server", [&] {
+    call();
+    return site.ArrivalsAtApplication(0) > before;
+  });
+  CHECK(site.ArrivalsAtApplication(0) == before + 1);
+  for (int i = 0; i < 40; ++i) {
+    call();
+  }
+  CHECK(site.ArrivalsAtApplication(0) == before + 1);
+}
+
+// Guards against requests at a full server before the time that it has named:
+// at most two may reach it later than 0.5 s after its refusal.
+TEST_CASE("a server that wants nothing for a while is left alone so long") {
+  constexpr std::chrono::milliseconds kPause{2500};
+  constexpr int kMaxArrivals = 2;
+  const WireDeployment site({});
+  const int first = site.ArrivalsAtApplication(0);
+  site.ControlApplication(0, {{"refuse", 1}, {"retry_after", "2.5"}});
+  int calls = 0;
+  const auto call = [&] {
+    const std::string id = "read-" + std::to_string(++calls);
+    CHECK(site.Call(0, "GET", "/reads/x", id).status == 200);
+  };
+  auto asked_at = std::chrono::steady_clock::now();
+  WaitUntil("a refusal", [&] {
+    asked_at = std::chrono::steady_clock::now();
+    call();
+    return site.ArrivalsAtApplication(0) > first;
+  });
+  const int before = site.ArrivalsAtApplication(0);
+  int arrivals = before;
+  while (true) {
+    call();
+    const int now = site.ArrivalsAtApplication(0);
+    if (std::chrono::steady_clock::now() - asked_at >= kPause) {
+      break;
+    }
+    arrivals = now;
+  }
+  CHECK(arrivals - before <= kMaxArrivals);
+  WaitUntil("the server is used again", [&] {
+    call();
+    return site.ArrivalsAtApplication(0) > arrivals;
+  });
+}
+
 }  // namespace
 }  // namespace bramleybank::testing
--- a/tests/unit_endpoint_directory.cc
+++ b/tests/unit_endpoint_directory.cc
@@ -124,6 +124,56 @@
   CHECK_FALSE(fixture.directory.IsSuspect(*fixture.directory.Find("a0")));
 }
 
+// Guards against work for a server that stops in a moment while its entry says
+// that it is ready, and against one that stays away after it has started anew.
+TEST_CASE("an endpoint that says that it leaves gets no work") {
+  Fixture fixture(1);
+  CHECK(fixture.directory.OnLeaving("a0"));
+  CHECK_FALSE(fixture.directory.OnLeaving("a0"));
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = fixture.Pick();
+    CHECK(id != "a0");
+    fixture.directory.OnAttemptStarted(id);
+  }
+  EndpointEntry entry = MakeEntry("a0", "a", "a0:1");
+  fixture.directory.Update(entry);
+  CHECK_FALSE(fixture.directory.IsUsable(*fixture.directory.Find("a0")));
+  entry.born_ms = 17;
+  fixture.directory.Update(entry);
+  CHECK(fixture.directory.IsUsable(*fixture.directory.Find("a0")));
+  CHECK_FALSE(fixture.directory.OnLeaving("unknown"));
+}
+
+// The load: endpoints that are full and say for how long. Guards against
+// requests that reach them all the same, and against a last resort there.
+TEST_CASE("an endpoint gets no work while it wants none") {
+  Fixture fixture(1);
+  fixture.directory.OnPause("a0", seconds(2));
+  CHECK(fixture.Pick() != "a0");
+  CHECK_FALSE(fixture.directory.PauseLeft("writers").has_value());
+  fixture.directory.OnPause("b0", seconds(1));
+  fixture.directory.OnPause("c0", seconds(3));
+  CHECK(fixture.Pick().empty());
+  CHECK(fixture.directory.PauseLeft("writers") == seconds(1));
+  // A shorter time that is said later does not end a longer one.
+  fixture.directory.OnPause("b0", milliseconds(10));
+  fixture.now += milliseconds(999);
+  CHECK(fixture.Pick().empty());
+  fixture.now += milliseconds(1);
+  CHECK(fixture.Pick() == "b0");
+  CHECK_FALSE(fixture.directory.PauseLeft("writers").has_value());
+}
+
+// Guards against a caller that is told to wait for an endpoint that has left.
+TEST_CASE("the pause of an endpoint that leaves is no reason to wait") {
+  Fixture fixture(1);
+  fixture.directory.OnPause("a0", seconds(1));
+  fixture.directory.OnLeaving("a0");
+  fixture.directory.OnLeaving("b0");
+  fixture.directory.OnPause("c0", seconds(3));
+  CHECK(fixture.directory.PauseLeft("writers") == seconds(3));
+}
+
 TEST_CASE("losses that lie apart do not make a domain suspect") {
   Fixture fixture(3);
   fixture.Lose("a0");
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -408,6 +408,42 @@
   CHECK(fixture.answer.starts_with("HTTP/1.1 200"));
 }
 
+const std::string kFull =
+    "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
+    "Retry-After: 30\r\nContent-Length: 0\r\n\r\n";
+
+// The load: the only endpoint is full and says for how long. Guards against
+// requests that reach it all the same, and against callers that come back too
+// early.
+TEST_CASE("callers are told when the endpoint wants requests again") {
+  Fixture fixture({{{.bytes = kFull}}});
+  for (int i = 0; i < 5; ++i) {
+    fixture.answer.clear();
+    fixture.Send("POST /book/x");
+    fixture.WaitForAnswer("\r\n\r\n");
+    CHECK(fixture.answer.starts_with("HTTP/1.1 503"));
+    const size_t at = fixture.answer.find("Retry-After: ");
+    REQUIRE(at != std::string::npos);
+    CHECK(std::stod(fixture.answer.substr(at + 13)) > 20);
+  }
+  CHECK(fixture.endpoints[0]->requests().size() == 1);
+}
+
+// Guards against new work at a server that stops in a moment.
+TEST_CASE("a server that says that it leaves gets no further requests") {
+  const std::string leaving = "HTTP/1.1 200 OK\r\n" + kMarks +
+                              "Server-Leaving: 1\r\n"
+                              "Content-Length: 4\r\n\r\ndone";
+  Fixture fixture({{{.bytes = leaving}}, {{.bytes = kWhole}}});
+  for (int i = 0; i < 5; ++i) {
+    fixture.answer.clear();
+    fixture.Send("POST /book/x");
+    fixture.WaitForAnswer("done");
+  }
+  CHECK(fixture.endpoints[0]->requests().size() == 1);
+  CHECK(fixture.endpoints[1]->requests().size() == 4);
+}
+
 const std::string kReturn =
     "Prompt-Prefix: a:200,b:5000\r\nLast-Event-Id: 3\r\n";
 const std::string kRest =
--- a/tests/unit_platform_adapter.cc
+++ b/tests/unit_platform_adapter.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include "base64.h"
+#include "bramleybank/limits.h"
 #include "http1_parser.h"
 #include "request_headers.h"
 #include "store_rows.h"
@@ -151,6 +152,33 @@
   CHECK(statement.prompt_tokens == 1460);
 }
 
+// Guards against a server that is never used again, or not left alone, because
+// of a time that cannot be read.
+TEST_CASE("an answer tells what its endpoint wants") {
+  using std::chrono::milliseconds;
+  const GatewayCodec codec = MakeGatewayCodec();
+  const auto decode = [&](int status, const std::string& text) {
+    const Http1Head head{.status = status, .headers = {{"retry-after", text}}};
+    return codec.decode_answer(head, "r").pause;
+  };
+  CHECK(decode(503, "2") == milliseconds(2000));
+  CHECK(decode(503, "0.25") == milliseconds(250));
+  CHECK(decode(503, "1e9") == kMaxRequestedPause);
+  for (const std::string text : {"", "0", "-3", "nan", "inf", "soon", "2 s",
+                                 "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+    CHECK_FALSE(decode(503, text).has_value());
+  }
+  CHECK_FALSE(decode(200, "2").has_value());
+  CHECK_FALSE(decode(429, "2").has_value());
+  const auto leaves = [&](const HttpHeaders& headers) {
+    const Http1Head head{.status = 200, .headers = headers};
+    return codec.decode_answer(head, "r").is_leaving;
+  };
+  CHECK(leaves({{"server-leaving", "1"}}));
+  CHECK_FALSE(leaves({{"Server-Leaving", "0"}}));
+  CHECK_FALSE(leaves({}));
+}
+
 TEST_CASE("an answer tells whether it counts") {
   const GatewayCodec codec = MakeGatewayCodec();
   Http1Head head{.status = 421, .headers = {{"Request-Id", "other"}}};
--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -310,6 +310,12 @@
   return static_cast<int>(record.at("runs").size());
 }
 
+int WireDeployment::ArrivalsAtApplication(int i) const {
+  const json record =
+      json::parse(Send("GET", ApplicationUrl(i, "/standin/runs")).body);
+  return record.at("arrivals").get<int>();
+}
+
 bool WireDeployment::HasRunAtApplication(int i,
                                          const std::string& request_id) const {
   const HttpAnswer record = Send("GET", ApplicationUrl(i, "/standin/runs"));
--- a/tests/wire_deployment.h
+++ b/tests/wire_deployment.h
@@ -72,6 +72,8 @@
   void ControlEngine(int i, const nlohmann::json& control) const;
   void ControlApplication(int i, const nlohmann::json& control) const;
   int RunCountOfApplication(int i) const;
+  /// @returns how many requests have reached it, refused ones included.
+  int ArrivalsAtApplication(int i) const;
   bool HasRunAtApplication(int i, const std::string& request_id) const;
   /// @returns the runs of a request on all servers that live.
   std::vector<nlohmann::json> RunsOf(const std::string& request_id) const;
