Hand prompts over to relays in large domains

Change: gateways that do not read the store hand the prompts of their streams to a relay of their domain every 0.5 s and ask it about callers that come back; readers write at most every 0.16 s times their number, 1 s at least. One check of messages of other gateways serves three paths.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -241,7 +241,9 @@
 /// Shortest time between two writes of a gateway's row. A stream has its first
 /// event after about a second, and only then is there anything to go on with.
 inline constexpr std::chrono::milliseconds kPromptWriteInterval{1000};
-inline constexpr std::chrono::milliseconds kPromptWriteIntervalPerReader{80};
+inline constexpr std::chrono::milliseconds kPromptWriteIntervalPerReader{160};
+/// Shortest time between two hand-overs to a gateway that reads the store.
+inline constexpr std::chrono::milliseconds kPromptHandOverInterval{500};
 /// A lookup that finds nothing in rows that were read within this time does not
 /// read them again.
 inline constexpr std::chrono::milliseconds kPromptTableFreshness{200};
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -98,7 +98,7 @@
   void OnPeersChanged();
   void SetRetryExtra();
   Duration RolloutPollInterval() const;
-  Duration PromptWriteInterval() const;
+  Duration PromptInterval() const;
   void ArmSilenceCheck();
   void CheckSilence();
   bool IsTooLate(bool is_stream) const;
@@ -124,21 +124,28 @@
                            .failure_domain = settings.place.failure_domain,
                            .peer_address = settings.peer_address};
   GatewayPeers peers{loop, store, self, random};
-  GatewayRelay relay{loop,
-                     store,
-                     &metrics,
-                     self,
-                     {{rows.operator_table, RelayedStore::Following::kWatched},
-                      {rows.endpoint_table, RelayedStore::Following::kWatched},
-                      {kRolloutTable, RelayedStore::Following::kPolled}},
-                     std::min(settings.config_bound, settings.leave_bound),
-                     {.on_unknown_sender = [this] { peers.OnUnknownSender(); },
-                      .on_evidence =
-                          [this](const RelayEvidence& evidence) {
-                            return rollouts.OnEvidence(evidence.service,
-                                                       evidence.report);
-                          },
-                      .random = random}};
+  GatewayRelay relay{
+      loop,
+      store,
+      &metrics,
+      self,
+      {{rows.operator_table, RelayedStore::Following::kWatched},
+       {rows.endpoint_table, RelayedStore::Following::kWatched},
+       {kRolloutTable, RelayedStore::Following::kPolled}},
+      std::min(settings.config_bound, settings.leave_bound),
+      {.on_unknown_sender = [this] { peers.OnUnknownSender(); },
+       .on_evidence =
+           [this](const RelayEvidence& evidence) {
+             return rollouts.OnEvidence(evidence.service, evidence.report);
+           },
+       .on_prompts =
+           [this](std::string_view row) { prompts.OnHandedOver(row); },
+       .on_prompt_query =
+           [this](PromptHash prompt,
+                  std::function<void(const std::string&)> callback) {
+             prompts.Find(prompt, std::move(callback));
+           },
+       .random = random}};
   std::shared_ptr<const GatewayConfig> config;
   EndpointAdopter adopter{loop, &codec, &directory, [this] { return config; }};
   RolloutDirector rollouts{
@@ -158,8 +165,21 @@
              relay.HandOver({.service = service, .report = report},
                             std::move(callback));
            }}};
-  PromptLocator prompts{loop, store, settings.name,
-                        [this] { return PromptWriteInterval(); }};
+  PromptLocator prompts{
+      loop,
+      store,
+      settings.name,
+      {.interval = [this] { return PromptInterval(); },
+       .is_reader = [this] { return relay.IsReader(); },
+       .hand_over =
+           [this](std::string row, std::function<void(bool)> callback) {
+             relay.HandOverPrompts(std::move(row), std::move(callback));
+           },
+       .ask =
+           [this](PromptHash prompt,
+                  std::function<void(const std::string&)> callback) {
+             relay.AskForPrompt(prompt, std::move(callback));
+           }}};
   size_t buffered_bytes = 0;
   GatewayEnvironment environment;
   GatewayCallerHooks caller_hooks;
@@ -354,10 +374,13 @@
          Duration(static_cast<int64_t>(random() % spread));
 }
 
-Duration Gateway::Impl::PromptWriteInterval() const {
-  return std::max<Duration>(
-      kPromptWriteInterval,
-      kPromptWriteIntervalPerReader * static_cast<int64_t>(peers.count()));
+Duration Gateway::Impl::PromptInterval() const {
+  if (!relay.IsReader()) {
+    return kPromptHandOverInterval;
+  }
+  return std::max<Duration>(kPromptWriteInterval,
+                            kPromptWriteIntervalPerReader *
+                                static_cast<int64_t>(relay.reader_count()));
 }
 
 bool Gateway::Impl::OpenHttpPort(HttpServer* server,
@@ -568,8 +591,8 @@
   }
   m_impl->operator_watch->Start();
   m_impl->endpoint_watch->Start();
-  m_impl->peers.Start();
   m_impl->prompts.Start();
+  m_impl->peers.Start();
   return true;
 }
 
--- a/src/gateway_relay.cc
+++ b/src/gateway_relay.cc
@@ -117,40 +117,105 @@
     m_store.Serve(body, std::move(reply));
   } else if (path == kPathRelayEvidence) {
     reply(TakeEvidence(body), {});
+  } else if (path == kPathRelayPrompts) {
+    reply(TakePrompts(body), {});
+  } else if (path == kPathRelayPromptQuery) {
+    AnswerPromptQuery(body, std::move(reply));
   } else {
     m_metrics->Count(kRelayAnswersMetric, "result", "unknown_path");
     reply(kStatusUnknownPath, {});
   }
 }
 
-int GatewayRelay::TakeEvidence(std::string_view body) {
-  const auto evidence = DecodeRelayMessage<RelayEvidence>(body);
-  if (!evidence) {
+template <typename Message>
+std::optional<Message> GatewayRelay::Accept(std::string_view body,
+                                            int* status) {
+  auto message = DecodeRelayMessage<Message>(body);
+  if (!message) {
     ReportMalformedMessage(m_metrics, body.size());
-    return kStatusMalformed;
+    *status = kStatusMalformed;
+    return std::nullopt;
   }
-  if (!m_choice.IsMember(evidence->sender)) {
-    ReportUnknownSender(m_metrics, evidence->sender);
+  if (!m_choice.IsMember(message->sender)) {
+    ReportUnknownSender(m_metrics, message->sender);
     m_hooks.on_unknown_sender();
-    return kStatusRefused;
+    *status = kStatusRefused;
+    return std::nullopt;
   }
-  return m_hooks.on_evidence(*evidence) ? kStatusOk : kStatusConflict;
+  *status = kStatusOk;
+  return message;
 }
 
-void GatewayRelay::HandOver(RelayEvidence evidence,
-                            std::function<void(bool)> callback) {
+int GatewayRelay::TakeEvidence(std::string_view body) {
+  int status = kStatusOk;
+  const auto evidence = Accept<RelayEvidence>(body, &status);
+  if (evidence && !m_hooks.on_evidence(*evidence)) {
+    return kStatusConflict;
+  }
+  return status;
+}
+
+int GatewayRelay::TakePrompts(std::string_view body) {
+  int status = kStatusOk;
+  if (const auto prompts = Accept<RelayPrompts>(body, &status)) {
+    m_hooks.on_prompts(prompts->row);
+  }
+  return status;
+}
+
+void GatewayRelay::AnswerPromptQuery(
+    std::string_view body,
+    std::function<void(int status, std::string body)> reply) {
+  int status = kStatusOk;
+  const auto query = Accept<RelayPromptQuery>(body, &status);
+  if (!query) {
+    reply(status, {});
+    return;
+  }
+  m_hooks.on_prompt_query(
+      query->prompt, [reply](const std::string& id) { reply(kStatusOk, id); });
+}
+
+template <typename Message>
+void GatewayRelay::SendToRelay(
+    const char* path,
+    Message message,
+    Duration timeout,
+    std::function<void(const std::string* body)> callback) {
   const RowSource relay = m_choice.Sources().front();
   if (relay.is_store()) {
-    // No relay is in reach; the evidence waits for the next exchange.
-    callback(false);
+    callback(nullptr);
     return;
   }
-  evidence.sender = m_self.name;
-  Call(relay.relay, kPathRelayEvidence, EncodeRelayMessage(evidence),
-       kRelayTimeout,
-       [callback = std::move(callback)](const std::string* answer) {
-         callback(answer != nullptr);
-       });
+  message.sender = m_self.name;
+  Call(relay.relay, path, EncodeRelayMessage(message), timeout, callback);
+}
+
+void GatewayRelay::HandOver(RelayEvidence evidence,
+                            std::function<void(bool)> callback) {
+  SendToRelay(kPathRelayEvidence, std::move(evidence), kRelayTimeout,
+              [callback = std::move(callback)](const std::string* answer) {
+                callback(answer != nullptr);
+              });
+}
+
+void GatewayRelay::HandOverPrompts(std::string row,
+                                   std::function<void(bool)> callback) {
+  SendToRelay(kPathRelayPrompts, RelayPrompts{.row = std::move(row)},
+              kRelayTimeout,
+              [callback = std::move(callback)](const std::string* answer) {
+                callback(answer != nullptr);
+              });
+}
+
+void GatewayRelay::AskForPrompt(
+    uint64_t prompt,
+    std::function<void(const std::string& id)> callback) {
+  SendToRelay(kPathRelayPromptQuery, RelayPromptQuery{.prompt = prompt},
+              kPromptLookupTimeout,
+              [callback = std::move(callback)](const std::string* answer) {
+                callback(answer == nullptr ? "" : *answer);
+              });
 }
 
 }  // namespace bramleybank
--- a/src/gateway_relay.h
+++ b/src/gateway_relay.h
@@ -4,8 +4,10 @@
 #define BRAMLEYBANK_SRC_GATEWAY_RELAY_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +35,12 @@
     /// Evidence on a rollout has been handed over. @returns whether it was
     /// taken.
     std::function<bool(const RelayEvidence& evidence)> on_evidence;
+    /// Prompts of another gateway's streams have been handed over, as a row.
+    std::function<void(std::string_view row)> on_prompts;
+    /// Another gateway asks which engine has read a prompt.
+    std::function<void(uint64_t prompt,
+                       std::function<void(const std::string& id)> callback)>
+        on_prompt_query;
     RandomHook random;
   };
 
@@ -67,6 +75,14 @@
   /// may have taken it.
   void HandOver(RelayEvidence evidence, std::function<void(bool)> callback);
 
+  /// Hands prompts of this gateway's streams to a relay of this domain.
+  /// @param callback gets whether they were taken.
+  void HandOverPrompts(std::string row, std::function<void(bool)> callback);
+  /// Asks a relay of this domain which engine has read a prompt.
+  /// @param callback gets its id; empty when none is known.
+  void AskForPrompt(uint64_t prompt,
+                    std::function<void(const std::string& id)> callback);
+
   const Reason& last_reason() const { return m_last_reason; }
 
  private:
@@ -79,6 +95,20 @@
                  std::string_view body,
                  std::function<void(int status, std::string body)> reply);
   int TakeEvidence(std::string_view body);
+  int TakePrompts(std::string_view body);
+  void AnswerPromptQuery(
+      std::string_view body,
+      std::function<void(int status, std::string body)> reply);
+  /// @returns the message if it can be read and a known gateway has sent it.
+  /// @param status set to that of the reply.
+  template <typename Message>
+  std::optional<Message> Accept(std::string_view body, int* status);
+  /// Sends a message to the best relay; without one the call fails at once.
+  template <typename Message>
+  void SendToRelay(const char* path,
+                   Message message,
+                   Duration timeout,
+                   std::function<void(const std::string* body)> callback);
 
   MetricRegistry* m_metrics;
   const GatewayMember m_self;
--- a/src/prompt_locations.cc
+++ b/src/prompt_locations.cc
@@ -4,6 +4,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdio>
 #include <optional>
@@ -42,7 +43,9 @@
   DropOld(now);
 }
 
-void PromptLocations::Merge(std::string_view row, TimePoint now) {
+void PromptLocations::ForEach(
+    std::string_view row,
+    const std::function<void(PromptHash, std::string_view)>& take) {
   while (!row.empty()) {
     const std::string_view line = row.substr(0, row.find('\n'));
     row.remove_prefix(std::min(row.size(), line.size() + 1));
@@ -50,13 +53,26 @@
     if (blank == std::string_view::npos || blank + 1 == line.size()) {
       continue;
     }
-    const auto hash = ParseHash(line.substr(0, blank));
-    if (hash && !m_entries.contains(*hash)) {
-      Add(*hash, line.substr(blank + 1), now);
+    if (const auto hash = ParseHash(line.substr(0, blank))) {
+      take(*hash, line.substr(blank + 1));
     }
   }
 }
 
+void PromptLocations::Merge(std::string_view row, TimePoint now) {
+  ForEach(row, [this, now](PromptHash prompt, std::string_view endpoint_id) {
+    if (!m_entries.contains(prompt)) {
+      Add(prompt, endpoint_id, now);
+    }
+  });
+}
+
+void PromptLocations::Update(std::string_view row, TimePoint now) {
+  ForEach(row, [this, now](PromptHash prompt, std::string_view endpoint_id) {
+    Add(prompt, endpoint_id, now);
+  });
+}
+
 void PromptLocations::DropOld(TimePoint now) {
   while (!m_order.empty() &&
          (now - m_order.front().first > kPromptLocationLifetime ||
--- a/src/prompt_locations.h
+++ b/src/prompt_locations.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -30,6 +31,8 @@
   /// Takes over the entries of an encoded row. They count as added now, unless
   /// the prompt is known already.
   void Merge(std::string_view row, TimePoint now);
+  /// Takes over the entries of an encoded row that is newer than what is known.
+  void Update(std::string_view row, TimePoint now);
   /// Forgets entries that were added too long ago.
   void DropOld(TimePoint now);
 
@@ -41,6 +44,10 @@
   size_t size() const { return m_entries.size(); }
 
  private:
+  static void ForEach(
+      std::string_view row,
+      const std::function<void(PromptHash, std::string_view)>& take);
+
   struct Entry {
     std::string endpoint_id;
     TimePoint added_at;
--- a/src/prompt_locator.cc
+++ b/src/prompt_locator.cc
@@ -13,11 +13,11 @@
 PromptLocator::PromptLocator(EventLoop* loop,
                              MetadataStore* store,
                              std::string name,
-                             std::function<Duration()> write_interval)
+                             PromptLocatorHooks hooks)
     : m_loop(loop),
       m_store(store),
       m_name(std::move(name)),
-      m_write_interval(std::move(write_interval)),
+      m_hooks(std::move(hooks)),
       m_alive(std::make_shared<PromptLocator*>(this)) {}
 
 PromptLocator::~PromptLocator() {
@@ -31,14 +31,26 @@
 
 void PromptLocator::OnStreamAt(std::string_view prompt_parts,
                                std::string_view endpoint_id) {
-  m_own.Add(HashPrompt(prompt_parts), endpoint_id, m_loop->Now());
+  const PromptHash prompt = HashPrompt(prompt_parts);
+  m_own.Add(prompt, endpoint_id, m_loop->Now());
+  m_news.Add(prompt, endpoint_id, m_loop->Now());
+  ScheduleWrite();
+}
+
+void PromptLocator::OnHandedOver(std::string_view row) {
+  m_own.Update(row, m_loop->Now());
   ScheduleWrite();
 }
 
 void PromptLocator::Find(
     std::string_view prompt_parts,
     std::function<void(const std::string& endpoint_id)> callback) {
-  const PromptHash prompt = HashPrompt(prompt_parts);
+  Find(HashPrompt(prompt_parts), std::move(callback));
+}
+
+void PromptLocator::Find(
+    PromptHash prompt,
+    std::function<void(const std::string& endpoint_id)> callback) {
   const std::string known = FindKnown(prompt);
   const bool is_fresh =
       m_is_loaded && m_loop->Now() - m_read_at < kPromptTableFreshness;
@@ -46,6 +58,10 @@
     callback(known);
     return;
   }
+  if (!m_hooks.is_reader()) {
+    m_hooks.ask(prompt, std::move(callback));
+    return;
+  }
   m_lookups.push_back({.prompt = prompt, .callback = std::move(callback)});
   if (!m_lookup_timer.is_valid()) {
     m_lookup_timer = m_loop->Schedule(kPromptLookupTimeout, [this] {
@@ -106,19 +122,40 @@
   }
   const Duration since = m_loop->Now() - m_written_at;
   m_write_timer = m_loop->Schedule(
-      std::max(m_write_interval() - since, Duration{0}), [this] {
+      std::max(m_hooks.interval() - since, Duration{0}), [this] {
         m_write_timer = TimerHandle();
-        WriteRow();
+        Publish();
       });
 }
 
-void PromptLocator::WriteRow() {
+void PromptLocator::Publish() {
   m_written_at = m_loop->Now();
+  if (m_hooks.is_reader()) {
+    WriteRow();
+  } else if (m_news.size() > 0) {
+    HandOver();
+  }
+}
+
+void PromptLocator::HandOver() {
+  std::string row = m_news.Encode();
+  m_news = {};
+  m_hooks.hand_over(row, [weak = std::weak_ptr(m_alive), row](bool taken) {
+    const auto self = weak.lock();
+    if (self && !taken) {
+      (*self)->m_news.Merge(row, (*self)->m_loop->Now());
+      (*self)->ScheduleWrite();
+    }
+  });
+}
+
+void PromptLocator::WriteRow() {
   if (!m_is_loaded) {
     Read();
     ScheduleWrite();
     return;
   }
+  m_news = {};
   m_own.DropOld(m_written_at);
   m_store->Write({.table = kPromptTable,
                   .key = m_name,
--- a/src/relay_message.cc
+++ b/src/relay_message.cc
@@ -60,6 +60,14 @@
       .ReadText(kMaxPeerBodyBytes, message.report);
 }
 
+static void ReadFields(ArrayReader& reader, RelayPrompts& message) {
+  reader.Read(message.sender).ReadText(kMaxPeerBodyBytes, message.row);
+}
+
+static void ReadFields(ArrayReader& reader, RelayPromptQuery& message) {
+  reader.Read(message.sender).Read(message.prompt);
+}
+
 std::string EncodeRelayMessage(const RelayQuery& message) {
   return EncodeArray(message.format, 5, [&](Packer& packer) {
     Pack(packer, message.sender);
@@ -91,6 +99,20 @@
   });
 }
 
+std::string EncodeRelayMessage(const RelayPrompts& message) {
+  return EncodeArray(message.format, 2, [&](Packer& packer) {
+    Pack(packer, message.sender);
+    Pack(packer, message.row);
+  });
+}
+
+std::string EncodeRelayMessage(const RelayPromptQuery& message) {
+  return EncodeArray(message.format, 2, [&](Packer& packer) {
+    Pack(packer, message.sender);
+    packer.pack_uint64(message.prompt);
+  });
+}
+
 template <typename Message>
 std::optional<Message> DecodeRelayMessage(std::string_view bytes,
                                           Reason* error) {
@@ -104,4 +126,9 @@
 template std::optional<RelayEvidence> DecodeRelayMessage(std::string_view,
                                                          Reason*);
 
+template std::optional<RelayPrompts> DecodeRelayMessage(std::string_view,
+                                                        Reason*);
+template std::optional<RelayPromptQuery> DecodeRelayMessage(std::string_view,
+                                                            Reason*);
+
 }  // namespace bramleybank
--- a/src/relay_message.h
+++ b/src/relay_message.h
@@ -1,5 +1,5 @@
 // Messages by which a gateway reads tables of the metadata store from another
-// gateway, and hands over what it has seen of a rollout.
+// gateway, and hands over what it has seen of a rollout and of its streams.
 #ifndef BRAMLEYBANK_SRC_RELAY_MESSAGE_H_
 #define BRAMLEYBANK_SRC_RELAY_MESSAGE_H_
 
@@ -21,6 +21,8 @@
 // Paths of the requests on the peer port.
 inline constexpr char kPathRelayRows[] = "/relay/rows";
 inline constexpr char kPathRelayEvidence[] = "/relay/evidence";
+inline constexpr char kPathRelayPrompts[] = "/relay/prompts";
+inline constexpr char kPathRelayPromptQuery[] = "/relay/prompt-query";
 
 /// Asks for the rows of a table, or waits for changes of them.
 struct RelayQuery {
@@ -76,9 +78,33 @@
   friend bool operator==(const RelayEvidence&, const RelayEvidence&) = default;
 };
 
+/// Engines that have read the prompts of a gateway's streams since its last
+/// hand-over.
+struct RelayPrompts {
+  uint32_t format = kRelayFormatVersion;
+  std::string sender = {};
+  /// In the form of a row; see prompt_locations.h.
+  std::string row = {};
+
+  friend bool operator==(const RelayPrompts&, const RelayPrompts&) = default;
+};
+
+/// Asks which engine has read a prompt. The answer is the id of the engine;
+/// empty when none is known.
+struct RelayPromptQuery {
+  uint32_t format = kRelayFormatVersion;
+  std::string sender = {};
+  uint64_t prompt = 0;
+
+  friend bool operator==(const RelayPromptQuery&,
+                         const RelayPromptQuery&) = default;
+};
+
 std::string EncodeRelayMessage(const RelayQuery& message);
 std::string EncodeRelayMessage(const RelayAnswer& message);
 std::string EncodeRelayMessage(const RelayEvidence& message);
+std::string EncodeRelayMessage(const RelayPrompts& message);
+std::string EncodeRelayMessage(const RelayPromptQuery& message);
 
 /// Decodes bytes from another gateway. Never throws; memory is bounded by
 /// kMaxPeerBodyBytes and kMaxPeerMessageItems.
--- a/tests/unit_prompt_locator.cc
+++ b/tests/unit_prompt_locator.cc
@@ -4,7 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bramleybank/limits.h"
@@ -94,7 +96,27 @@
   EventLoop loop;
   FakeStore store;
   std::vector<std::string> found;
-  PromptLocator locator{&loop, &store, "g1", [] { return Duration{0}; }};
+  bool is_reader = true;
+  bool takes_rows = true;
+  std::vector<std::string> handed_over;
+  std::vector<PromptHash> asked;
+  PromptLocator locator{
+      &loop,
+      &store,
+      "g1",
+      {.interval = [] { return Duration{0}; },
+       .is_reader = [this] { return is_reader; },
+       .hand_over =
+           [this](std::string row, std::function<void(bool)> callback) {
+             handed_over.push_back(std::move(row));
+             callback(takes_rows);
+           },
+       .ask =
+           [this](PromptHash prompt,
+                  std::function<void(const std::string&)> callback) {
+             asked.push_back(prompt);
+             callback("e9");
+           }}};
 };
 
 std::string RowOf(const std::string& prompt_parts, const std::string& id) {
@@ -157,5 +179,39 @@
   CHECK(fixture.found.size() == 1);
 }
 
+// Guards against calls to the store that grow with the gateways of a domain,
+// and against prompts that are lost with a hand-over.
+TEST_CASE("a gateway that does not read the store uses one that does") {
+  Fixture fixture;
+  fixture.is_reader = false;
+  fixture.takes_rows = false;
+  fixture.locator.OnStreamAt("a:1", "e1");
+  fixture.RunFor(kTurn);
+  fixture.takes_rows = true;
+  fixture.RunFor(4 * kTurn);
+  REQUIRE(fixture.handed_over.size() >= 2);
+  CHECK(fixture.handed_over.back() == RowOf("a:1", "e1"));
+  const size_t taken = fixture.handed_over.size();
+  fixture.RunFor(2 * kTurn);
+  CHECK(fixture.handed_over.size() == taken);
+  fixture.Find("a:1");
+  fixture.Find("b:1");
+  CHECK(fixture.found == std::vector<std::string>{"e1", "e9"});
+  CHECK(fixture.asked == std::vector<PromptHash>{HashPrompt("b:1")});
+  CHECK(fixture.store.calls.empty());
+  CHECK(fixture.store.writes.empty());
+}
+
+// Guards against a relay that keeps the engine that a stream has left.
+TEST_CASE("what is handed over replaces what was known") {
+  Fixture fixture;
+  fixture.locator.Start();
+  fixture.Answer({});
+  fixture.locator.OnHandedOver(RowOf("a:1", "e1"));
+  fixture.locator.OnHandedOver(RowOf("a:1", "e2"));
+  fixture.Find("a:1");
+  CHECK(fixture.found == std::vector<std::string>{"e2"});
+}
+
 }  // namespace
 }  // namespace bramleybank
