Do not copy a prompt from an engine of another version

Cause: during a rollout a stream could go to an engine of one version with a prompt that another version's weights have read. Change: an engine is named as source only if service and version are the same; two parameters that the linter named are references. Measured: the new case of unit_gateway passes; no play.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -259,7 +259,10 @@
     attempt.restore = m_backup.Name();
   }
   const EndpointRecord* location = PromptLocation();
-  if (!restores && location != nullptr && location != &endpoint) {
+  // What other weights have made of the prompt is of no use.
+  if (!restores && location != nullptr && location != &endpoint &&
+      location->entry.service == endpoint.entry.service &&
+      location->entry.version == endpoint.entry.version) {
     attempt.prompt_source = location->entry.address;
   }
   if (is_stream() && HasBackup()) {
--- a/src/gateway_relay.cc
+++ b/src/gateway_relay.cc
@@ -120,7 +120,7 @@
   } else if (path == kPathRelayPrompts) {
     reply(TakePrompts(body), {});
   } else if (path == kPathRelayPromptQuery) {
-    AnswerPromptQuery(body, std::move(reply));
+    AnswerPromptQuery(body, reply);
   } else {
     m_metrics->Count(kRelayAnswersMetric, "result", "unknown_path");
     reply(kStatusUnknownPath, {});
@@ -165,7 +165,7 @@
 
 void GatewayRelay::AnswerPromptQuery(
     std::string_view body,
-    std::function<void(int status, std::string body)> reply) {
+    const std::function<void(int status, std::string body)>& reply) {
   int status = kStatusOk;
   const auto query = Accept<RelayPromptQuery>(body, &status);
   if (!query) {
@@ -181,7 +181,7 @@
     const char* path,
     Message message,
     Duration timeout,
-    std::function<void(const std::string* body)> callback) {
+    const std::function<void(const std::string* body)>& callback) {
   const RowSource relay = m_choice.Sources().front();
   if (relay.is_store()) {
     callback(nullptr);
--- a/src/gateway_relay.h
+++ b/src/gateway_relay.h
@@ -98,17 +98,18 @@
   int TakePrompts(std::string_view body);
   void AnswerPromptQuery(
       std::string_view body,
-      std::function<void(int status, std::string body)> reply);
+      const std::function<void(int status, std::string body)>& reply);
   /// @returns the message if it can be read and a known gateway has sent it.
   /// @param status set to that of the reply.
   template <typename Message>
   std::optional<Message> Accept(std::string_view body, int* status);
   /// Sends a message to the best relay; without one the call fails at once.
   template <typename Message>
-  void SendToRelay(const char* path,
-                   Message message,
-                   Duration timeout,
-                   std::function<void(const std::string* body)> callback);
+  void SendToRelay(
+      const char* path,
+      Message message,
+      Duration timeout,
+      const std::function<void(const std::string* body)>& callback);
 
   MetricRegistry* m_metrics;
   const GatewayMember m_self;
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -482,6 +482,31 @@
         std::string::npos);
 }
 
+// Guards against a stream that mixes what two versions have made.
+TEST_CASE("a prompt is not copied from an engine of another version") {
+  Fixture fixture({{{.bytes = kRest}}, {{.bytes = kNotRun}}}, kEngineConfig);
+  fixture.store.Answer(
+      "servers",
+      {.result = StoreResult::kOk,
+       .rows = {{.key = "e1",
+                 .value = R"({"service":"app","state":"ready","slots":4,)"
+                          R"("version":"v2","zone":"far","address":")" +
+                          fixture.endpoints[1]->address() + "\"}",
+                 .version = 10}},
+       .version = 10});
+  PromptLocations locations;
+  locations.Add(HashPrompt("a:200,b:5000"), "e1", TimePoint{});
+  fixture.store.Answer(kPromptTable,
+                       {.result = StoreResult::kOk,
+                        .rows = {{.key = "g2", .value = locations.Encode()}}});
+  fixture.Send("POST /write/x", "good", kReturn);
+  fixture.WaitForAnswer("0\r\n\r\n");
+  CHECK(fixture.endpoints[1]->requests().size() == 1);
+  REQUIRE(fixture.endpoints[0]->requests().size() == 1);
+  CHECK(fixture.endpoints[0]->requests()[0].find("Kv-Fetch") ==
+        std::string::npos);
+}
+
 // Guards against a caller that waits for a store that does not answer.
 TEST_CASE("a caller that comes back is served without the store") {
   Fixture fixture({{{.bytes = kRest}}}, kEngineConfig);
