Refuse prompts at a gateway that does not read the store

A gateway that is no relay by its own list answered a hand-over of prompts as taken and lost it, and passed a question on to the gateway that it took for a relay; gateways whose lists differ could ask one another in a circle. Change: both paths answer 409, so the sender keeps its prompts and its caller is served without a lookup.

--- a/src/gateway_relay.cc
+++ b/src/gateway_relay.cc
@@ -157,10 +157,15 @@
 
 int GatewayRelay::TakePrompts(std::string_view body) {
   int status = kStatusOk;
-  if (const auto prompts = Accept<RelayPrompts>(body, &status)) {
-    m_hooks.on_prompts(prompts->row);
+  const auto prompts = Accept<RelayPrompts>(body, &status);
+  if (!prompts) {
+    return status;
   }
-  return status;
+  if (!m_choice.IsReader()) {
+    return kStatusConflict;
+  }
+  m_hooks.on_prompts(prompts->row);
+  return kStatusOk;
 }
 
 void GatewayRelay::AnswerPromptQuery(
@@ -172,6 +177,11 @@
     reply(status, {});
     return;
   }
+  // Gateways whose lists differ could ask one another in a circle.
+  if (!m_choice.IsReader()) {
+    reply(kStatusConflict, {});
+    return;
+  }
   m_hooks.on_prompt_query(
       query->prompt, [reply](const std::string& id) { reply(kStatusOk, id); });
 }
--- a/src/prompt_locations.cc
+++ b/src/prompt_locations.cc
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdio>
 #include <optional>
 #include <utility>
 
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -449,15 +449,20 @@
 const std::string kRest =
     kStreamHead + Chunk(Event(4)) + Chunk(Event(5)) + "0\r\n\r\n";
 
+/// Answers the read at the start: the engine has read the prompt of kReturn.
+void AnswerPromptRead(FakeStore* store, const std::string& engine) {
+  PromptLocations locations;
+  locations.Add(HashPrompt("a:200,b:5000"), engine, TimePoint{});
+  store->Answer(kPromptTable,
+                {.result = StoreResult::kOk,
+                 .rows = {{.key = "g2", .value = locations.Encode()}}});
+}
+
 // Guards against a prompt that is read again because the caller came back to
 // another gateway.
 TEST_CASE("a caller that comes back goes on where its prompt was read") {
   Fixture fixture({{{.bytes = kRest}}, {{.bytes = kRest}}}, kEngineConfig);
-  PromptLocations locations;
-  locations.Add(HashPrompt("a:200,b:5000"), "e1", TimePoint{});
-  fixture.store.Answer(kPromptTable,
-                       {.result = StoreResult::kOk,
-                        .rows = {{.key = "g2", .value = locations.Encode()}}});
+  AnswerPromptRead(&fixture.store, "e1");
   fixture.Send("POST /write/x", "good", kReturn);
   fixture.WaitForAnswer("0\r\n\r\n");
   CHECK(fixture.endpoints[0]->requests().empty());
@@ -469,11 +474,7 @@
 // Guards against the same when that engine has no room.
 TEST_CASE("another engine copies the prompt from the one that has read it") {
   Fixture fixture({{{.bytes = kRest}}, {{.bytes = kNotRun}}}, kEngineConfig);
-  PromptLocations locations;
-  locations.Add(HashPrompt("a:200,b:5000"), "e1", TimePoint{});
-  fixture.store.Answer(kPromptTable,
-                       {.result = StoreResult::kOk,
-                        .rows = {{.key = "g2", .value = locations.Encode()}}});
+  AnswerPromptRead(&fixture.store, "e1");
   fixture.Send("POST /write/x", "good", kReturn);
   fixture.WaitForAnswer("0\r\n\r\n");
   REQUIRE(fixture.endpoints[0]->requests().size() == 1);
@@ -494,11 +495,7 @@
                           fixture.endpoints[1]->address() + "\"}",
                  .version = 10}},
        .version = 10});
-  PromptLocations locations;
-  locations.Add(HashPrompt("a:200,b:5000"), "e1", TimePoint{});
-  fixture.store.Answer(kPromptTable,
-                       {.result = StoreResult::kOk,
-                        .rows = {{.key = "g2", .value = locations.Encode()}}});
+  AnswerPromptRead(&fixture.store, "e1");
   fixture.Send("POST /write/x", "good", kReturn);
   fixture.WaitForAnswer("0\r\n\r\n");
   CHECK(fixture.endpoints[1]->requests().size() == 1);
