--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -199,6 +199,29 @@
   }
 }
 
+bool EndpointDirectory::OnRateLimit(std::string_view id,
+                                    double requests_per_second,
+                                    TimePoint stated_at) {
+  EndpointRecord* record = FindMutable(id);
+  if (record == nullptr || stated_at < record->rate_limit_stated_at) {
+    return false;
+  }
+  record->rate_limit_stated_at = stated_at;
+  const auto previous = std::exchange(record->rate_limit, requests_per_second);
+  return previous != record->rate_limit;
+}
+
+bool EndpointDirectory::OnNoRateLimit(std::string_view id, TimePoint sent_at) {
+  EndpointRecord* record = FindMutable(id);
+  if (record == nullptr || !record->rate_limit ||
+      sent_at < record->rate_limit_stated_at) {
+    return false;
+  }
+  record->rate_limit.reset();
+  record->rate_limit_stated_at = m_clock();
+  return true;
+}
+
 bool EndpointDirectory::IsPaused(const EndpointRecord& record) const {
   return record.paused_until && *record.paused_until > m_clock();
 }
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -43,6 +43,11 @@
   /// The endpoint has announced in an answer that it is stopping, whatever the
   /// state in its entry. Stays set until the endpoint restarts.
   bool is_leaving = false;
+  /// Requests per second that the endpoint takes from all gateways together;
+  /// empty while its answers state no limit.
+  std::optional<double> rate_limit;
+  /// When the endpoint last stated a limit, or that there is none any more.
+  TimePoint rate_limit_stated_at;
   /// Other endpoints are preferred until then.
   std::optional<TimePoint> suspect_until;
   /// When the entry disappeared from the store; empty while it is there.
@@ -88,6 +93,18 @@
   bool OnLeaving(std::string_view id);
   /// The endpoint has refused a request and asked for no more during `pause`.
   void OnPause(std::string_view id, Duration pause);
+  /// The endpoint has stated in an answer how many requests per second it
+  /// takes.
+  /// @param stated_at when the answer arrived; older statements are ignored.
+  /// @returns whether that is new to this gateway.
+  bool OnRateLimit(std::string_view id,
+                   double requests_per_second,
+                   TimePoint stated_at);
+  /// The endpoint has answered without stating a limit.
+  /// @param sent_at when its request was sent. An answer to a request that is
+  /// older than the last statement may be older than the limit.
+  /// @returns whether that ends a limit.
+  bool OnNoRateLimit(std::string_view id, TimePoint sent_at);
   /// All streams of a service in a failure domain have stopped sending events.
   void MarkDomainSuspect(std::string_view service, std::string_view domain);
 
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -220,6 +220,10 @@
   m_attempt_has_event = false;
   m_tried_endpoints.push_back(m_endpoint.id);
   ++m_sends;
+  if (endpoint.rate_limit) {
+    m_context->metrics->Count("bramleybank_sends_to_limited_total", "attempt",
+                              m_sends > 1 ? "repeat" : "first");
+  }
   std::string message = RenderRequest(endpoint, from_backup);
   m_context->directory->OnAttemptStarted(m_endpoint.id);
   if (is_stream()) {
@@ -320,6 +324,32 @@
         .Field("pause_ms", Milliseconds(*m_answer.retry_after));
     m_context->metrics->Count("bramleybank_endpoint_pauses_total");
   }
+  UpdateRateLimit();
+}
+
+void GatewayExchange::UpdateRateLimit() {
+  EndpointDirectory* directory = m_context->directory;
+  // A late second answer may be older than the limit, and an answer without the
+  // endpoint's own mark may come from elsewhere.
+  const bool is_current =
+      (m_answer.has_seal || m_answer.not_run) && !m_answer.has_other_request_id;
+  bool changed = false;
+  if (m_answer.rate_limit) {
+    changed = directory->OnRateLimit(m_endpoint.id, *m_answer.rate_limit,
+                                     m_context->loop->Now());
+  } else if (!m_answer.states_rate_limit && is_current) {
+    changed = directory->OnNoRateLimit(m_endpoint.id, m_attempt_start);
+  }
+  if (!changed) {
+    return;
+  }
+  LogLine(LogEventId::kEndpointLimited)
+      .Field("endpoint", m_endpoint.id)
+      .Field("id", m_metadata.request_id)
+      .Field("limited", m_answer.rate_limit ? 1 : 0)
+      .Field("per_second", std::to_string(m_answer.rate_limit.value_or(0)));
+  m_context->metrics->Count("bramleybank_endpoint_limits_total", "change",
+                            m_answer.rate_limit ? "stated" : "ended");
 }
 
 void GatewayExchange::OnBody(std::string_view data) {
@@ -568,6 +598,7 @@
         .Field("endpoint", m_endpoint.id)
         .Field("status", m_head.status)
         .Field("sends", m_sends)
+        .Field("limited", m_answer.rate_limit ? 1 : 0)
         .Field("events", static_cast<long long>(m_events_forwarded))
         .Field("first_event_ms", Milliseconds(m_first_event_delay))
         .Field("longest_gap_ms", Milliseconds(m_longest_gap))
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -100,6 +100,7 @@
   void OnHead(const Http1Head& head);
   /// Updates the directory with what the answer says about its endpoint.
   void UpdateEndpointState();
+  void UpdateRateLimit();
   void OnBody(std::string_view data);
   void OnAttemptEnd(AttemptEnd end);
   void OnAnswerComplete();
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -106,6 +106,10 @@
   /// The endpoint refused the request and must get no requests from this
   /// gateway for this time.
   std::optional<Duration> retry_after;
+  /// The endpoint limits the rate of its requests, readable or not.
+  bool states_rate_limit = false;
+  /// Requests per second that the endpoint takes from all gateways together.
+  std::optional<double> rate_limit;
   /// Id of the endpoint that answered; empty when not given.
   std::string endpoint_id;
 
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -99,6 +99,8 @@
      "work."},
     {kEndpointPaused, "endpoint_paused", kInfo,
      "An endpoint has refused a request; it gets none for a while."},
+    {kEndpointLimited, "endpoint_limited", kInfo,
+     "An endpoint has limited the rate of its requests, or ended a limit."},
 };
 
 /// Limit of the buffer for lines that the reader of standard output has not
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -57,6 +57,7 @@
   kEndpointsRead = 711,
   kEndpointLeaving = 712,
   kEndpointPaused = 713,
+  kEndpointLimited = 714,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/tests/unit_endpoint_directory.cc
+++ b/tests/unit_endpoint_directory.cc
@@ -240,5 +240,32 @@
   CHECK(fixture.picker.PickForBackup(*primary)->entry.failure_domain == "c");
 }
 
+// Guards against an answer that overtook others on its way and ends a limit
+// that is in force.
+TEST_CASE("a rate limit ends with an answer to a later request only") {
+  Fixture fixture(1);
+  const auto limit = [&] { return fixture.directory.Find("a0")->rate_limit; };
+  CHECK(fixture.directory.OnRateLimit("a0", 5.9, fixture.now));
+  CHECK_FALSE(fixture.directory.OnRateLimit("a0", 5.9, fixture.now));
+  CHECK_FALSE(fixture.directory.OnNoRateLimit("a0", fixture.now - seconds(1)));
+  CHECK(limit() == 5.9);
+  fixture.now += seconds(1);
+  CHECK(fixture.directory.OnNoRateLimit("a0", fixture.now));
+  CHECK_FALSE(limit().has_value());
+  CHECK_FALSE(fixture.directory.OnRateLimit("a0", 4, fixture.now - seconds(1)));
+  CHECK_FALSE(fixture.directory.OnNoRateLimit("a0", fixture.now));
+}
+
+// Guards against a limit of an endpoint that is applied to its next
+// incarnation.
+TEST_CASE("a restarted endpoint has no rate limit") {
+  Fixture fixture(1);
+  fixture.directory.OnRateLimit("a0", 5.9, fixture.now);
+  EndpointEntry restarted = MakeEntry("a0", "a", "a0:1");
+  restarted.start_time_ms = 1;
+  fixture.directory.Update(restarted);
+  CHECK_FALSE(fixture.directory.Find("a0")->rate_limit.has_value());
+}
+
 }  // namespace
 }  // namespace bramleybank
--- a/tests/unit_platform_adapter.cc
+++ b/tests/unit_platform_adapter.cc
@@ -184,6 +184,25 @@
   CHECK_FALSE(leaves({}));
 }
 
+// Guards against a malformed limit that is taken for none, which would end a
+// limit that is still in force.
+TEST_CASE(
+    "Server-Limit is decoded, and a malformed one is not taken for none") {
+  const GatewayCodec codec = MakeGatewayCodec();
+  const auto decode = [&](int status, const std::string& text) {
+    const Http1Head head{.status = status, .headers = {{"server-limit", text}}};
+    return codec.decode_answer(head, "r");
+  };
+  CHECK(decode(200, "5.9").rate_limit == 5.9);
+  CHECK(decode(503, "120").rate_limit == 120);
+  CHECK(decode(500, "0").rate_limit == 0);
+  for (const std::string text : {"", "-3", "nan", "inf", "few", "5/s"}) {
+    CHECK_FALSE(decode(200, text).rate_limit.has_value());
+    CHECK(decode(200, text).states_rate_limit);
+  }
+  CHECK_FALSE(codec.decode_answer({.status = 200}, "r").states_rate_limit);
+}
+
 TEST_CASE("not-run, misdirected and sealed answers are recognized") {
   const GatewayCodec codec = MakeGatewayCodec();
   Http1Head head{.status = 421, .headers = {{"Request-Id", "other"}}};
