Test: gateways together keep the rate limit that an endpoint states

Fails on this code and stands in KNOWN-RED.txt until its fix: seven gateways with uneven load send 719 requests within 4 s to a server with a limit of 6 a second; 41 are allowed.

make test passes over the tests that KNOWN-RED.txt names as 'Test: ctest NAME'.

--- a/makefile
+++ b/makefile
@@ -17,8 +17,10 @@
 run: build
 	@BUILD=$(BUILD) KEEP=$(KEEP) scripts/run-demo.sh
 
+# Passes over the tests that KNOWN-RED.txt lists as `Test: ctest NAME`.
 test: build
-	@cd $(BUILD) && ctest --output-on-failure -j 4
+	@known_red=$$(scripts/known-red.sh) && cd $(BUILD) && \
+	  ctest --output-on-failure -j 4 -E "$$known_red"
 
 # SEEDS (number of seeds), FIRST (first seed) and SECONDS (duration of a seed)
 # select the run; see tests/soak_gateway.cc.
--- /dev/null
+++ b/tests/process_endpoint_limit.cc
@@ -0,0 +1,89 @@
+// Real gateways in front of servers that limit the rate of their requests.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "wire_deployment.h"
+
+namespace bramleybank::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWindow{4000};
+constexpr double kLimit = 6;
+// The users' bound for a window: one and a half times the limit, and 5.
+constexpr int kMostInWindow = static_cast<int>(1.5 * kLimit * 4) + 5;
+constexpr int kCallers = 14;
+// Some 6 s of the load below, so that a window lies within it.
+constexpr int kCallsUnderLimit = 2500;
+
+/// Idempotent calls from several callers at once. Half of them use gateway 0,
+/// as a load balancer may spread its connections unevenly.
+class UnevenLoad {
+ public:
+  explicit UnevenLoad(const WireDeployment* site) : m_site(site) {
+    for (int caller = 0; caller < kCallers; ++caller) {
+      const int gateway = caller % 2 == 0 ? 0 : caller % site->gateway_count();
+      m_threads.emplace_back([this, caller, gateway] { Run(caller, gateway); });
+    }
+  }
+  ~UnevenLoad() { Stop(); }
+  UnevenLoad(const UnevenLoad&) = delete;
+  UnevenLoad& operator=(const UnevenLoad&) = delete;
+
+  void Stop() {
+    m_is_stopping = true;
+    for (std::thread& thread : m_threads) {
+      thread.join();
+    }
+    m_threads.clear();
+  }
+  int answered() const { return m_served + m_refused + m_failed; }
+  int refused() const { return m_refused; }
+  int failed() const { return m_failed; }
+
+ private:
+  void Run(int caller, int gateway) {
+    for (int i = 0; !m_is_stopping; ++i) {
+      const int status =
+          m_site
+              ->Call(gateway, "GET", "/reads/x",
+                     "c" + std::to_string(caller) + "-" + std::to_string(i))
+              .status;
+      ++(status == 200 ? m_served : status == 503 ? m_refused : m_failed);
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  }
+
+  const WireDeployment* m_site;
+  std::atomic<bool> m_is_stopping = false;
+  std::atomic<int> m_served = 0;
+  std::atomic<int> m_refused = 0;
+  std::atomic<int> m_failed = 0;
+  std::vector<std::thread> m_threads;
+};
+
+// Guards against gateways that together send an endpoint more requests than the
+// limit that it states in its answers.
+TEST_CASE("gateways together keep the rate limit that an endpoint states") {
+  const WireDeployment site({.domains = 1,
+                             .gateways_per_domain = 7,
+                             .engines_per_domain = 1,
+                             .applications_per_domain = 3});
+  site.ControlApplication(0, {{"rate_limit", "6.0"}});
+  UnevenLoad load(&site);
+  WaitUntil("calls under the limit",
+            [&] { return load.answered() >= kCallsUnderLimit; });
+  load.Stop();
+  CHECK(site.MostArrivalsUnderLimit(0, kWindow) <= kMostInWindow);
+  CHECK(load.failed() == 0);
+  CHECK(load.refused() == 0);
+}
+
+}  // namespace
+}  // namespace bramleybank::testing
--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "store_rows.h"
 #include "wire_names.h"
 
@@ -316,6 +318,26 @@
   return record.at("arrivals").get<int>();
 }
 
+int WireDeployment::MostArrivalsUnderLimit(
+    int i,
+    std::chrono::milliseconds window) const {
+  // A gateway may still send what it chose before it was told.
+  constexpr int64_t kNoticeMs = 500;
+  const json record =
+      json::parse(Send("GET", ApplicationUrl(i, "/standin/runs")).body);
+  const auto stated_ms = record.at("limit_stated_ms").get<int64_t>();
+  REQUIRE(stated_ms > 0);
+  std::vector<int64_t> arrivals = record.at("arrivals_ms");
+  std::erase_if(arrivals,
+                [&](int64_t ms) { return ms < stated_ms + kNoticeMs; });
+  std::ptrdiff_t most = 0;
+  for (auto it = arrivals.begin(); it != arrivals.end(); ++it) {
+    const auto end = std::upper_bound(it, arrivals.end(), *it + window.count());
+    most = std::max(most, end - it);
+  }
+  return static_cast<int>(most);
+}
+
 bool WireDeployment::HasRunAtApplication(int i,
                                          const std::string& request_id) const {
   const HttpAnswer record = Send("GET", ApplicationUrl(i, "/standin/runs"));
--- a/tests/wire_deployment.h
+++ b/tests/wire_deployment.h
@@ -3,6 +3,7 @@
 #ifndef BRAMLEYBANK_TESTS_WIRE_DEPLOYMENT_H_
 #define BRAMLEYBANK_TESTS_WIRE_DEPLOYMENT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -78,6 +79,10 @@
   /// @returns how many requests have reached the application, including refused
   /// ones.
   int ArrivalsAtApplication(int i) const;
+  /// @returns the largest number of requests that have reached the application
+  /// within `window`, counted from half a second after it first stated the
+  /// current limit.
+  int MostArrivalsUnderLimit(int i, std::chrono::milliseconds window) const;
   bool HasRunAtApplication(int i, const std::string& request_id) const;
   /// @returns the runs of a request on all servers that are up.
   std::vector<nlohmann::json> RunsOf(const std::string& request_id) const;
