Share the rate limits of endpoints among gateways through permits

Cause: gateways read what an endpoint says of leaving and pausing, but not its rate limit, and had no way to keep a bound that applies to all of them together.

Change: every request to a limited endpoint needs a permit. One gateway per endpoint, found by a hash in the endpoint's failure domain, issues them from a token bucket; the others ask it over the peer port when they have requests, so the split follows the load. Without an issuer each gateway takes an even part. Permits expire, so none are saved up. Backups and copy requests avoid limited engines. The end of a limit is passed on through the issuer. When all endpoints are at their limits, callers are refused at once with Retry-After (endpoints_limited).

Considered: an even part for each gateway. With hundreds of gateways it is a fraction of one request, and under uneven load most of it is unused; it remains as the fallback.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -254,6 +254,34 @@
 /// Retry-After for callers when all endpoints are busy or none is known.
 inline constexpr std::chrono::milliseconds kBusyRetryAfter{300};
 
+// Gateway: endpoints that limit the rate of their requests.
+/// Share of a limit for which permits are issued. Two gateways that issue
+/// permits of one endpoint for a moment exceed the limit by less than a half.
+inline constexpr double kPermitRateShare = 0.7;
+/// Permits per second however low the limit is: only the answer to a request
+/// tells that a limit has ended.
+inline constexpr double kMinPermitRate = 0.1;
+/// A permit that is not used within this time is lost.
+inline constexpr std::chrono::milliseconds kPermitLifetime{500};
+/// Permits that an issuer saves up while no gateway asks, at least one.
+inline constexpr std::chrono::milliseconds kMaxPermitAccumulation{250};
+inline constexpr uint32_t kMaxPermitsPerQuery = 64;
+/// Bounds of the time after which a gateway that got no permit asks again. It
+/// grows with the number of gateways that ask, which bounds their queries.
+inline constexpr std::chrono::milliseconds kMinPermitRetryDelay{50};
+inline constexpr std::chrono::milliseconds kMaxPermitRetryDelay{4000};
+/// Endpoints of which one gateway issues permits.
+inline constexpr size_t kMaxPermitBuckets = 4096;
+/// Gateways that may issue the permits of an endpoint; the second one does so
+/// while the first does not answer.
+inline constexpr size_t kPermitIssuers = 2;
+inline constexpr std::chrono::milliseconds kPermitQueryTimeout{300};
+inline constexpr std::chrono::seconds kPermitIssuerPause{5};
+/// Interval at which a gateway without an issuer draws its part of a limit.
+inline constexpr std::chrono::milliseconds kEvenSharePeriod{1000};
+/// Longest time that a request waits for a permit while no endpoint may get it.
+inline constexpr std::chrono::milliseconds kMaxPermitWait{500};
+
 // Gateway: locations of processed prompts.
 /// Engines keep a processed prompt for about this long under the usual load.
 inline constexpr std::chrono::seconds kPromptLocationLifetime{30};
--- a/include/bramleybank/result_code.h
+++ b/include/bramleybank/result_code.h
@@ -34,6 +34,7 @@
   kNoEndpoint = 2006,
   kRetryBudgetExhausted = 2007,
   kExpectedTooLate = 2008,
+  kEndpointsLimited = 2009,
   kEngineUnreachable = 3001,
   kAttemptsExhausted = 3002,
   kResumeImpossible = 3003,
--- a/src/endpoint_picker.cc
+++ b/src/endpoint_picker.cc
@@ -1,4 +1,6 @@
-// All costs are in units of one request in flight at the endpoint.
+// A backup is not held by an engine with a rate limit, at which the run could
+// not be resumed at once. All costs are in units of one request in flight at
+// the endpoint.
 #include "endpoint_picker.h"
 
 #include <algorithm>
@@ -7,6 +9,7 @@
 #include <utility>
 
 #include "endpoint_directory.h"
+#include "endpoint_limiter.h"
 
 namespace bramleybank {
 namespace {
@@ -43,6 +46,10 @@
     }
   }
   const EndpointRecord* best() const { return m_best; }
+  bool IsCheaperThan(const CheapestCandidate& other) const {
+    return m_best != nullptr &&
+           (other.m_best == nullptr || m_cost < other.m_cost);
+  }
 
  private:
   const RandomHook* m_random;
@@ -54,9 +61,11 @@
 }  // namespace
 
 EndpointPicker::EndpointPicker(const EndpointDirectory* directory,
+                               const EndpointLimiter* limiter,
                                GatewayLocation location,
                                RandomHook random)
     : m_directory(directory),
+      m_limiter(limiter),
       m_location(std::move(location)),
       m_random(std::move(random)) {}
 
@@ -74,17 +83,17 @@
   return query.is_stream ? kOtherRegionStreamCost : kOtherRegionCallCost;
 }
 
-const EndpointRecord* EndpointPicker::PickForAttempt(
+EndpointChoice EndpointPicker::PickForAttempt(
     const EndpointPickQuery& query) const {
-  const EndpointRecord* picked = PickCheapest(query);
-  if (picked != nullptr || query.versions == RolloutRule{}) {
+  const EndpointChoice picked = PickCheapest(query);
+  if (picked.endpoint != nullptr || query.versions == RolloutRule{}) {
     return picked;
   }
   const bool may_use_others =
       query.versions.kind == RolloutRule::Kind::kPreferred ||
       IsOnlyVersion(query);
   if (!may_use_others) {
-    return nullptr;
+    return picked;
   }
   EndpointPickQuery any = query;
   any.versions = {};
@@ -110,10 +119,11 @@
                              });
 }
 
-const EndpointRecord* EndpointPicker::PickCheapest(
+EndpointChoice EndpointPicker::PickCheapest(
     const EndpointPickQuery& query) const {
   CheapestCandidate healthy(&m_random);
   CheapestCandidate suspect(&m_random);
+  CheapestCandidate limited(&m_random);
   const bool is_limited = query.versions.endpoint_share < 1;
   size_t remaining = is_limited ? PreferredLimit(query) : 0;
   for (const EndpointRecord* record :
@@ -133,9 +143,17 @@
         record->open_attempts + (kBackupWeight * record->open_backups);
     const double cost = load + DistanceCost(query, entry.failure_domain) +
                         (kFailureCost * record->failure_share);
-    (m_directory->IsSuspect(*record) ? suspect : healthy).Offer(record, cost);
+    const bool is_suspect = m_directory->IsSuspect(*record);
+    if (m_limiter == nullptr || m_limiter->MaySend(*record)) {
+      (is_suspect ? suspect : healthy).Offer(record, cost);
+    } else if (!is_suspect && m_limiter->MayAsk(*record)) {
+      limited.Offer(record, cost);
+    }
   }
-  return healthy.best() != nullptr ? healthy.best() : suspect.best();
+  return {
+      .endpoint = healthy.best() != nullptr ? healthy.best() : suspect.best(),
+      .needs_permit =
+          limited.IsCheaperThan(healthy) ? limited.best() : nullptr};
 }
 
 const EndpointRecord* EndpointPicker::PickForBackup(
@@ -145,6 +163,7 @@
   for (const EndpointRecord* record :
        m_directory->FindByService(primary.entry.service)) {
     if (!m_directory->IsUsable(*record) || m_directory->IsSuspect(*record) ||
+        record->rate_limit ||
         record->entry.failure_domain == primary.entry.failure_domain ||
         !versions.Allows(record->entry.version)) {
       continue;
--- a/src/endpoint_picker.h
+++ b/src/endpoint_picker.h
@@ -13,6 +13,7 @@
 namespace bramleybank {
 
 class EndpointDirectory;
+class EndpointLimiter;
 struct EndpointRecord;
 
 /// Location of this gateway, and the region of each failure domain.
@@ -35,18 +36,31 @@
   RolloutRule versions;
 };
 
+/// Outcome of a choice.
+struct EndpointChoice {
+  /// The endpoint for an attempt, or null if none is usable.
+  const EndpointRecord* endpoint = nullptr;
+  /// An endpoint that would be better but has a rate limit and no permit, for
+  /// which one may be requested; or null.
+  const EndpointRecord* needs_permit = nullptr;
+
+  friend bool operator==(const EndpointChoice&,
+                         const EndpointChoice&) = default;
+};
+
 /// Picks the endpoint with the lowest cost: its load plus the cost of its
 /// distance. This spreads bursts and the load of lost failure domains by the
 /// requests in flight that this gateway knows of. Requests leave the gateway's
 /// domain once its load exceeds that of another by the cost of the distance.
 class EndpointPicker {
  public:
+  /// @param limiter null when no endpoint limits its rate.
   EndpointPicker(const EndpointDirectory* directory,
+                 const EndpointLimiter* limiter,
                  GatewayLocation location,
                  RandomHook random);
 
-  /// @returns the endpoint for an attempt, or null if none is usable.
-  const EndpointRecord* PickForAttempt(const EndpointPickQuery& query) const;
+  EndpointChoice PickForAttempt(const EndpointPickQuery& query) const;
   /// @returns an engine for the copy of a run at `primary`, or null if there is
   /// none. It is never in the failure domain of `primary`, since domains fail
   /// as a whole.
@@ -55,7 +69,7 @@
                                       const RolloutRule& versions = {}) const;
 
  private:
-  const EndpointRecord* PickCheapest(const EndpointPickQuery& query) const;
+  EndpointChoice PickCheapest(const EndpointPickQuery& query) const;
   /// @returns how many endpoints of the preferred version may get requests.
   size_t PreferredLimit(const EndpointPickQuery& query) const;
   /// @returns whether no endpoint of the service has another version.
@@ -64,6 +78,7 @@
                       std::string_view domain) const;
 
   const EndpointDirectory* m_directory;
+  const EndpointLimiter* m_limiter;
   const GatewayLocation m_location;
   const RandomHook m_random;
 };
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -12,6 +12,7 @@
 #include "bramleybank/limits.h"
 #include "endpoint_adopter.h"
 #include "endpoint_directory.h"
+#include "endpoint_limiter.h"
 #include "endpoint_picker.h"
 #include "event_loop.h"
 #include "gateway_caller.h"
@@ -30,6 +31,7 @@
 #include "log_event.h"
 #include "metadata_store.h"
 #include "metric_registry.h"
+#include "permit_client.h"
 #include "prompt_locator.h"
 #include "rollout_controller.h"
 #include "rollout_records.h"
@@ -113,7 +115,15 @@
   const RandomHook random = MakeRandom();
   MetricRegistry metrics;
   EndpointDirectory directory{clock};
-  EndpointPicker picker{&directory, settings.place, random};
+  EndpointLimiter limiter{&directory,
+                          &metrics,
+                          {.clock = clock,
+                           .ask = [this](const EndpointEntry& endpoint,
+                                         const PermitQuery& query,
+                                         PermitClient::Callback callback) {
+                             permits.Ask(endpoint, query, std::move(callback));
+                           }}};
+  EndpointPicker picker{&directory, &limiter, settings.place, random};
   RetryBudget budget{
       clock, random,
       RetryLimits{.share = settings.retry_share,
@@ -145,7 +155,21 @@
                   std::function<void(const std::string&)> callback) {
              prompts.Find(prompt, std::move(callback));
            },
+       .on_permit_query =
+           [this](const PermitQuery& query) { return permits.Answer(query); },
        .random = random}};
+  PermitClient permits{
+      settings.name,
+      {.clock = clock,
+       .random = random,
+       .members = [this] { return peers.known_members(); },
+       .gateways = [this] { return peers.budget_divisor(); },
+       .call =
+           [this](const GatewayMember& issuer,
+                  const PermitQuery& query,
+                  std::function<void(std::optional<PermitAnswer>)> callback) {
+             relay.QueryPermits(issuer, query, std::move(callback));
+           }}};
   std::shared_ptr<const GatewayConfig> config;
   EndpointAdopter adopter{loop, &codec, &directory, [this] { return config; }};
   RolloutController rollouts{
@@ -210,6 +234,7 @@
       .codec = &codec,
       .directory = &directory,
       .picker = &picker,
+      .limiter = &limiter,
       .budget = &budget,
       .silence = &silence,
       .metrics = &metrics,
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -8,6 +8,7 @@
 
 #include "bramleybank/limits.h"
 #include "endpoint_adopter.h"
+#include "endpoint_limiter.h"
 #include "endpoint_picker.h"
 #include "event_loop.h"
 #include "gateway_caller.h"
@@ -168,17 +169,57 @@
 }
 
 void GatewayExchange::StartNextAttempt() {
-  if (const EndpointRecord* holder = m_backup.UsableHolder()) {
+  const EndpointRecord* holder = m_backup.UsableHolder();
+  if (holder != nullptr && m_context->limiter->MaySend(*holder)) {
     StartAttempt(*holder, /*from_backup=*/true);
     return;
   }
-  const EndpointRecord* endpoint = PickEndpoint();
-  if (endpoint == nullptr) {
-    GiveUp(m_tried_endpoints.empty() ? ResultCode::kNoEndpoint
-                                     : ResultCode::kOverloaded);
+  const EndpointChoice choice = PickEndpoint();
+  const bool is_last_resort = choice.endpoint == nullptr ||
+                              m_context->directory->IsSuspect(*choice.endpoint);
+  if (is_last_resort && choice.needs_permit != nullptr && MayWaitForPermit()) {
+    WaitForPermit(*choice.needs_permit);
     return;
   }
-  StartAttempt(*endpoint, /*from_backup=*/false);
+  if (choice.endpoint != nullptr) {
+    StartAttempt(*RequestBetter(choice), /*from_backup=*/false);
+    return;
+  }
+  if (m_context->limiter->RemainingWait(m_service) &&
+      !m_context->directory->RemainingPause(m_service)) {
+    GiveUp(ResultCode::kEndpointsLimited);
+    return;
+  }
+  GiveUp(m_tried_endpoints.empty() ? ResultCode::kNoEndpoint
+                                   : ResultCode::kOverloaded);
+}
+
+bool GatewayExchange::MayWaitForPermit() {
+  const TimePoint now = m_context->loop->Now();
+  if (!m_permit_wait_end) {
+    m_permit_wait_end = now + kMaxPermitWait;
+  }
+  return now < *m_permit_wait_end;
+}
+
+void GatewayExchange::WaitForPermit(const EndpointRecord& endpoint) {
+  m_context->limiter->Request(endpoint, [weak = std::weak_ptr(m_alive)] {
+    const auto self = weak.lock();
+    if (self && !(*self)->m_is_finished) {
+      (*self)->StartNextAttempt();
+    }
+  });
+}
+
+const EndpointRecord* GatewayExchange::RequestBetter(
+    const EndpointChoice& choice) const {
+  if (choice.needs_permit == nullptr) {
+    return choice.endpoint;
+  }
+  m_context->limiter->Request(*choice.needs_permit, nullptr);
+  // The answer is here already when this gateway issues the permits.
+  return m_context->limiter->MaySend(*choice.needs_permit) ? choice.needs_permit
+                                                           : choice.endpoint;
 }
 
 const EndpointRecord* GatewayExchange::FindPromptEndpoint() const {
@@ -189,7 +230,7 @@
   return is_known ? record : nullptr;
 }
 
-const EndpointRecord* GatewayExchange::PickEndpoint() const {
+EndpointChoice GatewayExchange::PickEndpoint() const {
   const EndpointDirectory& directory = *m_context->directory;
   const RolloutRule versions =
       m_tried_endpoints.empty()
@@ -198,10 +239,11 @@
   const EndpointRecord* known = FindPromptEndpoint();
   if (known != nullptr && directory.IsUsable(*known) &&
       !directory.IsSuspect(*known) && known->entry.service == m_service &&
+      m_context->limiter->MaySend(*known) &&
       versions.Allows(known->entry.version) &&
       std::ranges::find(m_tried_endpoints, known->entry.id) ==
           m_tried_endpoints.end()) {
-    return known;
+    return {.endpoint = known};
   }
   return m_context->picker->PickForAttempt({.service = m_service,
                                             .avoid = &m_tried_endpoints,
@@ -226,6 +268,7 @@
   }
   std::string message = RenderRequest(endpoint, from_backup);
   m_context->directory->OnAttemptStarted(m_endpoint.id);
+  m_context->limiter->OnSend(endpoint);
   if (is_stream()) {
     LogLine(LogEventId::kAttemptStarted)
         .Field("id", m_metadata.request_id)
@@ -350,6 +393,10 @@
       .Field("per_second", std::to_string(m_answer.rate_limit.value_or(0)));
   m_context->metrics->Count("bramleybank_endpoint_limits_total", "change",
                             m_answer.rate_limit ? "stated" : "ended");
+  const EndpointRecord* record = directory->Find(m_endpoint.id);
+  if (!m_answer.rate_limit && record != nullptr) {
+    m_context->limiter->OnLimitEnded(*record);
+  }
 }
 
 void GatewayExchange::OnBody(std::string_view data) {
@@ -558,7 +605,7 @@
   }
   // If endpoints have named a time for the next request, callers get it as
   // Retry-After.
-  Refuse(code, m_context->directory->RemainingPause(m_service).value_or(
+  Refuse(code, m_context->limiter->RemainingWait(m_service).value_or(
                    kBusyRetryAfter));
 }
 
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -26,6 +26,7 @@
 namespace bramleybank {
 
 class EndpointAdopter;
+class EndpointLimiter;
 class EndpointPicker;
 class EventLoop;
 class GatewayCaller;
@@ -34,6 +35,7 @@
 class PromptLocator;
 class RolloutController;
 class StreamSilenceMonitor;
+struct EndpointChoice;
 struct GatewayCodec;
 struct GatewayRoute;
 
@@ -43,6 +45,7 @@
   const GatewayCodec* codec = nullptr;
   EndpointDirectory* directory = nullptr;
   const EndpointPicker* picker = nullptr;
+  EndpointLimiter* limiter = nullptr;
   RetryBudget* budget = nullptr;
   StreamSilenceMonitor* silence = nullptr;
   MetricRegistry* metrics = nullptr;
@@ -89,7 +92,15 @@
   /// @returns the engine that has prefilled the prompt, if it seems to be
   /// alive, or null.
   const EndpointRecord* FindPromptEndpoint() const;
-  const EndpointRecord* PickEndpoint() const;
+  EndpointChoice PickEndpoint() const;
+  /// Requests a permit for an endpoint; the next attempt starts with the
+  /// answer.
+  void WaitForPermit(const EndpointRecord& endpoint);
+  /// Requests a permit for a better endpoint without waiting for the answer.
+  /// @returns the endpoint for the attempt.
+  const EndpointRecord* RequestBetter(const EndpointChoice& choice) const;
+  /// @returns whether the request may wait for a permit.
+  bool MayWaitForPermit();
   void StartAttempt(const EndpointRecord& endpoint, bool from_backup);
   AttemptMetadata DescribeAttempt(const EndpointRecord& endpoint,
                                   bool from_backup);
@@ -163,6 +174,8 @@
   // Number of attempts that may have run the request.
   int m_possible_runs = 0;
   int m_sends = 0;
+  // When the request stops waiting for a permit; empty if it has not waited.
+  std::optional<TimePoint> m_permit_wait_end;
   StreamBackup m_backup;
   // Id of the engine that has prefilled the prompt; empty when unknown.
   std::string m_prompt_endpoint_id;
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -142,6 +142,10 @@
   return members;
 }
 
+std::vector<GatewayMember> GatewayPeers::known_members() const {
+  return m_has_list ? members() : std::vector<GatewayMember>{};
+}
+
 size_t GatewayPeers::budget_divisor() const {
   return m_has_list ? count() : kAssumedPeerCount;
 }
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -51,6 +51,8 @@
   size_t count() const;
   /// @returns the gateways known to be alive, including this one.
   std::vector<GatewayMember> members() const;
+  /// @returns members(), or nothing until the first list has been read.
+  std::vector<GatewayMember> known_members() const;
   /// @returns the number of gateways that share a budget; kAssumedPeerCount
   /// until the first list has been read.
   size_t budget_divisor() const;
--- a/src/gateway_relay.cc
+++ b/src/gateway_relay.cc
@@ -122,6 +122,10 @@
     reply(HandlePrompts(body), {});
   } else if (path == kPathRelayPromptQuery) {
     HandlePromptQuery(body, reply);
+  } else if (path == kPathRelayPermitQuery) {
+    int status = kStatusOk;
+    std::string answer = HandlePermitQuery(body, &status);
+    reply(status, std::move(answer));
   } else {
     m_metrics->Count(kRelayAnswersMetric, "result", "unknown_path");
     reply(kStatusNotFound, {});
@@ -187,6 +191,16 @@
       query->prompt, [reply](const std::string& id) { reply(kStatusOk, id); });
 }
 
+std::string GatewayRelay::HandlePermitQuery(std::string_view body,
+                                            int* status) {
+  const auto message = DecodeFromMember<RelayPermitQuery>(body, status);
+  if (!message) {
+    return {};
+  }
+  return EncodeRelayMessage(
+      RelayPermitAnswer{.answer = m_hooks.on_permit_query(message->query)});
+}
+
 template <typename Message>
 void GatewayRelay::SendToRelay(
     const char* path,
@@ -229,4 +243,21 @@
               });
 }
 
+void GatewayRelay::QueryPermits(
+    const GatewayMember& issuer,
+    const PermitQuery& query,
+    std::function<void(std::optional<PermitAnswer>)> callback) {
+  const RelayPermitQuery message{.sender = m_self.name, .query = query};
+  Call(issuer.peer_address, kPathRelayPermitQuery, EncodeRelayMessage(message),
+       kPermitQueryTimeout,
+       [this, callback = std::move(callback)](const std::string* body) {
+         const auto answer =
+             body ? DecodeRelayMessage<RelayPermitAnswer>(*body) : std::nullopt;
+         if (body && !answer) {
+           ReportMalformedMessage(m_metrics, body->size());
+         }
+         callback(answer ? std::optional(answer->answer) : std::nullopt);
+       });
+}
+
 }  // namespace bramleybank
--- a/src/gateway_relay.h
+++ b/src/gateway_relay.h
@@ -41,6 +41,8 @@
     std::function<void(uint64_t prompt,
                        std::function<void(const std::string& id)> callback)>
         on_prompt_query;
+    /// Another gateway asks for permits of an endpoint.
+    std::function<PermitAnswer(const PermitQuery& query)> on_permit_query;
     RandomHook random;
   };
 
@@ -84,6 +86,12 @@
   void QueryPrompt(uint64_t prompt,
                    std::function<void(const std::string& id)> callback);
 
+  /// Asks another gateway for permits of an endpoint.
+  /// @param callback gets nothing without an answer.
+  void QueryPermits(const GatewayMember& issuer,
+                    const PermitQuery& query,
+                    std::function<void(std::optional<PermitAnswer>)> callback);
+
   const Reason& last_reason() const { return m_last_reason; }
 
  private:
@@ -100,6 +108,7 @@
   void HandlePromptQuery(
       std::string_view body,
       const std::function<void(int status, std::string body)>& reply);
+  std::string HandlePermitQuery(std::string_view body, int* status);
   /// @returns the message if it can be decoded and its sender is a known
   /// gateway.
   /// @param status set to the HTTP status of the reply.
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -101,6 +101,8 @@
      "An endpoint has refused a request; it gets none for a while."},
     {kEndpointLimited, "endpoint_limited", kInfo,
      "An endpoint has limited the rate of its requests, or ended a limit."},
+    {kPermitIssuerLost, "permit_issuer_lost", kWarning,
+     "A gateway that issues the permits of an endpoint has not answered."},
 };
 
 /// Limit of the buffer for lines that the reader of standard output has not
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -58,6 +58,7 @@
   kEndpointLeaving = 712,
   kEndpointPaused = 713,
   kEndpointLimited = 714,
+  kPermitIssuerLost = 715,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/src/relay_message.cc
+++ b/src/relay_message.cc
@@ -1,11 +1,29 @@
 // Encoding and decoding of relay messages.
 #include "relay_message.h"
 
+#include <algorithm>
+#include <chrono>
+
 #include "peer_codec_p.h"
 
 namespace bramleybank {
 namespace {
 
+constexpr double kThousandths = 1000;
+// Larger limits do not restrict a fleet of any size.
+constexpr double kMaxSentRate = 1e9;
+
+uint64_t ToThousandths(double rate) {
+  return static_cast<uint64_t>(std::min(rate, kMaxSentRate) * kThousandths);
+}
+
+uint32_t ToMilliseconds(Duration duration) {
+  constexpr int64_t kMax = std::numeric_limits<uint32_t>::max();
+  const int64_t count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<uint32_t>(std::clamp<int64_t>(count, 0, kMax));
+}
+
 void Pack(Packer& packer, const StoreRow& row) {
   packer.pack_array(4);
   Pack(packer, row.key);
@@ -69,6 +87,32 @@
   reader.Read(message.sender).Read(message.prompt);
 }
 
+static void ReadFields(ArrayReader& reader, RelayPermitQuery& message) {
+  PermitQuery& query = message.query;
+  uint64_t start_ms = 0;
+  std::optional<uint64_t> thousandths;
+  uint32_t age_ms = 0;
+  reader.Read(message.sender)
+      .Read(query.endpoint_id)
+      .Read(start_ms)
+      .Read(thousandths)
+      .Read(age_ms)
+      .Read(query.wanted);
+  query.endpoint_start_ms = static_cast<int64_t>(start_ms);
+  query.age = std::chrono::milliseconds(age_ms);
+  if (thousandths) {
+    query.rate_limit = static_cast<double>(*thousandths) / kThousandths;
+  }
+}
+
+static void ReadFields(ArrayReader& reader, RelayPermitAnswer& message) {
+  uint32_t retry_after_ms = 0;
+  reader.Read(message.answer.granted)
+      .Read(retry_after_ms)
+      .Read(message.answer.is_unlimited);
+  message.answer.retry_after = std::chrono::milliseconds(retry_after_ms);
+}
+
 std::string EncodeRelayMessage(const RelayQuery& message) {
   return EncodeArray(message.format, 5, [&](Packer& packer) {
     Pack(packer, message.sender);
@@ -114,6 +158,28 @@
   });
 }
 
+std::string EncodeRelayMessage(const RelayPermitQuery& message) {
+  return EncodeArray(message.format, 6, [&](Packer& packer) {
+    const PermitQuery& query = message.query;
+    Pack(packer, message.sender);
+    Pack(packer, query.endpoint_id);
+    packer.pack_uint64(
+        static_cast<uint64_t>(std::max<int64_t>(0, query.endpoint_start_ms)));
+    query.rate_limit ? packer.pack_uint64(ToThousandths(*query.rate_limit))
+                     : packer.pack_nil();
+    packer.pack_uint32(ToMilliseconds(query.age));
+    packer.pack_uint32(query.wanted);
+  });
+}
+
+std::string EncodeRelayMessage(const RelayPermitAnswer& message) {
+  return EncodeArray(message.format, 3, [&](Packer& packer) {
+    packer.pack_uint32(message.answer.granted);
+    packer.pack_uint32(ToMilliseconds(message.answer.retry_after));
+    message.answer.is_unlimited ? packer.pack_true() : packer.pack_false();
+  });
+}
+
 template <typename Message>
 std::optional<Message> DecodeRelayMessage(std::string_view bytes,
                                           Reason* error) {
@@ -131,5 +197,9 @@
                                                         Reason*);
 template std::optional<RelayPromptQuery> DecodeRelayMessage(std::string_view,
                                                             Reason*);
+template std::optional<RelayPermitQuery> DecodeRelayMessage(std::string_view,
+                                                            Reason*);
+template std::optional<RelayPermitAnswer> DecodeRelayMessage(std::string_view,
+                                                             Reason*);
 
 }  // namespace bramleybank
--- a/src/relay_message.h
+++ b/src/relay_message.h
@@ -1,5 +1,6 @@
 // Messages with which a gateway reads tables of the metadata store from another
-// gateway, and hands over its rollout evidence and the prompts of its streams.
+// gateway, hands over its rollout evidence and the prompts of its streams, and
+// asks for permits of endpoints that limit the rate of their requests.
 #ifndef BRAMLEYBANK_SRC_RELAY_MESSAGE_H_
 #define BRAMLEYBANK_SRC_RELAY_MESSAGE_H_
 
@@ -9,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "endpoint_permit.h"
 #include "metadata_store.h"
 
 namespace bramleybank {
@@ -23,6 +25,7 @@
 inline constexpr char kPathRelayEvidence[] = "/relay/evidence";
 inline constexpr char kPathRelayPrompts[] = "/relay/prompts";
 inline constexpr char kPathRelayPromptQuery[] = "/relay/prompt-query";
+inline constexpr char kPathRelayPermitQuery[] = "/relay/permit-query";
 
 /// Reads the rows of a table, or waits for changes to them.
 struct RelayQuery {
@@ -100,11 +103,33 @@
                          const RelayPromptQuery&) = default;
 };
 
+/// Asks the gateway that issues the permits of an endpoint. Rates are sent in
+/// thousandths of a request per second, times in milliseconds.
+struct RelayPermitQuery {
+  uint32_t format = kRelayFormatVersion;
+  std::string sender = {};
+  PermitQuery query = {};
+
+  friend bool operator==(const RelayPermitQuery&,
+                         const RelayPermitQuery&) = default;
+};
+
+/// Answer to a RelayPermitQuery.
+struct RelayPermitAnswer {
+  uint32_t format = kRelayFormatVersion;
+  PermitAnswer answer = {};
+
+  friend bool operator==(const RelayPermitAnswer&,
+                         const RelayPermitAnswer&) = default;
+};
+
 std::string EncodeRelayMessage(const RelayQuery& message);
 std::string EncodeRelayMessage(const RelayAnswer& message);
 std::string EncodeRelayMessage(const RelayEvidence& message);
 std::string EncodeRelayMessage(const RelayPrompts& message);
 std::string EncodeRelayMessage(const RelayPromptQuery& message);
+std::string EncodeRelayMessage(const RelayPermitQuery& message);
+std::string EncodeRelayMessage(const RelayPermitAnswer& message);
 
 /// Decodes bytes from another gateway. Never throws; memory is bounded by
 /// kMaxPeerBodyBytes and kMaxPeerMessageItems.
--- a/src/result_code.cc
+++ b/src/result_code.cc
@@ -39,6 +39,8 @@
      "The retry budget of this route is exhausted."},
     {kExpectedTooLate, "expected_too_late", 503,
      "The expected wait exceeds the caller's timeout."},
+    {kEndpointsLimited, "endpoints_limited", 503,
+     "All endpoints limit the rate of their requests."},
     {kEngineUnreachable, "engine_unreachable", 502,
      "No engine accepted the request."},
     {kAttemptsExhausted, "attempts_exhausted", 502,
--- a/src/stream_backup.cc
+++ b/src/stream_backup.cc
@@ -86,7 +86,7 @@
   }
   const EndpointRecord* primary = m_directory->Find(m_primary->id);
   if (primary == nullptr || m_directory->IsSuspect(*primary) ||
-      m_directory->IsPaused(*primary)) {
+      m_directory->IsPaused(*primary) || primary->rate_limit) {
     return;
   }
   const EndpointRecord* holder =
@@ -167,8 +167,13 @@
   if (!m_requested_copy) {
     return;
   }
-  // The answer is ignored. Engines also release copies by themselves after a
-  // while.
+  const EndpointRecord* primary = m_directory->Find(m_primary->id);
+  if (primary != nullptr && primary->rate_limit) {
+    // Engines release copies by themselves after a while.
+    m_requested_copy.reset();
+    return;
+  }
+  // The answer is ignored.
   auto request = std::make_shared<std::unique_ptr<GatewayAttempt>>();
   *request = std::make_unique<GatewayAttempt>(
       m_loop, m_primary->address,
--- a/tests/process_endpoint_limit.cc
+++ b/tests/process_endpoint_limit.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <vector>
 
+#include "gateway_headers.h"
 #include "wire_deployment.h"
 
 namespace bramleybank::testing {
@@ -21,6 +22,9 @@
 constexpr int kCallers = 14;
 // Some 6 s of the load below, so that a window lies within it.
 constexpr int kCallsUnderLimit = 2500;
+constexpr int kRefusedCalls = 200;
+constexpr int kPermittedCalls = 40;
+constexpr int kServedInARow = 50;
 
 /// Idempotent calls from several callers at once. Half of them use gateway 0,
 /// as a load balancer may spread its connections unevenly.
@@ -44,6 +48,7 @@
     m_threads.clear();
   }
   int answered() const { return m_served + m_refused + m_failed; }
+  int served() const { return m_served; }
   int refused() const { return m_refused; }
   int failed() const { return m_failed; }
 
@@ -85,5 +90,46 @@
   CHECK(load.refused() == 0);
 }
 
+// Guards against requests that wait or fail while all endpoints are at their
+// limits, and against limits that outlast the statements of the endpoints.
+TEST_CASE("callers are refused at limits and served when the limits end") {
+  const WireDeployment site({.domains = 1,
+                             .gateways_per_domain = 3,
+                             .engines_per_domain = 1,
+                             .applications_per_domain = 2});
+  const auto limit = [&](const std::string& rate) {
+    for (int i = 0; i < site.application_count(); ++i) {
+      site.ControlApplication(i, {{"rate_limit", rate}});
+    }
+  };
+  limit("6.0");
+  UnevenLoad load(&site);
+  WaitUntil("refusals and permitted calls", [&] {
+    return load.refused() >= kRefusedCalls && load.served() >= kPermittedCalls;
+  });
+  load.Stop();
+  CHECK(load.failed() == 0);
+  for (int i = 0; i < site.application_count(); ++i) {
+    CHECK(site.MostArrivalsUnderLimit(i, kWindow) <= kMostInWindow);
+  }
+  const auto refusals = [&] {
+    return MetricValue(
+        site.metrics_url(0),
+        "bramleybank_refusals_total{reason=\"endpoints_limited\"}");
+  };
+  CHECK(refusals() > 0);
+  limit("");
+  int calls = 0;
+  int streak = 0;
+  WaitUntil("calls after the limits", [&] {
+    const std::string id = "after-" + std::to_string(++calls);
+    const HttpAnswer answer = site.Call(0, "GET", "/reads/x", id);
+    streak = answer.status == 200 ? streak + 1 : 0;
+    CHECK((answer.status == 200 ||
+           FindHeader(answer.headers, "Retry-After").has_value()));
+    return streak >= kServedInARow;
+  });
+}
+
 }  // namespace
 }  // namespace bramleybank::testing
--- a/tests/unit_endpoint_directory.cc
+++ b/tests/unit_endpoint_directory.cc
@@ -35,8 +35,11 @@
   }
 
   std::string Pick(const std::vector<std::string>& avoid = {}) {
-    const EndpointRecord* record = picker.PickForAttempt(
-        {.service = "writers", .avoid = &avoid, .is_stream = true});
+    const EndpointRecord* record =
+        picker
+            .PickForAttempt(
+                {.service = "writers", .avoid = &avoid, .is_stream = true})
+            .endpoint;
     return record == nullptr ? "" : record->entry.id;
   }
 
@@ -49,6 +52,7 @@
   EndpointDirectory directory{[this] { return now; }};
   uint64_t draws = 0;
   EndpointPicker picker{&directory,
+                        nullptr,
                         {.failure_domain = "a",
                          .region = "ra",
                          .regions = {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}},
--- a/tests/unit_rollout.cc
+++ b/tests/unit_rollout.cc
@@ -489,7 +489,7 @@
     directory.Update(entry);
   }
   EndpointDirectory directory{&SteadyNow};
-  EndpointPicker picker{&directory, {}, [this] { return random(); }};
+  EndpointPicker picker{&directory, nullptr, {}, [this] { return random(); }};
   std::mt19937 random{1};
 };
 
@@ -499,11 +499,13 @@
   VersionFixture fixture;
   std::vector<std::string> used;
   for (int i = 0; i < 200; ++i) {
-    const EndpointRecord* picked = fixture.picker.PickForAttempt(
-        {.service = "s",
-         .versions = {.kind = RolloutRule::Kind::kPreferred,
-                      .version = "v2",
-                      .endpoint_share = 0.1}});
+    const EndpointRecord* picked =
+        fixture.picker
+            .PickForAttempt({.service = "s",
+                             .versions = {.kind = RolloutRule::Kind::kPreferred,
+                                          .version = "v2",
+                                          .endpoint_share = 0.1}})
+            .endpoint;
     REQUIRE(picked != nullptr);
     CHECK(picked->entry.version == "v2");
     used.push_back(picked->entry.id);
@@ -520,7 +522,8 @@
   const RolloutRule rule{.kind = RolloutRule::Kind::kAllBut, .version = "v2"};
   for (int i = 0; i < 50; ++i) {
     const EndpointRecord* primary =
-        fixture.picker.PickForAttempt({.service = "s", .versions = rule});
+        fixture.picker.PickForAttempt({.service = "s", .versions = rule})
+            .endpoint;
     REQUIRE(primary != nullptr);
     CHECK(primary->entry.version == "v1");
     CHECK(fixture.picker.PickForBackup(*primary, rule)->entry.version == "v1");
@@ -532,19 +535,20 @@
 TEST_CASE("a service that has only the excluded version is served by it") {
   VersionFixture fixture;
   const RolloutRule rule{.kind = RolloutRule::Kind::kAllBut, .version = "v3"};
-  CHECK(fixture.picker.PickForAttempt({.service = "s", .versions = rule}) !=
-        nullptr);
+  CHECK(fixture.picker.PickForAttempt({.service = "s", .versions = rule})
+            .endpoint != nullptr);
   EndpointDirectory only(&SteadyNow);
   EndpointEntry entry;
   entry.id = "n";
   entry.service = "s";
   entry.version = "v2";
   only.Update(entry);
-  const EndpointPicker picker(&only, {}, [] { return 0; });
+  const EndpointPicker picker(&only, nullptr, {}, [] { return 0; });
   const RolloutRule excluded{.kind = RolloutRule::Kind::kAllBut,
                              .version = "v2"};
-  CHECK(picker.PickForAttempt({.service = "s", .versions = excluded}) !=
-        nullptr);
+  CHECK(
+      picker.PickForAttempt({.service = "s", .versions = excluded}).endpoint !=
+      nullptr);
 }
 
 }  // namespace
--- a/tests/unit_stream_backup.cc
+++ b/tests/unit_stream_backup.cc
@@ -58,7 +58,7 @@
   EventLoop loop;
   FakeEndpoint engine{&loop, {{.bytes = kCopied}}};
   EndpointDirectory directory{&SteadyNow};
-  EndpointPicker picker{&directory, {}, [] { return 0; }};
+  EndpointPicker picker{&directory, nullptr, {}, [] { return 0; }};
   GatewayCodec codec = platform::MakeGatewayCodec();
   StreamBackup backup{&loop, &codec, &directory, &picker, "r1"};
 };
