--- a/src/endpoint_limiter.cc
+++ b/src/endpoint_limiter.cc
@@ -69,8 +69,7 @@
     return;
   }
   permits.is_asking = true;
-  const PermitQuery query =
-      MakeQuery(record, std::exchange(permits.wanted, 0));
+  const PermitQuery query = MakeQuery(record, std::exchange(permits.wanted, 0));
   m_hooks.ask(record.entry, query,
               [weak = std::weak_ptr(m_alive), id = record.entry.id,
                asked_at = m_hooks.clock()](const PermitAnswer& answer) {
--- a/src/endpoint_limiter.h
+++ b/src/endpoint_limiter.h
@@ -22,8 +22,8 @@
 struct EndpointRecord;
 
 /// Holds the permits of this gateway. Every request to an endpoint with a rate
-/// limit uses one, repeats and resumed streams too. Permits expire soon, so that
-/// gateways do not save them up and use them all at once.
+/// limit uses one, repeats and resumed streams too. Permits expire soon, so
+/// that gateways do not save them up and use them all at once.
 class EndpointLimiter {
  public:
   struct Hooks {
@@ -49,8 +49,8 @@
   /// A request is sent to the endpoint; uses a permit if there is a limit.
   void OnSend(const EndpointRecord& record);
   /// Asks for one more permit. Queries of the same endpoint are combined.
-  /// @param on_answer runs after the answer, outside this call or inside it; may
-  /// be null.
+  /// @param on_answer runs after the answer, outside this call or inside it;
+  /// may be null.
   void Request(const EndpointRecord& record, std::function<void()> on_answer);
   /// The endpoint has ended its limit; tells the issuer, from which other
   /// gateways learn it.
--- a/src/permit_client.cc
+++ b/src/permit_client.cc
@@ -41,8 +41,8 @@
   const auto rank = [&](const GatewayMember& member) {
     return IssuerRank{
         .is_elsewhere = member.failure_domain != endpoint.failure_domain,
-        .hash = XXH3_64bits_withSeed(member.name.data(), member.name.size(),
-                                     seed),
+        .hash =
+            XXH3_64bits_withSeed(member.name.data(), member.name.size(), seed),
         .name = member.name};
   };
   std::vector<GatewayMember> members = m_hooks.members();
@@ -84,39 +84,39 @@
     return;
   }
   const TimePoint asked_at = m_hooks.clock();
-  m_hooks.call(
-      *issuer, query,
-      [weak = std::weak_ptr(m_alive), endpoint, query, asked_at,
-       name = issuer->name,
-       callback = std::move(callback)](std::optional<PermitAnswer> answer) {
-        const auto self = weak.lock();
-        if (!self) {
-          return;
-        }
-        if (answer) {
-          callback(*answer);
-          return;
-        }
-        LogLine(LogEventId::kPermitIssuerLost)
-            .Field("gateway", name)
-            .Field("endpoint", endpoint.id);
-        (*self)->Pause(name);
-        PermitQuery next = query;
-        next.age += (*self)->m_hooks.clock() - asked_at;
-        (*self)->Ask(endpoint, std::move(next), callback);
-      });
+  m_hooks.call(*issuer, query,
+               [weak = std::weak_ptr(m_alive), endpoint, query, asked_at,
+                name = issuer->name, callback = std::move(callback)](
+                   std::optional<PermitAnswer> answer) {
+                 const auto self = weak.lock();
+                 if (!self) {
+                   return;
+                 }
+                 if (answer) {
+                   callback(*answer);
+                   return;
+                 }
+                 LogLine(LogEventId::kPermitIssuerLost)
+                     .Field("gateway", name)
+                     .Field("endpoint", endpoint.id);
+                 (*self)->Pause(name);
+                 PermitQuery next = query;
+                 next.age += (*self)->m_hooks.clock() - asked_at;
+                 (*self)->Ask(endpoint, std::move(next), callback);
+               });
 }
 
 PermitAnswer PermitClient::IssueEvenShare(const PermitQuery& query) const {
   if (!query.rate_limit) {
     return {.is_unlimited = true};
   }
-  const double share = PermitRate(*query.rate_limit) /
-                       static_cast<double>(m_hooks.gateways());
+  const double share =
+      PermitRate(*query.rate_limit) / static_cast<double>(m_hooks.gateways());
   const double permits =
       share * std::chrono::duration<double>(kEvenSharePeriod).count();
   // With hundreds of gateways the share is a fraction of one permit. Granting
-  // that fraction of the queries keeps the sum, and no gateway saves permits up.
+  // that fraction of the queries keeps the sum, and no gateway saves permits
+  // up.
   const auto whole = std::floor(permits);
   const double draw =
       static_cast<double>(m_hooks.random() % (1U << 20U)) / kRandomSteps;
--- a/src/permit_client.h
+++ b/src/permit_client.h
@@ -22,10 +22,10 @@
 struct EndpointEntry;
 
 /// One gateway issues the permits of an endpoint: the first one of its failure
-/// domain by a hash over gateways and endpoint, without an election. While lists
-/// of gateways differ or an issuer does not answer, a second one may issue
-/// permits too; PermitRate() leaves room for both. When neither answers, a
-/// gateway uses an even part of the limit.
+/// domain by a hash over gateways and endpoint, without an election. While
+/// lists of gateways differ or an issuer does not answer, a second one may
+/// issue permits too; PermitRate() leaves room for both. When neither answers,
+/// a gateway uses an even part of the limit.
 class PermitClient {
  public:
   using Callback = std::function<void(const PermitAnswer& answer)>;
@@ -49,8 +49,8 @@
   PermitClient(std::string name, Hooks hooks);
 
   /// Asks an issuer of the endpoint.
-  /// @param callback runs once, possibly inside this call, unless this object is
-  /// destroyed before.
+  /// @param callback runs once, possibly inside this call, unless this object
+  /// is destroyed before.
   void Ask(const EndpointEntry& endpoint, PermitQuery query, Callback callback);
   /// Answers a query of another gateway.
   PermitAnswer Answer(const PermitQuery& query) {
@@ -69,7 +69,8 @@
   const std::string m_name;
   const Hooks m_hooks;
   PermitIssuer m_issuer;
-  // Gateways that have not answered, by name, and until when they are not asked.
+  // Gateways that have not answered, by name, and until when they are not
+  // asked.
   std::map<std::string, TimePoint, std::less<>> m_paused_until;
   // Answers may arrive after this object is destroyed.
   std::shared_ptr<PermitClient*> m_alive;
--- a/src/permit_issuer.cc
+++ b/src/permit_issuer.cc
@@ -63,8 +63,8 @@
 
 Duration PermitIssuer::RetryAfter(const Bucket& bucket) const {
   const double rate = PermitRate(bucket.rate_limit.value_or(0));
-  const double seconds = std::min(bucket.refusals / rate,
-                                  Seconds(kMaxPermitRetryDelay).count());
+  const double seconds =
+      std::min(bucket.refusals / rate, Seconds(kMaxPermitRetryDelay).count());
   const auto bound = std::chrono::duration_cast<Duration>(Seconds(seconds));
   return EqualJitter(std::max<Duration>(bound, kMinPermitRetryDelay), m_random);
 }
@@ -83,8 +83,8 @@
     return {};
   }
   Refill(&bucket);
-  const auto granted = std::min(
-      query.wanted, static_cast<uint32_t>(std::floor(bucket.permits)));
+  const auto granted =
+      std::min(query.wanted, static_cast<uint32_t>(std::floor(bucket.permits)));
   if (granted == 0) {
     ++bucket.refusals;
     return {.retry_after = RetryAfter(bucket)};
