Keep the rate limit of an endpoint whose entry returns

A record is deleted 30 s after its entry was removed, and its rate limit with it. When the entry returns after a long outage of the store, each gateway would send a request to learn of the limit again: 304 requests at once from a fleet of that size, for 40 allowed. The record of a limited endpoint is kept for ten minutes. The test failed before and passes now.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -188,6 +188,9 @@
 inline constexpr std::chrono::milliseconds kExpiredEntryGrace{2000};
 /// The measurements of an endpoint are deleted this long after its removal.
 inline constexpr std::chrono::seconds kRemovedEndpointRetention{30};
+/// The record of a removed endpoint with a rate limit is kept for this long: if
+/// its entry returns, no gateway sends a request to learn of the limit again.
+inline constexpr std::chrono::minutes kRateLimitRetention{10};
 /// Interval at which the records of removed endpoints are searched for expired
 /// ones.
 inline constexpr std::chrono::seconds kRemovedEndpointSweepInterval{5};
--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -99,9 +99,11 @@
   m_last_sweep = now;
   std::erase_if(m_records, [&](const auto& item) {
     const EndpointRecord& record = item.second;
+    const Duration retention = record.rate_limit
+                                   ? Duration(kRateLimitRetention)
+                                   : Duration(kRemovedEndpointRetention);
     const bool is_expired =
-        record.removed_at &&
-        now - *record.removed_at > kRemovedEndpointRetention &&
+        record.removed_at && now - *record.removed_at > retention &&
         record.open_attempts == 0 && record.open_backups == 0;
     if (is_expired) {
       std::erase(m_by_service[record.entry.service], &record);
--- a/tests/unit_endpoint_directory.cc
+++ b/tests/unit_endpoint_directory.cc
@@ -271,5 +271,21 @@
   CHECK_FALSE(fixture.directory.Find("a0")->rate_limit.has_value());
 }
 
+// Guards against one request from each gateway of a large fleet when the entry
+// of an endpoint with a limit returns after an outage of the store.
+TEST_CASE("an endpoint whose entry returns still has its rate limit") {
+  Fixture fixture(1);
+  fixture.directory.OnRateLimit("a0", 5.9, fixture.now);
+  fixture.directory.Remove("a0");
+  fixture.now += seconds(kRemovedEndpointRetention) + seconds(10);
+  fixture.directory.Update(MakeEntry("b0", "b", "b0:1"));
+  fixture.directory.Update(MakeEntry("a0", "a", "a0:1"));
+  CHECK(fixture.directory.Find("a0")->rate_limit == 5.9);
+  fixture.directory.Remove("a0");
+  fixture.now += seconds(kRateLimitRetention) + seconds(10);
+  fixture.directory.Update(MakeEntry("b0", "b", "b0:1"));
+  CHECK(fixture.directory.Find("a0") == nullptr);
+}
+
 }  // namespace
 }  // namespace bramleybank
