Send no releases of copies to an engine that has asked for no requests

Copy requests already kept away from a paused engine, but the release of a copy at the end of its stream did not. The users count it among the requests that the engine has asked to be spared (BUDGET, LIMIT). One predicate now decides for both; engines release copies by themselves. The test failed before for a paused engine and passes now.

--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -112,6 +112,11 @@
   bool IsDomainSuspect(std::string_view service, std::string_view domain) const;
   bool IsSuspect(const EndpointRecord& record) const;
   bool IsPaused(const EndpointRecord& record) const;
+  /// @returns whether the endpoint has asked for no requests or for few. It
+  /// then gets none but those of callers.
+  bool IsRestricted(const EndpointRecord& record) const {
+    return IsPaused(record) || record.rate_limit;
+  }
   /// @returns the time until the first paused endpoint of a service may get
   /// requests again; empty while one is usable, or if none is paused.
   std::optional<Duration> RemainingPause(std::string_view service) const;
--- a/src/stream_backup.cc
+++ b/src/stream_backup.cc
@@ -86,7 +86,7 @@
   }
   const EndpointRecord* primary = m_directory->Find(m_primary->id);
   if (primary == nullptr || m_directory->IsSuspect(*primary) ||
-      m_directory->IsPaused(*primary) || primary->rate_limit) {
+      m_directory->IsRestricted(*primary)) {
     return;
   }
   const EndpointRecord* holder =
@@ -168,7 +168,7 @@
     return;
   }
   const EndpointRecord* primary = m_directory->Find(m_primary->id);
-  if (primary != nullptr && primary->rate_limit) {
+  if (primary != nullptr && m_directory->IsRestricted(*primary)) {
     // Engines release copies by themselves after a while.
     m_requested_copy.reset();
     return;
--- a/tests/unit_stream_backup.cc
+++ b/tests/unit_stream_backup.cc
@@ -115,5 +115,37 @@
   CHECK(fixture.directory.Find("c1")->open_backups == 0);
 }
 
+// Guards against the gateway's own requests to an engine that has asked for
+// none or for few.
+TEST_CASE("a paused or limited engine gets no copy requests and releases") {
+  const std::function<void(EndpointDirectory&)> restrictions[] = {
+      [](EndpointDirectory& directory) {
+        directory.OnPause("p", std::chrono::minutes(1));
+      },
+      [](EndpointDirectory& directory) {
+        directory.OnRateLimit("p", 6, SteadyNow());
+      }};
+  for (const auto& restrict_engine : restrictions) {
+    Fixture fixture;
+    fixture.Begin();
+    fixture.directory.OnAttemptStarted(fixture.backup.holder_id());
+    fixture.directory.OnAttemptEnded(fixture.backup.holder_id(),
+                                     EndpointOutcome::kLost);
+    fixture.backup.Maintain();
+    fixture.Wait([&] { return fixture.backup.UsableHolder() != nullptr; });
+    restrict_engine(fixture.directory);
+    fixture.directory.OnAttemptEnded(fixture.backup.holder_id(),
+                                     EndpointOutcome::kLost);
+    fixture.backup.Maintain();
+    fixture.backup.Close();
+    for (int turn = 0; turn < 20; ++turn) {
+      fixture.loop.RunOnce(std::chrono::milliseconds(5));
+    }
+    CHECK(fixture.engine.requests().size() == 1);
+    CHECK(fixture.directory.Find("b1")->open_backups == 0);
+    CHECK(fixture.directory.Find("c1")->open_backups == 0);
+  }
+}
+
 }  // namespace
 }  // namespace bramleybank
