--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -32,11 +32,6 @@
   return status >= kMinSuccessStatus && status < kMinRedirectStatus;
 }
 
-int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 }  // namespace
 
 GatewayExchange::GatewayExchange(const ExchangeContext* context,
@@ -97,21 +92,6 @@
   }
 }
 
-void GatewayExchange::LookUpPromptEndpoint() {
-  m_context->prompts->Find(
-      m_metadata.prompt_parts,
-      [weak = std::weak_ptr(m_alive)](const std::string& endpoint_id) {
-        const auto self = weak.lock();
-        if (self && !(*self)->m_is_finished) {
-          (*self)->m_prompt_endpoint_id = endpoint_id;
-          (*self)->m_context->metrics->Count(
-              "bramleybank_prompt_lookups_total", "result",
-              endpoint_id.empty() ? "unknown" : "found");
-          (*self)->StartNextAttempt();
-        }
-      });
-}
-
 bool GatewayExchange::FindRoute() {
   const auto host = FindHeader(m_request.headers, "Host");
   m_route = m_config->FindRoute(host.value_or(""), m_request.Path());
@@ -144,9 +124,7 @@
   for (const ServiceShare& share : m_route->services) {
     total += share.weight;
   }
-  constexpr double kRandomSteps = 1 << 20;
-  const auto step = m_context->random() % (1U << 20U);
-  double remaining_weight = total * static_cast<double>(step) / kRandomSteps;
+  double remaining_weight = total * UniformFraction(m_context->random);
   for (const ServiceShare& share : m_route->services) {
     if (share.weight <= 0) {
       continue;
@@ -168,89 +146,6 @@
   m_timer = m_context->loop->Schedule(TimeLeft(), [this] { OnTimeout(); });
 }
 
-void GatewayExchange::StartNextAttempt() {
-  const EndpointRecord* holder = m_backup.UsableHolder();
-  if (holder != nullptr && m_context->limiter->MaySend(*holder)) {
-    StartAttempt(*holder, /*from_backup=*/true);
-    return;
-  }
-  const EndpointChoice choice = PickEndpoint();
-  const bool is_last_resort = choice.endpoint == nullptr ||
-                              m_context->directory->IsSuspect(*choice.endpoint);
-  if (is_last_resort && choice.needs_permit != nullptr && MayWaitForPermit()) {
-    WaitForPermit(*choice.needs_permit);
-    return;
-  }
-  if (choice.endpoint != nullptr) {
-    StartAttempt(*RequestBetter(choice), /*from_backup=*/false);
-    return;
-  }
-  if (m_context->limiter->RemainingWait(m_service) &&
-      !m_context->directory->RemainingPause(m_service)) {
-    GiveUp(ResultCode::kEndpointsLimited);
-    return;
-  }
-  GiveUp(m_tried_endpoints.empty() ? ResultCode::kNoEndpoint
-                                   : ResultCode::kOverloaded);
-}
-
-bool GatewayExchange::MayWaitForPermit() {
-  const TimePoint now = m_context->loop->Now();
-  if (!m_permit_wait_end) {
-    m_permit_wait_end = now + kMaxPermitWait;
-  }
-  return now < *m_permit_wait_end;
-}
-
-void GatewayExchange::WaitForPermit(const EndpointRecord& endpoint) {
-  m_context->limiter->Request(endpoint, [weak = std::weak_ptr(m_alive)] {
-    const auto self = weak.lock();
-    if (self && !(*self)->m_is_finished) {
-      (*self)->StartNextAttempt();
-    }
-  });
-}
-
-const EndpointRecord* GatewayExchange::RequestBetter(
-    const EndpointChoice& choice) const {
-  if (choice.needs_permit == nullptr) {
-    return choice.endpoint;
-  }
-  m_context->limiter->Request(*choice.needs_permit, nullptr);
-  // The answer is here already when this gateway issues the permits.
-  return m_context->limiter->MaySend(*choice.needs_permit) ? choice.needs_permit
-                                                           : choice.endpoint;
-}
-
-const EndpointRecord* GatewayExchange::FindPromptEndpoint() const {
-  const EndpointRecord* record =
-      m_context->directory->Find(m_prompt_endpoint_id);
-  const bool is_known =
-      record != nullptr && m_context->directory->IsReachable(*record);
-  return is_known ? record : nullptr;
-}
-
-EndpointChoice GatewayExchange::PickEndpoint() const {
-  const EndpointDirectory& directory = *m_context->directory;
-  const RolloutRule versions =
-      m_tried_endpoints.empty()
-          ? m_context->rollouts->RuleForRequest(m_service, m_route->name)
-          : m_context->rollouts->RuleForRetry(m_service);
-  const EndpointRecord* known = FindPromptEndpoint();
-  if (known != nullptr && directory.IsUsable(*known) &&
-      !directory.IsSuspect(*known) && known->entry.service == m_service &&
-      m_context->limiter->MaySend(*known) &&
-      versions.Allows(known->entry.version) &&
-      std::ranges::find(m_tried_endpoints, known->entry.id) ==
-          m_tried_endpoints.end()) {
-    return {.endpoint = known};
-  }
-  return m_context->picker->PickForAttempt({.service = m_service,
-                                            .avoid = &m_tried_endpoints,
-                                            .is_stream = is_stream(),
-                                            .versions = versions});
-}
-
 void GatewayExchange::StartAttempt(const EndpointRecord& endpoint,
                                    bool from_backup) {
   m_endpoint = endpoint.entry;
@@ -295,32 +190,6 @@
   ArmAttemptTimer();
 }
 
-AttemptMetadata GatewayExchange::DescribeAttempt(const EndpointRecord& endpoint,
-                                                 bool from_backup) {
-  AttemptMetadata attempt{.endpoint_id = endpoint.entry.id,
-                          .time_left = TimeLeft(),
-                          .customer = m_customer,
-                          .last_event_id = m_last_event_id,
-                          .backup_address = {},
-                          .restore = std::nullopt};
-  if (from_backup) {
-    attempt.restore = m_backup.Name();
-  }
-  const EndpointRecord* prompt_endpoint = FindPromptEndpoint();
-  // A KV cache is valid only for the model version that computed it.
-  if (!from_backup && prompt_endpoint != nullptr &&
-      prompt_endpoint != &endpoint &&
-      prompt_endpoint->entry.service == endpoint.entry.service &&
-      prompt_endpoint->entry.version == endpoint.entry.version) {
-    attempt.prompt_source = prompt_endpoint->entry.address;
-  }
-  if (is_stream() && SupportsBackup()) {
-    attempt.backup_address =
-        m_backup.Open(endpoint, m_context->rollouts->RuleForRetry(m_service));
-  }
-  return attempt;
-}
-
 std::string GatewayExchange::RenderRequest(const EndpointRecord& endpoint,
                                            bool from_backup) {
   const HttpHeaders headers =
@@ -351,54 +220,6 @@
   }
 }
 
-void GatewayExchange::UpdateEndpointState() {
-  EndpointDirectory* directory = m_context->directory;
-  if (m_answer.is_leaving && directory->OnLeaving(m_endpoint.id)) {
-    LogLine(LogEventId::kEndpointLeaving)
-        .Field("endpoint", m_endpoint.id)
-        .Field("id", m_metadata.request_id);
-    m_context->metrics->Count("bramleybank_endpoints_leaving_total");
-  }
-  if (m_answer.retry_after) {
-    directory->OnPause(m_endpoint.id, *m_answer.retry_after);
-    LogLine(LogEventId::kEndpointPaused)
-        .Field("endpoint", m_endpoint.id)
-        .Field("id", m_metadata.request_id)
-        .Field("pause_ms", Milliseconds(*m_answer.retry_after));
-    m_context->metrics->Count("bramleybank_endpoint_pauses_total");
-  }
-  UpdateRateLimit();
-}
-
-void GatewayExchange::UpdateRateLimit() {
-  EndpointDirectory* directory = m_context->directory;
-  // A late second answer may be older than the limit, and an answer without the
-  // endpoint's own mark may come from elsewhere.
-  const bool is_current =
-      (m_answer.has_seal || m_answer.not_run) && !m_answer.has_other_request_id;
-  bool changed = false;
-  if (m_answer.rate_limit) {
-    changed = directory->OnRateLimit(m_endpoint.id, *m_answer.rate_limit,
-                                     m_context->loop->Now());
-  } else if (!m_answer.states_rate_limit && is_current) {
-    changed = directory->OnNoRateLimit(m_endpoint.id, m_attempt_start);
-  }
-  if (!changed) {
-    return;
-  }
-  LogLine(LogEventId::kEndpointLimited)
-      .Field("endpoint", m_endpoint.id)
-      .Field("id", m_metadata.request_id)
-      .Field("limited", m_answer.rate_limit ? 1 : 0)
-      .Field("per_second", std::to_string(m_answer.rate_limit.value_or(0)));
-  m_context->metrics->Count("bramleybank_endpoint_limits_total", "change",
-                            m_answer.rate_limit ? "stated" : "ended");
-  const EndpointRecord* record = directory->Find(m_endpoint.id);
-  if (!m_answer.rate_limit && record != nullptr) {
-    m_context->limiter->OnLimitEnded(*record);
-  }
-}
-
 void GatewayExchange::OnBody(std::string_view data) {
   const bool is_event_stream = is_stream() && IsSuccess(m_head.status) &&
                                m_answer.has_seal &&
@@ -504,7 +325,7 @@
       .Field("may_have_run", may_have_run ? 1 : 0)
       .Field("last_event", static_cast<long long>(m_last_event_id.value_or(0)))
       .Field("attempt_ms",
-             Milliseconds(m_context->loop->Now() - m_attempt_start));
+             ToMilliseconds(m_context->loop->Now() - m_attempt_start));
   m_context->metrics->Count("bramleybank_attempts_lost_total", "reason",
                             NameOf(reason));
   if (TryAcquireRetry(reason)) {
@@ -620,7 +441,7 @@
       .Field("sends", m_sends)
       .Field("runs", m_possible_runs)
       .Field("ms",
-             Milliseconds(m_context->loop->Now() - m_request.received_at));
+             ToMilliseconds(m_context->loop->Now() - m_request.received_at));
   m_context->metrics->Count("bramleybank_refusals_total", "reason",
                             InfoOf(code).name);
   m_caller->Refuse(code, retry_after);
@@ -647,11 +468,11 @@
         .Field("sends", m_sends)
         .Field("limited", m_answer.rate_limit ? 1 : 0)
         .Field("events", static_cast<long long>(m_events_forwarded))
-        .Field("first_event_ms", Milliseconds(m_first_event_delay))
-        .Field("longest_gap_ms", Milliseconds(m_longest_gap))
+        .Field("first_event_ms", ToMilliseconds(m_first_event_delay))
+        .Field("longest_gap_ms", ToMilliseconds(m_longest_gap))
         .Field("config", static_cast<long long>(m_config->version()))
         .Field("ms",
-               Milliseconds(m_context->loop->Now() - m_request.received_at));
+               ToMilliseconds(m_context->loop->Now() - m_request.received_at));
   }
   m_on_finished();
 }
--- /dev/null
+++ b/src/gateway_exchange_endpoint.cc
@@ -0,0 +1,192 @@
+// The part of an exchange that chooses endpoints: permits and prompts that
+// decide where the next attempt goes, and what answers say about endpoints.
+#include "gateway_exchange.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "bramleybank/limits.h"
+#include "endpoint_limiter.h"
+#include "endpoint_picker.h"
+#include "event_loop.h"
+#include "gateway_config.h"
+#include "log_event.h"
+#include "metric_registry.h"
+#include "prompt_locator.h"
+#include "rollout_controller.h"
+
+namespace bramleybank {
+
+void GatewayExchange::LookUpPromptEndpoint() {
+  m_context->prompts->Find(
+      m_metadata.prompt_parts,
+      [weak = std::weak_ptr(m_alive)](const std::string& endpoint_id) {
+        const auto self = weak.lock();
+        if (self && !(*self)->m_is_finished) {
+          (*self)->m_prompt_endpoint_id = endpoint_id;
+          (*self)->m_context->metrics->Count(
+              "bramleybank_prompt_lookups_total", "result",
+              endpoint_id.empty() ? "unknown" : "found");
+          (*self)->StartNextAttempt();
+        }
+      });
+}
+
+void GatewayExchange::StartNextAttempt() {
+  const EndpointRecord* holder = m_backup.UsableHolder();
+  if (holder != nullptr && m_context->limiter->MaySend(*holder)) {
+    StartAttempt(*holder, /*from_backup=*/true);
+    return;
+  }
+  const EndpointChoice choice = PickEndpoint();
+  const bool is_last_resort = choice.endpoint == nullptr ||
+                              m_context->directory->IsSuspect(*choice.endpoint);
+  if (is_last_resort && choice.needs_permit != nullptr && MayWaitForPermit()) {
+    WaitForPermit(*choice.needs_permit);
+    return;
+  }
+  if (choice.endpoint != nullptr) {
+    StartAttempt(*RequestBetter(choice), /*from_backup=*/false);
+    return;
+  }
+  if (m_context->limiter->RemainingWait(m_service) &&
+      !m_context->directory->RemainingPause(m_service)) {
+    GiveUp(ResultCode::kEndpointsLimited);
+    return;
+  }
+  GiveUp(m_tried_endpoints.empty() ? ResultCode::kNoEndpoint
+                                   : ResultCode::kOverloaded);
+}
+
+bool GatewayExchange::MayWaitForPermit() {
+  const TimePoint now = m_context->loop->Now();
+  if (!m_permit_wait_end) {
+    m_permit_wait_end = now + kMaxPermitWait;
+  }
+  return now < *m_permit_wait_end;
+}
+
+void GatewayExchange::WaitForPermit(const EndpointRecord& endpoint) {
+  m_context->limiter->Request(endpoint, [weak = std::weak_ptr(m_alive)] {
+    const auto self = weak.lock();
+    if (self && !(*self)->m_is_finished) {
+      (*self)->StartNextAttempt();
+    }
+  });
+}
+
+const EndpointRecord* GatewayExchange::RequestBetter(
+    const EndpointChoice& choice) const {
+  if (choice.needs_permit == nullptr) {
+    return choice.endpoint;
+  }
+  m_context->limiter->Request(*choice.needs_permit, nullptr);
+  // The answer is here already when this gateway issues the permits.
+  return m_context->limiter->MaySend(*choice.needs_permit) ? choice.needs_permit
+                                                           : choice.endpoint;
+}
+
+const EndpointRecord* GatewayExchange::FindPromptEndpoint() const {
+  const EndpointRecord* record =
+      m_context->directory->Find(m_prompt_endpoint_id);
+  const bool is_known =
+      record != nullptr && m_context->directory->IsReachable(*record);
+  return is_known ? record : nullptr;
+}
+
+EndpointChoice GatewayExchange::PickEndpoint() const {
+  const EndpointDirectory& directory = *m_context->directory;
+  const RolloutRule versions =
+      m_tried_endpoints.empty()
+          ? m_context->rollouts->RuleForRequest(m_service, m_route->name)
+          : m_context->rollouts->RuleForRetry(m_service);
+  const EndpointRecord* known = FindPromptEndpoint();
+  if (known != nullptr && directory.IsUsable(*known) &&
+      !directory.IsSuspect(*known) && known->entry.service == m_service &&
+      m_context->limiter->MaySend(*known) &&
+      versions.Allows(known->entry.version) &&
+      std::ranges::find(m_tried_endpoints, known->entry.id) ==
+          m_tried_endpoints.end()) {
+    return {.endpoint = known};
+  }
+  return m_context->picker->PickForAttempt({.service = m_service,
+                                            .avoid = &m_tried_endpoints,
+                                            .is_stream = is_stream(),
+                                            .versions = versions});
+}
+
+AttemptMetadata GatewayExchange::DescribeAttempt(const EndpointRecord& endpoint,
+                                                 bool from_backup) {
+  AttemptMetadata attempt{.endpoint_id = endpoint.entry.id,
+                          .time_left = TimeLeft(),
+                          .customer = m_customer,
+                          .last_event_id = m_last_event_id,
+                          .backup_address = {},
+                          .restore = std::nullopt};
+  if (from_backup) {
+    attempt.restore = m_backup.Name();
+  }
+  const EndpointRecord* prompt_endpoint = FindPromptEndpoint();
+  // A KV cache is valid only for the model version that computed it.
+  if (!from_backup && prompt_endpoint != nullptr &&
+      prompt_endpoint != &endpoint &&
+      prompt_endpoint->entry.service == endpoint.entry.service &&
+      prompt_endpoint->entry.version == endpoint.entry.version) {
+    attempt.prompt_source = prompt_endpoint->entry.address;
+  }
+  if (is_stream() && SupportsBackup()) {
+    attempt.backup_address =
+        m_backup.Open(endpoint, m_context->rollouts->RuleForRetry(m_service));
+  }
+  return attempt;
+}
+
+void GatewayExchange::UpdateEndpointState() {
+  EndpointDirectory* directory = m_context->directory;
+  if (m_answer.is_leaving && directory->OnLeaving(m_endpoint.id)) {
+    LogLine(LogEventId::kEndpointLeaving)
+        .Field("endpoint", m_endpoint.id)
+        .Field("id", m_metadata.request_id);
+    m_context->metrics->Count("bramleybank_endpoints_leaving_total");
+  }
+  if (m_answer.retry_after) {
+    directory->OnPause(m_endpoint.id, *m_answer.retry_after);
+    LogLine(LogEventId::kEndpointPaused)
+        .Field("endpoint", m_endpoint.id)
+        .Field("id", m_metadata.request_id)
+        .Field("pause_ms", ToMilliseconds(*m_answer.retry_after));
+    m_context->metrics->Count("bramleybank_endpoint_pauses_total");
+  }
+  UpdateRateLimit();
+}
+
+void GatewayExchange::UpdateRateLimit() {
+  EndpointDirectory* directory = m_context->directory;
+  // A late second answer may be older than the limit, and an answer without the
+  // endpoint's own mark may come from elsewhere.
+  const bool is_current =
+      (m_answer.has_seal || m_answer.not_run) && !m_answer.has_other_request_id;
+  bool changed = false;
+  if (m_answer.rate_limit) {
+    changed = directory->OnRateLimit(m_endpoint.id, *m_answer.rate_limit,
+                                     m_context->loop->Now());
+  } else if (!m_answer.states_rate_limit && is_current) {
+    changed = directory->OnNoRateLimit(m_endpoint.id, m_attempt_start);
+  }
+  if (!changed) {
+    return;
+  }
+  LogLine(LogEventId::kEndpointLimited)
+      .Field("endpoint", m_endpoint.id)
+      .Field("id", m_metadata.request_id)
+      .Field("limited", m_answer.rate_limit ? 1 : 0)
+      .Field("per_second", std::to_string(m_answer.rate_limit.value_or(0)));
+  m_context->metrics->Count("bramleybank_endpoint_limits_total", "change",
+                            m_answer.rate_limit ? "stated" : "ended");
+  const EndpointRecord* record = directory->Find(m_endpoint.id);
+  if (!m_answer.rate_limit && record != nullptr) {
+    m_context->limiter->OnLimitEnded(*record);
+  }
+}
+
+}  // namespace bramleybank
--- a/src/hooks.h
+++ b/src/hooks.h
@@ -23,6 +23,18 @@
       std::chrono::steady_clock::now());
 }
 
+/// @returns whole milliseconds, for log fields and messages.
+inline int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+/// @returns a uniformly distributed number of at least 0 and below 1.
+inline double UniformFraction(const RandomHook& random) {
+  constexpr uint64_t kSteps = 1 << 20;
+  return static_cast<double>(random() % kSteps) / static_cast<double>(kSteps);
+}
+
 /// @returns a random delay between half of `bound` and `bound`, so that clients
 /// that failed at the same time do not retry at the same time.
 inline Duration EqualJitter(Duration bound, const RandomHook& random) {
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -17,11 +17,6 @@
 
 constexpr long kMaxIdleConnections = 256;
 
-int64_t ToMilliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 std::string_view TrimSpace(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
     text.remove_prefix(1);
--- a/src/permit_client.cc
+++ b/src/permit_client.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <tuple>
 #include <utility>
 
 #include "bramleybank/limits.h"
@@ -14,21 +15,6 @@
 #include "log_event.h"
 
 namespace bramleybank {
-namespace {
-
-constexpr double kRandomSteps = 1 << 20;
-
-/// Sorts gateways that are closer to the endpoint first.
-struct IssuerRank {
-  bool is_elsewhere = false;
-  uint64_t hash = 0;
-  std::string_view name;
-
-  friend auto operator<=>(const IssuerRank&, const IssuerRank&) = default;
-};
-
-}  // namespace
-
 PermitClient::PermitClient(std::string name, Hooks hooks)
     : m_name(std::move(name)),
       m_hooks(std::move(hooks)),
@@ -38,12 +24,12 @@
 std::vector<GatewayMember> PermitClient::IssuersOf(
     const EndpointEntry& endpoint) const {
   const uint64_t seed = XXH3_64bits(endpoint.id.data(), endpoint.id.size());
+  // Gateways in the failure domain of the endpoint come first.
   const auto rank = [&](const GatewayMember& member) {
-    return IssuerRank{
-        .is_elsewhere = member.failure_domain != endpoint.failure_domain,
-        .hash =
-            XXH3_64bits_withSeed(member.name.data(), member.name.size(), seed),
-        .name = member.name};
+    const uint64_t hash =
+        XXH3_64bits_withSeed(member.name.data(), member.name.size(), seed);
+    return std::tuple(member.failure_domain != endpoint.failure_domain, hash,
+                      std::string_view(member.name));
   };
   std::vector<GatewayMember> members = m_hooks.members();
   std::erase_if(members, [&](const GatewayMember& member) {
@@ -69,7 +55,7 @@
 }
 
 void PermitClient::Ask(const EndpointEntry& endpoint,
-                       PermitQuery query,
+                       const PermitQuery& query,
                        Callback callback) {
   const std::vector<GatewayMember> issuers = IssuersOf(endpoint);
   const auto issuer = std::ranges::find_if(
@@ -102,7 +88,7 @@
                  (*self)->Pause(name);
                  PermitQuery next = query;
                  next.age += (*self)->m_hooks.clock() - asked_at;
-                 (*self)->Ask(endpoint, std::move(next), callback);
+                 (*self)->Ask(endpoint, next, callback);
                });
 }
 
@@ -118,10 +104,8 @@
   // that fraction of the queries keeps the sum, and no gateway saves permits
   // up.
   const auto whole = std::floor(permits);
-  const double draw =
-      static_cast<double>(m_hooks.random() % (1U << 20U)) / kRandomSteps;
-  const auto granted =
-      static_cast<uint32_t>(whole) + (draw < permits - whole ? 1U : 0U);
+  const bool rounds_up = UniformFraction(m_hooks.random) < permits - whole;
+  const auto granted = static_cast<uint32_t>(whole) + (rounds_up ? 1U : 0U);
   return {.granted = std::min(granted, query.wanted),
           .retry_after = kEvenSharePeriod};
 }
--- a/src/permit_client.h
+++ b/src/permit_client.h
@@ -51,7 +51,9 @@
   /// Asks an issuer of the endpoint.
   /// @param callback runs once, possibly inside this call, unless this object
   /// is destroyed before.
-  void Ask(const EndpointEntry& endpoint, PermitQuery query, Callback callback);
+  void Ask(const EndpointEntry& endpoint,
+           const PermitQuery& query,
+           Callback callback);
   /// Answers a query of another gateway.
   PermitAnswer Answer(const PermitQuery& query) {
     return m_issuer.Issue(query);
--- a/src/relay_message.cc
+++ b/src/relay_message.cc
@@ -17,11 +17,10 @@
   return static_cast<uint64_t>(std::min(rate, kMaxSentRate) * kThousandths);
 }
 
-uint32_t ToMilliseconds(Duration duration) {
+uint32_t ClampedMilliseconds(Duration duration) {
   constexpr int64_t kMax = std::numeric_limits<uint32_t>::max();
-  const int64_t count =
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  return static_cast<uint32_t>(std::clamp<int64_t>(count, 0, kMax));
+  return static_cast<uint32_t>(
+      std::clamp<int64_t>(ToMilliseconds(duration), 0, kMax));
 }
 
 void Pack(Packer& packer, const StoreRow& row) {
@@ -167,7 +166,7 @@
         static_cast<uint64_t>(std::max<int64_t>(0, query.endpoint_start_ms)));
     query.rate_limit ? packer.pack_uint64(ToThousandths(*query.rate_limit))
                      : packer.pack_nil();
-    packer.pack_uint32(ToMilliseconds(query.age));
+    packer.pack_uint32(ClampedMilliseconds(query.age));
     packer.pack_uint32(query.wanted);
   });
 }
@@ -175,7 +174,7 @@
 std::string EncodeRelayMessage(const RelayPermitAnswer& message) {
   return EncodeArray(message.format, 3, [&](Packer& packer) {
     packer.pack_uint32(message.answer.granted);
-    packer.pack_uint32(ToMilliseconds(message.answer.retry_after));
+    packer.pack_uint32(ClampedMilliseconds(message.answer.retry_after));
     message.answer.is_unlimited ? packer.pack_true() : packer.pack_false();
   });
 }
--- a/src/rollout_splitter.cc
+++ b/src/rollout_splitter.cc
@@ -14,7 +14,6 @@
 constexpr int kSlowFactor = 3;
 // Answers of the old version before their average time is used as the baseline.
 constexpr int64_t kMinBaselineAnswers = 5;
-constexpr uint64_t kRandomSteps = 1 << 20;
 
 }  // namespace
 
@@ -40,8 +39,7 @@
   if (it == m_credit.end()) {
     // A random start value keeps the gateways from sending probes at the same
     // time.
-    const double start = static_cast<double>(m_random() % kRandomSteps) /
-                         static_cast<double>(kRandomSteps);
+    const double start = UniformFraction(m_random);
     const double extra =
         m_share.extra / static_cast<double>(std::max<size_t>(1, gateway_count));
     it = m_credit.emplace(std::string(route), start + extra).first;
--- a/src/stream_runner.cc
+++ b/src/stream_runner.cc
@@ -25,11 +25,6 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-long long ToMilliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 EndOutcome ToEndOutcome(AttemptLoss loss, const EngineTransfer& transfer) {
   switch (loss) {
     case AttemptLoss::kRefused:
