--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -35,7 +35,7 @@
 #include "prompt_locator.h"
 #include "rollout_controller.h"
 #include "rollout_records.h"
-#include "start_queue.h"
+#include "start_waiters.h"
 #include "store_watch.h"
 #include "stream_silence_monitor.h"
 #include "tcp_address.h"
@@ -52,12 +52,6 @@
   return [engine] { return (*engine)(); };
 }
 
-/// A request that waits for the first configuration.
-struct QueuedRequest {
-  std::shared_ptr<GatewayCaller> caller;
-  GatewayRequest request;
-};
-
 }  // namespace
 
 struct Gateway::Impl {
@@ -86,12 +80,7 @@
                      const std::shared_ptr<GatewayCaller>& caller,
                      GatewayRequest request);
   bool IsReady() const { return config && endpoints_read; }
-  bool QueueUntilReady(uint64_t number,
-                       const std::shared_ptr<GatewayCaller>& caller,
-                       const GatewayRequest& request);
-  void ArmStartTimer();
   void StartWaitingIfReady();
-  void StartWaitingRequests(const std::vector<uint64_t>& numbers);
   void OnOperatorRow(const StoreRow& row);
   void OnRolloutRow(const StoreRow& row);
   void OnEndpointRow(const StoreRow& row);
@@ -215,10 +204,13 @@
   std::unordered_map<GatewayCaller*, std::shared_ptr<GatewayCaller>> callers;
   std::map<uint64_t, std::unique_ptr<GatewayExchange>> exchanges;
   uint64_t next_exchange = 1;
-  // Requests that wait for the first configuration, by number.
-  StartQueue start_queue{loop->Now()};
-  std::map<uint64_t, QueuedRequest> waiting_requests;
-  TimerHandle start_timer;
+  StartWaiters start_waiters{
+      loop, &metrics,
+      [this](uint64_t number,
+             const std::shared_ptr<GatewayCaller>& caller,
+             GatewayRequest request) {
+        StartExchange(number, caller, std::move(request));
+      }};
   TimerHandle silence_timer;
   bool endpoints_read = false;
   std::unique_ptr<GatewayDrain> drain;
@@ -325,7 +317,7 @@
 
 void Gateway::Impl::StartWaitingIfReady() {
   if (IsReady()) {
-    StartWaitingRequests(start_queue.TakeAll());
+    start_waiters.StartAll();
   }
 }
 
@@ -481,54 +473,11 @@
 void Gateway::Impl::OnRequest(const std::shared_ptr<GatewayCaller>& caller,
                               GatewayRequest request) {
   const uint64_t number = next_exchange++;
-  if (IsReady() || !QueueUntilReady(number, caller, request)) {
-    StartExchange(number, caller, std::move(request));
-  }
-}
-
-bool Gateway::Impl::QueueUntilReady(
-    uint64_t number,
-    const std::shared_ptr<GatewayCaller>& caller,
-    const GatewayRequest& request) {
-  const RequestMetadata metadata = codec.decode_request(request.headers);
   const bool waits =
-      start_queue.Add({.number = number,
-                       .bytes = request.body.size(),
-                       .resumes = metadata.last_event_id.has_value(),
-                       .client_timeout = metadata.client_timeout},
-                      loop->Now());
+      !IsReady() && start_waiters.Add(number, caller, request,
+                                      codec.decode_request(request.headers));
   if (!waits) {
-    return false;
-  }
-  waiting_requests.emplace(number, QueuedRequest{caller, request});
-  metrics.Count("bramleybank_start_waits_total");
-  caller->SetDisconnectHandler([this, number] {
-    start_queue.Remove(number);
-    waiting_requests.erase(number);
-  });
-  ArmStartTimer();
-  return true;
-}
-
-void Gateway::Impl::ArmStartTimer() {
-  if (!start_timer.is_valid() && !start_queue.empty()) {
-    start_timer = loop->Schedule(kStartCheckInterval, [this] {
-      start_timer = TimerHandle();
-      StartWaitingRequests(start_queue.TakeExpired(loop->Now()));
-      ArmStartTimer();
-    });
-  }
-}
-
-void Gateway::Impl::StartWaitingRequests(const std::vector<uint64_t>& numbers) {
-  for (const uint64_t number : numbers) {
-    const auto it = waiting_requests.find(number);
-    if (it == waiting_requests.end()) {
-      continue;
-    }
-    QueuedRequest waiting = std::move(it->second);
-    waiting_requests.erase(it);
-    StartExchange(number, waiting.caller, std::move(waiting.request));
+    StartExchange(number, caller, std::move(request));
   }
 }
 
