Test: the limit holds while gateways freeze one after the other

A first version of the test had servers of 8 slots and saw 5 to 45 refusals: with 14 callers at one server without a limit, that server was full (attempts_lost refused_by_endpoint, refusals overloaded). That is no fault of the limit; the servers of this test now have more slots than there are callers.

--- a/tests/process_endpoint_limit.cc
+++ b/tests/process_endpoint_limit.cc
@@ -20,8 +20,12 @@
 // The users' bound for a window: one and a half times the limit, and 5.
 constexpr int kMostInWindow = static_cast<int>(1.5 * kLimit * 4) + 5;
 constexpr int kCallers = 14;
+// More slots than callers, so that the servers themselves refuse nothing.
+constexpr char kNeverFull[] = "work_ms = 5\nslots = 64\n";
 // Some 6 s of the load below, so that a window lies within it.
 constexpr int kCallsUnderLimit = 2500;
+// More than a second of the load, so that queries to a frozen issuer time out.
+constexpr int kCallsWhileFrozen = 400;
 constexpr int kRefusedCalls = 200;
 constexpr int kPermittedCalls = 40;
 constexpr int kServedInARow = 50;
@@ -79,7 +83,8 @@
   const WireDeployment site({.domains = 1,
                              .gateways_per_domain = 7,
                              .engines_per_domain = 1,
-                             .applications_per_domain = 3});
+                             .applications_per_domain = 3,
+                             .application_settings = kNeverFull});
   site.ControlApplication(0, {{"rate_limit", "6.0"}});
   UnevenLoad load(&site);
   WaitUntil("calls under the limit",
@@ -90,6 +95,30 @@
   CHECK(load.refused() == 0);
 }
 
+// Guards against a second issuer of permits that adds to the first one, and
+// against calls that wait for a frozen one.
+TEST_CASE("the limit holds while gateways freeze one after the other") {
+  WireDeployment site({.domains = 1,
+                       .gateways_per_domain = 7,
+                       .engines_per_domain = 1,
+                       .applications_per_domain = 2,
+                       .application_settings = kNeverFull});
+  site.ControlApplication(0, {{"rate_limit", "6.0"}});
+  UnevenLoad load(&site);
+  for (int i = 0; i < site.gateway_count(); ++i) {
+    site.gateway(i).Pause();
+    // The callers of a frozen gateway wait; those of the others go on.
+    const int before = load.answered();
+    WaitUntil("calls through the other gateways",
+              [&] { return load.answered() - before >= kCallsWhileFrozen; });
+    site.gateway(i).Continue();
+  }
+  load.Stop();
+  CHECK(site.MostArrivalsUnderLimit(0, kWindow) <= kMostInWindow);
+  CHECK(load.failed() == 0);
+  CHECK(load.refused() == 0);
+}
+
 // Guards against requests that wait or fail while all endpoints are at their
 // limits, and against limits that outlast the statements of the endpoints.
 TEST_CASE("callers are refused at limits and served when the limits end") {
