Permits: an issuer on a new VM accepts an old statement of a limit

The monotonic clock starts with the VM. An issuer whose VM was younger than the statement in a query placed it before the start of its clock, ignored it, and told the gateway that the limit had ended. Found by reading the change; the test failed before (is_unlimited, none granted) and passes now.

--- a/src/permit_issuer.cc
+++ b/src/permit_issuer.cc
@@ -45,7 +45,7 @@
 
 void PermitIssuer::Merge(const PermitQuery& query, Bucket* bucket) const {
   const TimePoint stated_at = m_clock() - query.age;
-  if (stated_at >= bucket->stated_at) {
+  if (!bucket->stated_at || stated_at >= *bucket->stated_at) {
     bucket->rate_limit = query.rate_limit;
     bucket->stated_at = stated_at;
   }
--- a/src/permit_issuer.h
+++ b/src/permit_issuer.h
@@ -34,7 +34,8 @@
     int64_t endpoint_start_ms = 0;
     // The latest statement of the endpoint that any gateway has passed on.
     std::optional<double> rate_limit;
-    TimePoint stated_at;
+    // When the endpoint stated it; empty before the first statement.
+    std::optional<TimePoint> stated_at;
     double permits = 1;
     TimePoint refilled_at;
     // Queries that were refused since the last grant.
--- a/tests/unit_endpoint_limit.cc
+++ b/tests/unit_endpoint_limit.cc
@@ -446,6 +446,16 @@
   CHECK(issuer.Issue(MakeQuery(std::nullopt, seconds(0), 0, 2)).is_unlimited);
 }
 
+// Guards against an issuer that takes a limit for ended because the statement
+// is older than the issuer's own clock, which starts with its VM.
+TEST_CASE("an issuer on a new VM accepts an old statement") {
+  const TimePoint now{seconds(10)};
+  PermitIssuer issuer([&] { return now; }, [] { return 0; });
+  const PermitAnswer answer = issuer.Issue(MakeQuery(6, seconds(60), 1));
+  CHECK_FALSE(answer.is_unlimited);
+  CHECK(answer.granted == 1);
+}
+
 // Guards against memory that grows with all endpoints that ever had a limit.
 TEST_CASE("an issuer keeps a bounded number of endpoints") {
   TimePoint now{seconds(100)};
