Permits: each attempt of a request may wait for a permit

The time within which a request may wait for a permit was counted from its first wait, so a stream that was resumed later could not wait at all. Found by reading the change; no test of its own.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -155,6 +155,7 @@
   m_body.Clear();
   m_events = {};
   m_attempt_has_event = false;
+  m_permit_wait_end.reset();
   m_tried_endpoints.push_back(m_endpoint.id);
   ++m_sends;
   if (endpoint.rate_limit) {
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -174,7 +174,8 @@
   // Number of attempts that may have run the request.
   int m_possible_runs = 0;
   int m_sends = 0;
-  // When the request stops waiting for a permit; empty if it has not waited.
+  // When the request stops waiting for a permit; empty if it has not waited
+  // since its last attempt.
   std::optional<TimePoint> m_permit_wait_end;
   StreamBackup m_backup;
   // Id of the engine that has prefilled the prompt; empty when unknown.
