Refuse a reconnect to an open stream that lacks the position

A caller that reconnected twice got no answer to its second request when the first had opened the stream here meanwhile and the position was not available: StartResumed ignored that StreamRunner::Reattach had failed. Both places that reattach now refuse with resume_impossible.

--- a/src/stream_service.cc
+++ b/src/stream_service.cc
@@ -73,11 +73,7 @@
     return;
   }
   if (StreamRunner* runner = Find(cursor.generation)) {
-    if (!runner->Reattach(responder, cursor.position)) {
-      RefuseResume(responder.get(), ResultCode::kResumeImpossible,
-                   "the position is not available in this daemon",
-                   cursor.position);
-    }
+    ReattachOrRefuse(runner, responder, cursor.position);
     return;
   }
   auto pending = std::make_shared<PendingResume>();
@@ -132,7 +128,7 @@
   const StreamCursor& cursor = pending.cursor;
   // The caller may have reconnected twice before the replies arrived.
   if (StreamRunner* runner = Find(cursor.generation)) {
-    runner->Reattach(pending.responder, cursor.position);
+    ReattachOrRefuse(runner, pending.responder, cursor.position);
     return;
   }
   StreamInitialState start;
@@ -162,6 +158,16 @@
       pending.responder, nullptr, MakeRemovalCallback(cursor.generation)));
 }
 
+void StreamService::ReattachOrRefuse(
+    StreamRunner* runner,
+    const std::shared_ptr<HttpResponder>& responder,
+    uint64_t position) {
+  if (!runner->Reattach(responder, position)) {
+    RefuseResume(responder.get(), ResultCode::kResumeImpossible,
+                 "the position is not available in this daemon", position);
+  }
+}
+
 void StreamService::RefuseResume(HttpResponder* responder,
                                  ResultCode code,
                                  std::string message,
--- a/src/stream_service.h
+++ b/src/stream_service.h
@@ -99,6 +99,10 @@
                   std::optional<StreamSnapshot> snapshot);
   void StartResumed(const PendingResume& pending,
                     const std::optional<StreamSnapshot>& snapshot);
+  /// Continues an open stream for a caller that has reconnected.
+  void ReattachOrRefuse(StreamRunner* runner,
+                        const std::shared_ptr<HttpResponder>& responder,
+                        uint64_t position);
   void RefuseResume(HttpResponder* responder,
                     ResultCode code,
                     std::string message,
