Resume a stream with the attempt number that the copy holder issued

A holder that had issued a higher number refuses the copies of such a stream as stale, and an engine its attempts. The first attempt now has the highest number of all replies; a reply may state a number without tokens. Both tests failed before (2 for 7, 2 for 9).

--- a/src/stream_service.cc
+++ b/src/stream_service.cc
@@ -21,7 +21,8 @@
   std::shared_ptr<HttpResponder> responder;
   int pending_replies = 0;
   bool started = false;
-  // Number of the first attempt here: one more than the attempt in the cursor.
+  // Number of the first attempt here: the highest of the numbers that the
+  // replies state and the one after the attempt in the cursor.
   uint32_t attempt = 0;
   // Best reply so far. The holder's is preferred to the former owner's.
   std::optional<StreamSnapshot> snapshot;
@@ -108,9 +109,12 @@
   if (pending->started) {
     return;
   }
+  if (snapshot) {
+    pending->attempt = std::max(pending->attempt, snapshot->attempt);
+  }
   const bool covers_position =
       snapshot && snapshot->tokens.size() >= pending->cursor.position;
-  // The holder of the copy issues the attempt number, so its reply is
+  // The holder of the copy issues the attempt number, so its tokens are
   // preferred.
   if (covers_position && (is_copy || !pending->snapshot)) {
     pending->snapshot = std::move(snapshot);
--- a/tests/unit_stream_service.cc
+++ b/tests/unit_stream_service.cc
@@ -127,6 +127,25 @@
           .tokens = {"a", "b", "c"}};
 }
 
+// Guards against a resumed stream whose copies the holder refuses as stale.
+TEST_CASE("a resumed stream uses the attempt number that the holder issued") {
+  Fixture fixture;
+  fixture.Resume(2);
+  fixture.claims.at(0)(Snapshot(7));
+  REQUIRE(fixture.copies.size() == 1);
+  CHECK(fixture.copies[0].attempt == 7);
+}
+
+// The holder may know the attempt number of a stream without its tokens.
+TEST_CASE("an attempt number without tokens is used as well") {
+  Fixture fixture;
+  fixture.Resume(2);
+  fixture.claims.at(0)(StreamSnapshot{.attempt = 9});
+  fixture.releases.at(0)(Snapshot(3));
+  REQUIRE(fixture.copies.size() == 1);
+  CHECK(fixture.copies[0].attempt == 9);
+}
+
 // Guards against a caller that gets no answer because its stream is already
 // open here, without the position that it asks for.
 TEST_CASE("a second reconnect at an unavailable position is refused") {
