Say why connections of callers close, and what they drop

New: bramleybank_caller_closes_total by reason, bramleybank_caller_bytes_dropped_total and caller_input_dropped for bytes that arrive on a closing connection, caller_cut for unsent output, and drain_ended with what a planned stop leaves open, including connections in the accept queue. Bytes dropped on connections that closed as idle tell a dropped request from an exchange that ended without an answer.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -244,7 +244,17 @@
                  GatewayRequest request) {
             OnRequest(caller, std::move(request));
           },
-      .on_closed = [this](GatewayCaller* caller) { callers.erase(caller); },
+      .on_closed =
+          [this](GatewayCaller* caller, CallerCloseReason reason) {
+            metrics.Count("bramleybank_caller_closes_total", "reason",
+                          NameOf(reason));
+            callers.erase(caller);
+          },
+      .on_input_dropped =
+          [this](size_t bytes) {
+            metrics.Count("bramleybank_caller_bytes_dropped_total", {}, {},
+                          bytes);
+          },
       .limits = [this] { return config ? config->limits() : CallerLimits{}; },
       .on_refused =
           [this](ResultCode code) {
@@ -541,10 +551,15 @@
   if (step.close_idle_callers) {
     const auto open = callers;
     for (const auto& [key, caller] : open) {
-      caller->CloseIfIdle();
+      caller->CloseIfIdle(CallerCloseReason::kStopping);
     }
   }
   if (step.stop) {
+    LogLine(LogEventId::kDrainEnded)
+        .Field("requests", static_cast<long long>(exchanges.size()))
+        .Field("connections", static_cast<long long>(callers.size()))
+        .Field("not_accepted",
+               static_cast<long long>(listener.pending_connections()));
     loop->Stop();
     return;
   }
--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -8,6 +8,7 @@
 #include "bramleybank/limits.h"
 #include "event_loop.h"
 #include "http1_status.h"
+#include "log_event.h"
 #include "tcp_connection.h"
 
 namespace bramleybank {
@@ -36,6 +37,22 @@
 
 }  // namespace
 
+const char* NameOf(CallerCloseReason reason) {
+  switch (reason) {
+    case CallerCloseReason::kIdle:
+      return "idle";
+    case CallerCloseReason::kStopping:
+      return "stopping";
+    case CallerCloseReason::kLastAnswer:
+      return "last_answer";
+    case CallerCloseReason::kByCaller:
+      return "by_caller";
+    case CallerCloseReason::kAborted:
+      return "aborted";
+  }
+  return "unknown";
+}
+
 GatewayCaller::GatewayCaller(EventLoop* loop, const GatewayCallerHooks* hooks)
     : m_loop(loop),
       m_hooks(hooks),
@@ -54,28 +71,28 @@
 void GatewayCaller::Start(int fd) {
   // The gateway keeps this object alive until on_closed is called.
   const std::weak_ptr<GatewayCaller> weak = weak_from_this();
-  m_connection =
-      TcpConnection::Adopt(m_loop, fd,
-                           {.on_connected = nullptr,
-                            .on_data =
-                                [weak](std::string_view data) {
-                                  if (const auto self = weak.lock()) {
-                                    self->OnData(data);
-                                  }
-                                },
-                            .on_end =
-                                [weak](TcpCloseReason) {
-                                  if (const auto self = weak.lock()) {
-                                    self->CloseNow();
-                                  }
-                                },
-                            .on_drained =
-                                [weak] {
-                                  const auto self = weak.lock();
-                                  if (self && self->m_on_drained) {
-                                    self->m_on_drained();
-                                  }
-                                }});
+  m_connection = TcpConnection::Adopt(
+      m_loop, fd,
+      {.on_connected = nullptr,
+       .on_data =
+           [weak](std::string_view data) {
+             if (const auto self = weak.lock()) {
+               self->OnData(data);
+             }
+           },
+       .on_end =
+           [weak](TcpCloseReason) {
+             if (const auto self = weak.lock()) {
+               self->CloseNow(CallerCloseReason::kByCaller);
+             }
+           },
+       .on_drained =
+           [weak] {
+             const auto self = weak.lock();
+             if (self && self->m_on_drained) {
+               self->m_on_drained();
+             }
+           }});
   ArmTimer();
 }
 
@@ -140,7 +157,7 @@
   m_hooks->on_request(shared_from_this(), std::move(m_request));
 }
 
-void GatewayCaller::CloseNow() {
+void GatewayCaller::CloseNow(CallerCloseReason reason) {
   if (m_closed) {
     return;
   }
@@ -152,12 +169,12 @@
   if (m_is_busy && on_disconnect) {
     on_disconnect();
   }
-  m_hooks->on_closed(this);
+  m_hooks->on_closed(this, reason);
 }
 
 void GatewayCaller::Abort() {
   m_on_disconnect = nullptr;
-  CloseNow();
+  CloseNow(CallerCloseReason::kAborted);
 }
 
 std::string GatewayCaller::RenderHead(int status,
@@ -238,7 +255,7 @@
   m_on_drained = nullptr;
   m_last_activity = m_loop->Now();
   if (!m_keep_alive || m_hooks->is_draining()) {
-    CloseGracefully();
+    CloseGracefully(CallerCloseReason::kLastAnswer);
     return;
   }
   ArmTimer();
@@ -270,18 +287,34 @@
   return m_closed ? 0 : m_connection->unsent_bytes();
 }
 
-void GatewayCaller::CloseIfIdle() {
+void GatewayCaller::CloseIfIdle(CallerCloseReason reason) {
   if (m_closed || m_is_busy || m_parser.is_inside_message()) {
     return;
   }
-  CloseGracefully();
+  CloseGracefully(reason);
 }
 
-void GatewayCaller::CloseGracefully() {
+void GatewayCaller::CloseGracefully(CallerCloseReason reason) {
   m_closed = true;
   m_loop->Cancel(m_timer);
-  m_connection->FinishAndClose(kCallerLinger);
-  m_hooks->on_closed(this);
+  m_connection->FinishAndClose(
+      {.time = kCallerLinger,
+       .on_discarded =
+           [hooks = m_hooks, reason](size_t bytes) {
+             LogLine(LogEventId::kCallerInputDropped)
+                 .Field("reason", NameOf(reason))
+                 .Field("bytes", static_cast<long long>(bytes));
+             hooks->on_input_dropped(bytes);
+           },
+       .on_closed =
+           [reason](size_t unsent) {
+             if (unsent > 0) {
+               LogLine(LogEventId::kCallerCut)
+                   .Field("reason", NameOf(reason))
+                   .Field("unsent", static_cast<long long>(unsent));
+             }
+           }});
+  m_hooks->on_closed(this, reason);
 }
 
 void GatewayCaller::ArmTimer() {
@@ -306,7 +339,7 @@
     if (m_has_head) {
       RefuseAndClose(kStatusRequestTimeout, ResultCode::kBadHeader);
     } else {
-      CloseIfIdle();
+      CloseIfIdle(CallerCloseReason::kIdle);
     }
     return;
   }
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -4,6 +4,7 @@
 #define BRAMLEYBANK_SRC_GATEWAY_CALLER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +24,21 @@
 class GatewayCaller;
 class TcpConnection;
 
+/// Why the connection of a caller was closed.
+enum class CallerCloseReason : uint8_t {
+  /// No request arrived within the idle timeout.
+  kIdle,
+  /// The gateway stops and no request was open.
+  kStopping,
+  /// The answer to the last request has been sent.
+  kLastAnswer,
+  /// By the caller.
+  kByCaller,
+  /// In the middle of an answer that cannot be completed.
+  kAborted,
+};
+const char* NameOf(CallerCloseReason reason);
+
 /// Hooks shared by all caller connections.
 struct GatewayCallerHooks {
   /// A complete request has been read. It is answered with Answer() or the
@@ -31,7 +47,10 @@
                      GatewayRequest request)>
       on_request;
   /// The connection has been closed.
-  std::function<void(GatewayCaller* caller)> on_closed;
+  std::function<void(GatewayCaller* caller, CallerCloseReason reason)>
+      on_closed;
+  /// Bytes that arrived on a closing connection were dropped.
+  std::function<void(size_t bytes)> on_input_dropped;
   /// @returns the limits of the current configuration.
   std::function<CallerLimits()> limits;
   /// A request was refused before it was complete.
@@ -72,7 +91,7 @@
   size_t backlog_bytes() const;
 
   /// Closes the connection if no request is being read or answered.
-  void CloseIfIdle();
+  void CloseIfIdle(CallerCloseReason reason);
   bool is_busy() const { return m_is_busy; }
 
  private:
@@ -85,9 +104,9 @@
   void FinishAnswer();
   void ArmTimer();
   void OnTimer();
-  void CloseNow();
+  void CloseNow(CallerCloseReason reason);
   /// Closes the connection after the buffered output has been sent.
-  void CloseGracefully();
+  void CloseGracefully(CallerCloseReason reason);
   std::string RenderHead(int status, const HttpHeaders& headers) const;
 
   EventLoop* m_loop;
--- a/src/tcp_connection.cc
+++ b/src/tcp_connection.cc
@@ -127,7 +127,7 @@
   UpdateWatch();
 }
 
-void TcpConnection::FinishAndClose(Duration linger) {
+void TcpConnection::FinishAndClose(TcpLinger linger) {
   if (m_fd < 0 || m_phase == Phase::kLingering) {
     return;
   }
@@ -137,11 +137,12 @@
   }
   m_phase = Phase::kLingering;
   m_callbacks = {};
+  m_linger = std::move(linger);
   m_reading = true;
   // The timer holds a reference, so the connection lives until the timer fires
   // or is cancelled by Close().
   m_timer = m_loop->Schedule(
-      linger, [self = shared_from_this()]() mutable { self->Close(); });
+      m_linger.time, [self = shared_from_this()]() mutable { self->Close(); });
   ShutDownWriteIfDrained();
   UpdateWatch();
 }
@@ -163,6 +164,10 @@
     close(m_fd);
     m_fd = -1;
   }
+  const TcpLinger linger = std::exchange(m_linger, {});
+  if (linger.on_closed) {
+    linger.on_closed(unsent_bytes());
+  }
 }
 
 void TcpConnection::SetReading(bool reading) {
@@ -250,6 +255,8 @@
     if (m_callbacks.on_data) {
       const auto on_data = m_callbacks.on_data;
       on_data({block.data(), static_cast<size_t>(count)});
+    } else if (m_linger.on_discarded) {
+      m_linger.on_discarded(static_cast<size_t>(count));
     }
     if (static_cast<size_t>(count) < block.size()) {
       return;
--- a/src/tcp_connection.h
+++ b/src/tcp_connection.h
@@ -37,6 +37,17 @@
   std::function<void()> on_drained;
 };
 
+/// How a connection ends after FinishAndClose().
+struct TcpLinger {
+  /// Longest time until the connection is closed.
+  Duration time{0};
+  /// Incoming bytes were read and discarded.
+  std::function<void(size_t bytes)> on_discarded;
+  /// The connection has been closed before `unsent` bytes were handed to the
+  /// operating system.
+  std::function<void(size_t unsent)> on_closed;
+};
+
 /// One TCP connection over IPv4. It stays alive while one of its callbacks
 /// runs, even if the owner releases its pointer inside the callback.
 class TcpConnection : public std::enable_shared_from_this<TcpConnection> {
@@ -59,10 +70,10 @@
   /// queued.
   void Write(std::string_view bytes);
   /// Sends the queued bytes, then shuts down the sending side. Incoming bytes
-  /// are discarded until the peer closes or `linger` has passed. Closing with
-  /// unread bytes would reset the connection, possibly before the peer has read
-  /// the last response.
-  void FinishAndClose(Duration linger);
+  /// are discarded until the peer closes or `linger.time` has passed. Closing
+  /// with unread bytes would reset the connection, possibly before the peer has
+  /// read the last response.
+  void FinishAndClose(TcpLinger linger);
   /// Closes the connection immediately and discards unsent bytes.
   void Close();
 
@@ -98,6 +109,8 @@
   bool m_watch_write = false;
   bool m_write_shut_down = false;
   TcpCallbacks m_callbacks;
+  // Set by FinishAndClose().
+  TcpLinger m_linger;
   // Bytes from m_sent_offset on have not been sent yet.
   std::string m_output;
   size_t m_sent_offset = 0;
--- a/src/tcp_listener.cc
+++ b/src/tcp_listener.cc
@@ -1,6 +1,8 @@
 // Listening socket with a limited number of accepts per loop iteration.
 #include "tcp_listener.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -56,6 +58,15 @@
   m_fd = -1;
 }
 
+size_t TcpListener::pending_connections() const {
+  // For a listening socket the kernel reports its accept queue in this field.
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  const bool is_known =
+      m_fd >= 0 && getsockopt(m_fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+  return is_known ? info.tcpi_unacked : 0;
+}
+
 void TcpListener::AcceptAll() {
   for (int i = 0; i < kMaxAcceptsPerTurn && m_fd >= 0; ++i) {
     const int fd =
--- a/src/tcp_listener.h
+++ b/src/tcp_listener.h
@@ -2,6 +2,7 @@
 #ifndef BRAMLEYBANK_SRC_TCP_LISTENER_H_
 #define BRAMLEYBANK_SRC_TCP_LISTENER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -31,6 +32,9 @@
   /// reset.
   void Stop();
 
+  /// @returns the number of connections in the accept queue.
+  size_t pending_connections() const;
+
   const Reason& last_reason() const { return m_last_reason; }
 
  private:
--- a/tests/gateway_fakes.h
+++ b/tests/gateway_fakes.h
@@ -144,7 +144,9 @@
     } else if (!step.repeated.empty()) {
       Repeat(peer, step);
     } else if (step.closes) {
-      peer->connection->FinishAndClose(std::chrono::milliseconds(10));
+      peer->connection->FinishAndClose({.time = std::chrono::milliseconds(10),
+                                        .on_discarded = nullptr,
+                                        .on_closed = nullptr});
     }
   }
 
