--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -264,12 +264,15 @@
                        {"kv_capacity_tokens", 88000},
                        {"backups", true},
                        {"handle_s", 4.0}};
-  const json config = {
+  json config = {
       {"version", version},
       {"routes", routes},
       {"services",
        {{{"name", "engines"}, {"engine", engine}}, {{"name", "apps"}}}},
       {"tenants", {{{"name", "customer-1"}, {"api_keys", {key}}}}}};
+  if (!m_options.limits.empty()) {
+    config["limits"] = m_options.limits;
+  }
   REQUIRE(Send("PUT",
                Url(kStoreAddress, kStorePort,
                    "/standin/operator?table=op&key=config"),
--- a/tests/wire_deployment.h
+++ b/tests/wire_deployment.h
@@ -23,6 +23,8 @@
   std::string engine_settings = "event_ms = 20\nevents = 40\nwork_ms = 20\n";
   /// Lines of the [server] section of every application.
   std::string application_settings = "work_ms = 5\n";
+  /// Limits for callers in the configuration; empty for the defaults.
+  nlohmann::json limits = nlohmann::json::object();
   /// Whether the connections to each server, and between each gateway and the
   /// store, go through a fault proxy.
   bool is_proxied = false;
