Fix: a connection with an unread request was closed as idle

Callers saw their kept connection close with neither an answer nor a refusal, during a planned stop and at the idle timeout. A request that arrived while the gateway was frozen or busy lay in the socket when the timer ran, because timers run before sockets are read: the connection looked idle, and the linger read and dropped the request.

The socket is now read before a timer closes a connection or refuses its request as too slow, and the connection is closed only if nothing was there. An idle connection is closed without a linger: a request that crosses the close is not read, so its caller sees a reset and may repeat it.

The case of a stop was split in two, since one that also ends at that moment needs another change; that half still fails.

--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -287,11 +287,25 @@
   return m_closed ? 0 : m_connection->unsent_bytes();
 }
 
+bool GatewayCaller::IsIdle() const {
+  return !m_closed && !m_is_busy && !m_parser.is_inside_message() &&
+         m_parser.unparsed_bytes() == 0;
+}
+
 void GatewayCaller::CloseIfIdle(CallerCloseReason reason) {
-  if (m_closed || m_is_busy || m_parser.is_inside_message()) {
+  const auto self = shared_from_this();
+  if (!IsIdle()) {
     return;
   }
-  CloseGracefully(reason);
+  m_connection->ReadNow();
+  if (!IsIdle()) {
+    return;
+  }
+  if (m_connection->unsent_bytes() > 0) {
+    CloseGracefully(reason);
+  } else {
+    CloseNow(reason);
+  }
 }
 
 void GatewayCaller::CloseGracefully(CallerCloseReason reason) {
@@ -326,8 +340,14 @@
 }
 
 void GatewayCaller::OnTimer() {
+  const auto self = shared_from_this();
   m_timer = TimerHandle();
   m_limits = m_hooks->limits();
+  // What arrived while this process was paused or busy came in time.
+  m_connection->ReadNow();
+  if (m_closed) {
+    return;
+  }
   const TimePoint now = m_loop->Now();
   const bool in_head = m_parser.is_inside_message() && !m_has_head;
   if (in_head && now - m_message_start >= m_limits.header_timeout) {
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -90,7 +90,9 @@
   void SetDrainedHandler(std::function<void()> handler);
   size_t backlog_bytes() const;
 
-  /// Closes the connection if no request is being read or answered.
+  /// Closes the connection unless a request has arrived on it that is not
+  /// answered yet, in the socket or in part included. A request that arrives
+  /// later is not read, so that its caller sees a reset.
   void CloseIfIdle(CallerCloseReason reason);
   bool is_busy() const { return m_is_busy; }
 
@@ -104,6 +106,7 @@
   void FinishAnswer();
   void ArmTimer();
   void OnTimer();
+  bool IsIdle() const;
   void CloseNow(CallerCloseReason reason);
   /// Closes the connection after the buffered output has been sent.
   void CloseGracefully(CallerCloseReason reason);
--- a/src/tcp_connection.cc
+++ b/src/tcp_connection.cc
@@ -238,6 +238,13 @@
   }
 }
 
+void TcpConnection::ReadNow() {
+  const auto self = shared_from_this();
+  if (m_phase == Phase::kOpen) {
+    ReadAvailable();
+  }
+}
+
 void TcpConnection::ReadAvailable() {
   static thread_local std::array<char, kReadBlockBytes> block;
   for (int i = 0; i < kMaxReadsPerTurn && m_fd >= 0 && m_reading; ++i) {
--- a/src/tcp_connection.h
+++ b/src/tcp_connection.h
@@ -77,6 +77,9 @@
   /// Closes the connection immediately and discards unsent bytes.
   void Close();
 
+  /// Delivers the bytes that have arrived but have not been read yet, unless
+  /// reading is disabled.
+  void ReadNow();
   /// Enables or disables reading, for flow control.
   void SetReading(bool reading);
 
--- a/tests/process_stop.cc
+++ b/tests/process_stop.cc
@@ -21,8 +21,10 @@
 constexpr int kCallers = 10;
 constexpr size_t kLargeAnswerBytes = 12'000'000;
 constexpr int kSmallReceiveBuffer = 64 * 1024;
-// Later than the first moment at which a stopping gateway closes idle
-// connections or ends.
+// After SIGTERM: when a stopping gateway closes idle connections but does not
+// end yet, and when it may end.
+constexpr milliseconds kAtIdleClose =
+    kDrainNoticeTime + kDrainCheckInterval / 2;
 constexpr milliseconds kAfterIdleClose =
     kDrainNoticeTime + 5 * kDrainCheckInterval;
 
@@ -68,21 +70,32 @@
   return start;
 }
 
-// Guards against closing a connection as idle while a request lies unread in
-// its socket.
-TEST_CASE("requests on kept connections are answered by a gateway that stops") {
+/// Sends requests on kept connections while the gateway is frozen until
+/// `freeze_end` after SIGTERM.
+void CheckKeptConnections(milliseconds freeze_end) {
   WireDeployment site(OneGateway());
   const Callers callers = Connect(site);
   SendRequests(callers, "first-");
   CheckAnswers(callers, "first-");
   const auto start = TerminateAndFreeze(&site);
   SendRequests(callers, "second-");
-  std::this_thread::sleep_until(start + kAfterIdleClose);
+  std::this_thread::sleep_until(start + freeze_end);
   site.gateway(0).Continue();
   CheckAnswers(callers, "second-");
   CHECK(site.gateway(0).WaitExit() == 0);
 }
 
+// Guards against closing a connection as idle while a request lies unread in
+// its socket.
+TEST_CASE("requests on kept connections are answered by a gateway that stops") {
+  CheckKeptConnections(kAtIdleClose);
+}
+
+// Guards against a shutdown that ends while requests lie unread in sockets.
+TEST_CASE("requests on kept connections are answered before a gateway ends") {
+  CheckKeptConnections(kAfterIdleClose);
+}
+
 // Guards against a shutdown that ends while connections wait to be accepted.
 TEST_CASE("connections in the accept queue are served before a gateway ends") {
   WireDeployment site(OneGateway());
