Fix: a planned stop cut connections that had not been told to close

A caller that sent its next request after a stream which began before SIGTERM, or a request behind another one, got no answer from a gateway that stops: each answer that ended during the stop closed its connection, also when its head, sent before, had not said so, and when a further request had been read already.

A connection now closes after an answer only if that answer's head said 'Connection: close', and the head does not say so while more input is buffered. Other connections count as idle after their answer and close like those.

Evidence: process_stop, 'a request after a stream that began before SIGTERM' and 'pipelined requests', fail before and pass now.

--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -177,14 +177,16 @@
   CloseNow(CallerCloseReason::kAborted);
 }
 
-std::string GatewayCaller::RenderHead(int status,
-                                      const HttpHeaders& headers) const {
+std::string GatewayCaller::RenderHead(int status, const HttpHeaders& headers) {
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head.append(ReasonPhrase(status)).append(kLineEnd);
   for (const auto& [name, value] : headers) {
     head.append(name).append(": ").append(value).append(kLineEnd);
   }
-  if (!m_keep_alive || m_hooks->is_draining()) {
+  // A request that has arrived behind this one gets an answer too.
+  m_states_close = !m_keep_alive ||
+                   (m_hooks->is_draining() && m_parser.unparsed_bytes() == 0);
+  if (m_states_close) {
     head.append("Connection: close\r\n");
   }
   return head;
@@ -254,7 +256,7 @@
   m_on_disconnect = nullptr;
   m_on_drained = nullptr;
   m_last_activity = m_loop->Now();
-  if (!m_keep_alive || m_hooks->is_draining()) {
+  if (m_states_close) {
     CloseGracefully(CallerCloseReason::kLastAnswer);
     return;
   }
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -55,7 +55,7 @@
   std::function<CallerLimits()> limits;
   /// A request was refused before it was complete.
   std::function<void(ResultCode code)> on_refused;
-  /// Whether connections are closed after their next answer.
+  /// Whether answers state that their connection closes.
   std::function<bool()> is_draining;
 };
 
@@ -110,7 +110,7 @@
   void CloseNow(CallerCloseReason reason);
   /// Closes the connection after the buffered output has been sent.
   void CloseGracefully(CallerCloseReason reason);
-  std::string RenderHead(int status, const HttpHeaders& headers) const;
+  std::string RenderHead(int status, const HttpHeaders& headers);
 
   EventLoop* m_loop;
   const GatewayCallerHooks* m_hooks;
@@ -128,6 +128,8 @@
   // A request is complete and its answer is not.
   bool m_is_busy = false;
   bool m_keep_alive = true;
+  // Whether the head of the current answer states that the connection closes.
+  bool m_states_close = false;
   bool m_is_head_request = false;
   bool m_closed = false;
 };
