Fix: answers to slow callers were cut one second after their last write

A caller that read an answer slowly lost its rest when the connection was to end after it: the linger timer ran from the call of FinishAndClose and closed whatever was unsent.

The linger time now runs from the moment at which the caller has received all output, as the kernel reports it (SIOCOUTQ). Until then a connection ends only when its caller receives less than 4 KB in 5 s, so that one which takes a byte now and then does not hold it. A kept connection with unsent output is not idle; it is closed at the idle timeout if its caller has hardly read (reason 'stalled').

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -246,8 +246,13 @@
 /// Retry-After for streams that reach a stopping daemon. It is short because
 /// the retry reaches another daemon.
 inline constexpr std::chrono::milliseconds kDrainRetryAfter{50};
-/// Longest time until a connection is closed after its last answer.
+/// Longest time until a connection is closed after its last answer has been
+/// handed to the operating system.
 inline constexpr std::chrono::milliseconds kCallerLinger{1000};
+/// A connection that is to be closed and has unsent output is cut off when its
+/// caller takes less than kMinCallerProgressBytes of it within this time.
+inline constexpr std::chrono::milliseconds kCallerStallWindow{5000};
+inline constexpr size_t kMinCallerProgressBytes = 4 * 1024;
 /// Output buffered for a slow caller before reading from the endpoint stops
 /// (back pressure).
 inline constexpr size_t kMaxCallerBacklogBytes = 64 * 1024;
--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -49,6 +49,8 @@
       return "by_caller";
     case CallerCloseReason::kAborted:
       return "aborted";
+    case CallerCloseReason::kStalled:
+      return "stalled";
   }
   return "unknown";
 }
@@ -88,14 +90,20 @@
            },
        .on_drained =
            [weak] {
-             const auto self = weak.lock();
-             if (self && self->m_on_drained) {
-               self->m_on_drained();
+             if (const auto self = weak.lock()) {
+               self->OnDrained();
              }
            }});
   ArmTimer();
 }
 
+void GatewayCaller::OnDrained() {
+  m_last_activity = m_loop->Now();
+  if (m_on_drained) {
+    m_on_drained();
+  }
+}
+
 void GatewayCaller::OnData(std::string_view data) {
   m_last_activity = m_loop->Now();
   if (!m_is_busy && !m_parser.is_inside_message()) {
@@ -291,7 +299,7 @@
 
 bool GatewayCaller::IsIdle() const {
   return !m_closed && !m_is_busy && !m_parser.is_inside_message() &&
-         m_parser.unparsed_bytes() == 0;
+         m_parser.unparsed_bytes() == 0 && m_connection->unsent_bytes() == 0;
 }
 
 void GatewayCaller::CloseIfIdle(CallerCloseReason reason) {
@@ -303,11 +311,21 @@
   if (!IsIdle()) {
     return;
   }
-  if (m_connection->unsent_bytes() > 0) {
-    CloseGracefully(reason);
-  } else {
-    CloseNow(reason);
+  CloseNow(reason);
+}
+
+void GatewayCaller::CloseIfStalled() {
+  const uint64_t delivered = m_connection->delivered_bytes();
+  if (delivered < m_delivered_mark + kMinCallerProgressBytes) {
+    LogLine(LogEventId::kCallerCut)
+        .Field("reason", NameOf(CallerCloseReason::kStalled))
+        .Field("unsent", static_cast<long long>(m_connection->unsent_bytes()));
+    CloseNow(CallerCloseReason::kStalled);
+    return;
   }
+  m_delivered_mark = delivered;
+  m_last_activity = m_loop->Now();
+  ArmTimer();
 }
 
 void GatewayCaller::CloseGracefully(CallerCloseReason reason) {
@@ -315,6 +333,8 @@
   m_loop->Cancel(m_timer);
   m_connection->FinishAndClose(
       {.time = kCallerLinger,
+       .stall_window = kCallerStallWindow,
+       .min_progress = kMinCallerProgressBytes,
        .on_discarded =
            [hooks = m_hooks, reason](size_t bytes) {
              LogLine(LogEventId::kCallerInputDropped)
@@ -358,7 +378,9 @@
   }
   if (!m_is_busy && !in_head &&
       now - m_last_activity >= m_limits.idle_timeout) {
-    if (m_has_head) {
+    if (m_connection->unsent_bytes() > 0) {
+      CloseIfStalled();
+    } else if (m_has_head) {
       RefuseAndClose(kStatusRequestTimeout, ResultCode::kBadHeader);
     } else {
       CloseIfIdle(CallerCloseReason::kIdle);
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -36,6 +36,8 @@
   kByCaller,
   /// In the middle of an answer that cannot be completed.
   kAborted,
+  /// The caller does not read its answer.
+  kStalled,
 };
 const char* NameOf(CallerCloseReason reason);
 
@@ -98,6 +100,7 @@
 
  private:
   void OnData(std::string_view data);
+  void OnDrained();
   void OnHead(Http1Head head);
   void OnBody(std::string_view data);
   void OnRequestComplete();
@@ -107,6 +110,8 @@
   void ArmTimer();
   void OnTimer();
   bool IsIdle() const;
+  /// Closes the connection if its caller has hardly read since the last call.
+  void CloseIfStalled();
   void CloseNow(CallerCloseReason reason);
   /// Closes the connection after the buffered output has been sent.
   void CloseGracefully(CallerCloseReason reason);
@@ -120,9 +125,12 @@
   GatewayRequest m_request;
   std::function<void()> m_on_disconnect;
   std::function<void()> m_on_drained;
-  // The last time at which bytes arrived or an answer ended.
+  // The last time at which bytes arrived, an answer ended or the caller was
+  // seen to read it.
   TimePoint m_last_activity;
   TimePoint m_message_start;
+  // Bytes that the caller had received at the last check for a stall.
+  uint64_t m_delivered_mark = 0;
   TimerHandle m_timer;
   bool m_has_head = false;
   // A request is complete and its answer is not.
--- a/src/tcp_connection.cc
+++ b/src/tcp_connection.cc
@@ -3,8 +3,10 @@
 #include "tcp_connection.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -139,14 +141,48 @@
   m_callbacks = {};
   m_linger = std::move(linger);
   m_reading = true;
-  // The timer holds a reference, so the connection lives until the timer fires
-  // or is cancelled by Close().
-  m_timer = m_loop->Schedule(
-      m_linger.time, [self = shared_from_this()]() mutable { self->Close(); });
+  m_progress_mark = delivered_bytes();
+  m_had_output = unsent_bytes() > 0;
+  ScheduleLingerCheck();
   ShutDownWriteIfDrained();
   UpdateWatch();
 }
 
+void TcpConnection::ScheduleLingerCheck() {
+  // The timer holds a reference, so the connection lives until Close() cancels
+  // the timer.
+  m_timer = m_loop->Schedule(
+      m_linger.time,
+      [self = shared_from_this()]() mutable { self->CheckLinger(); });
+}
+
+void TcpConnection::CheckLinger() {
+  const uint64_t delivered = delivered_bytes();
+  // The time in which this process was paused does not count.
+  m_stalled_for += m_linger.time;
+  if (delivered >= m_progress_mark + m_linger.min_progress) {
+    m_progress_mark = delivered;
+    m_stalled_for = Duration{0};
+  }
+  const bool has_output = unsent_bytes() > 0 || delivered < m_total_sent;
+  const bool is_stalled = m_stalled_for >= m_linger.stall_window;
+  // The peer gets the linger time after the check that found output last.
+  if (has_output ? is_stalled : !m_had_output) {
+    Close();
+    return;
+  }
+  m_had_output = has_output;
+  ScheduleLingerCheck();
+}
+
+uint64_t TcpConnection::delivered_bytes() const {
+  int in_kernel = 0;
+  if (m_fd < 0 || ioctl(m_fd, SIOCOUTQ, &in_kernel) != 0) {
+    return m_total_sent;
+  }
+  return m_total_sent - static_cast<uint64_t>(in_kernel);
+}
+
 void TcpConnection::ShutDownWriteIfDrained() {
   if (unsent_bytes() == 0 && !m_write_shut_down) {
     m_write_shut_down = true;
--- a/src/tcp_connection.h
+++ b/src/tcp_connection.h
@@ -39,8 +39,13 @@
 
 /// How a connection ends after FinishAndClose().
 struct TcpLinger {
-  /// Longest time until the connection is closed.
+  /// Longest time until the connection is closed after the peer has received
+  /// all output.
   Duration time{0};
+  /// The connection is closed earlier if the peer receives less than
+  /// `min_progress` bytes within this time.
+  Duration stall_window{0};
+  size_t min_progress = 1;
   /// Incoming bytes were read and discarded.
   std::function<void(size_t bytes)> on_discarded;
   /// The connection has been closed before `unsent` bytes were handed to the
@@ -69,10 +74,10 @@
   /// Sends bytes; those that the operating system does not accept yet are
   /// queued.
   void Write(std::string_view bytes);
-  /// Sends the queued bytes, then shuts down the sending side. Incoming bytes
-  /// are discarded until the peer closes or `linger.time` has passed. Closing
-  /// with unread bytes would reset the connection, possibly before the peer has
-  /// read the last response.
+  /// Sends the queued bytes, however slowly the peer reads, then shuts down the
+  /// sending side. Incoming bytes are discarded until the peer closes or
+  /// `linger` ends the connection. Closing with unread bytes would reset the
+  /// connection, possibly before the peer has read the last response.
   void FinishAndClose(TcpLinger linger);
   /// Closes the connection immediately and discards unsent bytes.
   void Close();
@@ -87,6 +92,9 @@
   /// Bytes handed to the operating system. While this is 0 the peer cannot have
   /// received anything.
   uint64_t sent_bytes() const { return m_total_sent; }
+  /// Bytes that the peer's operating system has received, or those handed to
+  /// this one if that is not known.
+  uint64_t delivered_bytes() const;
   bool is_open() const { return m_fd >= 0; }
 
  private:
@@ -102,6 +110,8 @@
   void End(TcpCloseReason end);
   void PostEnd(TcpCloseReason end);
   void ShutDownWriteIfDrained();
+  void ScheduleLingerCheck();
+  void CheckLinger();
 
   EventLoop* m_loop;
   int m_fd;
@@ -114,6 +124,11 @@
   TcpCallbacks m_callbacks;
   // Set by FinishAndClose().
   TcpLinger m_linger;
+  // delivered_bytes() when it was last seen to have grown by the minimum, and
+  // the time for which this process has run since then.
+  uint64_t m_progress_mark = 0;
+  Duration m_stalled_for{0};
+  bool m_had_output = false;
   // Bytes from m_sent_offset on have not been sent yet.
   std::string m_output;
   size_t m_sent_offset = 0;
--- a/tests/gateway_fakes.h
+++ b/tests/gateway_fakes.h
@@ -144,9 +144,11 @@
     } else if (!step.repeated.empty()) {
       Repeat(peer, step);
     } else if (step.closes) {
-      peer->connection->FinishAndClose({.time = std::chrono::milliseconds(10),
-                                        .on_discarded = nullptr,
-                                        .on_closed = nullptr});
+      peer->connection->FinishAndClose(
+          {.time = std::chrono::milliseconds(10),
+           .stall_window = std::chrono::milliseconds(10),
+           .on_discarded = nullptr,
+           .on_closed = nullptr});
     }
   }
 
