Fix: a planned stop ended without looking at sockets and the accept queue

Callers whose request reached a stopping gateway in its last moments saw a reset: the gateway ended once no request was open, with connections in its accept queue, with requests unread in sockets, and with answers in its own buffers.

Before each decision the gateway now accepts what is in the queue and reads the sockets of idle connections. It ends only when no request and no connection of a caller is open, closing ones included, and none has come for 0.5 s; a connection that has just been accepted has 0.5 s for its first request. All of it stays bounded by the moment shortly before the process would be killed.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -326,6 +326,11 @@
 /// A request that arrives within this time before the end of the drain is
 /// refused.
 inline constexpr std::chrono::milliseconds kDrainRefuseTime{1000};
+/// A connection that has just been accepted has this long for the first bytes
+/// of its request before it counts as idle.
+inline constexpr std::chrono::milliseconds kDrainFirstRequestTime{500};
+/// A stopping gateway accepts connections until none has come for this long.
+inline constexpr std::chrono::milliseconds kDrainQuietTime{500};
 
 // Gateway: the store.
 /// Time that the answer to a wait for changes may take beyond the wait itself.
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -93,6 +93,8 @@
   void ArmSilenceCheck();
   void CheckSilence();
   bool IsTooLateToStart(bool is_stream) const;
+  void CloseIdleCallers();
+  GatewayDrainLoad DrainLoad() const;
   void ContinueDrain();
 
   EventLoop* loop;
@@ -215,6 +217,7 @@
   bool endpoints_read = false;
   std::unique_ptr<GatewayDrain> drain;
   TimerHandle drain_timer;
+  TimePoint last_accept;
   uint16_t caller_port = 0;
   Reason last_reason;
 };
@@ -475,6 +478,7 @@
 }
 
 void Gateway::Impl::Accept(int fd) {
+  last_accept = loop->Now();
   const auto caller = std::make_shared<GatewayCaller>(loop, &caller_hooks);
   callers.emplace(caller.get(), caller);
   caller->Start(fd);
@@ -539,21 +543,35 @@
 bool Gateway::Impl::IsTooLateToStart(bool is_stream) const {
   // A stream may take most of the shutdown time, so none is started during a
   // shutdown.
-  return drain && (is_stream ||
-                   drain->Next(loop->Now(), exchanges.size()).refuse_requests);
+  return drain &&
+         (is_stream || drain->Next(loop->Now(), DrainLoad()).refuse_requests);
+}
+
+void Gateway::Impl::CloseIdleCallers() {
+  // Includes the connections that wait to be accepted.
+  listener.AcceptPending();
+  const auto open = callers;
+  for (const auto& [key, caller] : open) {
+    if (!caller->AwaitsFirstRequest()) {
+      caller->CloseIfIdle(CallerCloseReason::kStopping);
+    }
+  }
+}
+
+GatewayDrainLoad Gateway::Impl::DrainLoad() const {
+  return {.open_requests = exchanges.size(),
+          .open_connections = callers.size(),
+          .last_accept = last_accept};
 }
 
 void Gateway::Impl::ContinueDrain() {
   if (!drain) {
     return;
   }
-  const GatewayDrainStep step = drain->Next(loop->Now(), exchanges.size());
-  if (step.close_idle_callers) {
-    const auto open = callers;
-    for (const auto& [key, caller] : open) {
-      caller->CloseIfIdle(CallerCloseReason::kStopping);
-    }
+  if (drain->Next(loop->Now(), DrainLoad()).close_idle_callers) {
+    CloseIdleCallers();
   }
+  const GatewayDrainStep step = drain->Next(loop->Now(), DrainLoad());
   if (step.stop) {
     LogLine(LogEventId::kDrainEnded)
         .Field("requests", static_cast<long long>(exchanges.size()))
--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -68,9 +68,13 @@
 
 GatewayCaller::~GatewayCaller() {
   m_loop->Cancel(m_timer);
+  if (m_connection) {
+    m_connection->Close();
+  }
 }
 
 void GatewayCaller::Start(int fd) {
+  m_accepted_at = m_loop->Now();
   // The gateway keeps this object alive until on_closed is called.
   const std::weak_ptr<GatewayCaller> weak = weak_from_this();
   m_connection = TcpConnection::Adopt(
@@ -105,6 +109,7 @@
 }
 
 void GatewayCaller::OnData(std::string_view data) {
+  m_has_input = true;
   m_last_activity = m_loop->Now();
   if (!m_is_busy && !m_parser.is_inside_message()) {
     m_message_start = m_last_activity;
@@ -302,6 +307,10 @@
          m_parser.unparsed_bytes() == 0 && m_connection->unsent_bytes() == 0;
 }
 
+bool GatewayCaller::AwaitsFirstRequest() const {
+  return !m_has_input && m_loop->Now() - m_accepted_at < kDrainFirstRequestTime;
+}
+
 void GatewayCaller::CloseIfIdle(CallerCloseReason reason) {
   const auto self = shared_from_this();
   if (!IsIdle()) {
@@ -343,14 +352,16 @@
              hooks->on_input_dropped(bytes);
            },
        .on_closed =
-           [reason](size_t unsent) {
+           [weak = weak_from_this(), reason](size_t unsent) {
              if (unsent > 0) {
                LogLine(LogEventId::kCallerCut)
                    .Field("reason", NameOf(reason))
                    .Field("unsent", static_cast<long long>(unsent));
              }
+             if (const auto self = weak.lock()) {
+               self->m_hooks->on_closed(self.get(), reason);
+             }
            }});
-  m_hooks->on_closed(this, reason);
 }
 
 void GatewayCaller::ArmTimer() {
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -48,7 +48,8 @@
   std::function<void(const std::shared_ptr<GatewayCaller>& caller,
                      GatewayRequest request)>
       on_request;
-  /// The connection has been closed.
+  /// The connection has been closed and the caller has its last answer, or was
+  /// cut off.
   std::function<void(GatewayCaller* caller, CallerCloseReason reason)>
       on_closed;
   /// Bytes that arrived on a closing connection were dropped.
@@ -96,6 +97,9 @@
   /// answered yet, in the socket or in part included. A request that arrives
   /// later is not read, so that its caller sees a reset.
   void CloseIfIdle(CallerCloseReason reason);
+  /// Whether the connection has just been accepted and its first request may be
+  /// on the way.
+  bool AwaitsFirstRequest() const;
   bool is_busy() const { return m_is_busy; }
 
  private:
@@ -132,6 +136,8 @@
   // Bytes that the caller had received at the last check for a stall.
   uint64_t m_delivered_mark = 0;
   TimerHandle m_timer;
+  TimePoint m_accepted_at;
+  bool m_has_input = false;
   bool m_has_head = false;
   // A request is complete and its answer is not.
   bool m_is_busy = false;
--- a/src/gateway_drain.h
+++ b/src/gateway_drain.h
@@ -8,6 +8,18 @@
 
 namespace bramleybank {
 
+/// What is still open in a gateway.
+struct GatewayDrainLoad {
+  size_t open_requests = 0;
+  /// Connections of callers, including those that are being closed.
+  size_t open_connections = 0;
+  /// When a connection was last accepted.
+  TimePoint last_accept;
+
+  friend bool operator==(const GatewayDrainLoad&,
+                         const GatewayDrainLoad&) = default;
+};
+
 /// Actions to take at one point of the shutdown.
 struct GatewayDrainStep {
   bool close_idle_callers = false;
@@ -21,16 +33,16 @@
 
 /// A gateway that shuts down reports that it is not ready and serves until the
 /// load balancer has had time to notice. Then it closes idle connections. It
-/// stops when no request is open, or shortly before the process would be
-/// killed. The load balancer may send connections until the end when no other
-/// daemon is ready, so requests that arrive too late to be finished are refused
-/// instead of cut off.
+/// stops when no request and no connection is open and none comes any more, or
+/// shortly before the process would be killed. The load balancer may send
+/// connections until the end when no other daemon is ready, so requests that
+/// arrive too late to be finished are refused instead of cut off.
 class GatewayDrain {
  public:
   /// @param grace time from the stop signal until the process is killed.
   GatewayDrain(Duration grace, TimePoint now);
 
-  GatewayDrainStep Next(TimePoint now, size_t open_requests) const;
+  GatewayDrainStep Next(TimePoint now, const GatewayDrainLoad& load) const;
 
  private:
   const TimePoint m_close_idle_at;
--- a/src/tcp_connection.cc
+++ b/src/tcp_connection.cc
@@ -130,16 +130,16 @@
 }
 
 void TcpConnection::FinishAndClose(TcpLinger linger) {
-  if (m_fd < 0 || m_phase == Phase::kLingering) {
+  if (m_phase == Phase::kLingering) {
     return;
   }
-  if (m_phase == Phase::kConnecting) {
+  m_linger = std::move(linger);
+  if (m_phase != Phase::kOpen) {
     Close();
     return;
   }
   m_phase = Phase::kLingering;
   m_callbacks = {};
-  m_linger = std::move(linger);
   m_reading = true;
   m_progress_mark = delivered_bytes();
   m_had_output = unsent_bytes() > 0;
--- a/src/tcp_listener.cc
+++ b/src/tcp_listener.cc
@@ -8,6 +8,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <limits>
 #include <utility>
 
 #include "event_loop.h"
@@ -45,7 +46,8 @@
     return std::nullopt;
   }
   m_handler = std::move(handler);
-  m_loop->Watch(m_fd, true, false, [this](IoReady) { AcceptAll(); });
+  m_loop->Watch(m_fd, true, false,
+                [this](IoReady) { Accept(kMaxAcceptsPerTurn); });
   return ntohs(target->sin_port);
 }
 
@@ -67,8 +69,12 @@
   return is_known ? info.tcpi_unacked : 0;
 }
 
-void TcpListener::AcceptAll() {
-  for (int i = 0; i < kMaxAcceptsPerTurn && m_fd >= 0; ++i) {
+void TcpListener::AcceptPending() {
+  Accept(std::numeric_limits<int>::max());
+}
+
+void TcpListener::Accept(int max_connections) {
+  for (int i = 0; i < max_connections && m_fd >= 0; ++i) {
     const int fd =
         accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
--- a/src/tcp_listener.h
+++ b/src/tcp_listener.h
@@ -32,13 +32,15 @@
   /// reset.
   void Stop();
 
+  /// Accepts all connections in the accept queue.
+  void AcceptPending();
   /// @returns the number of connections in the accept queue.
   size_t pending_connections() const;
 
   const Reason& last_reason() const { return m_last_reason; }
 
  private:
-  void AcceptAll();
+  void Accept(int max_connections);
 
   EventLoop* m_loop;
   int m_fd = -1;
--- a/tests/process_stop.cc
+++ b/tests/process_stop.cc
@@ -108,6 +108,19 @@
   CHECK(site.gateway(0).WaitExit() == 0);
 }
 
+// Guards against closing a connection whose first request is on its way.
+TEST_CASE("a stopping gateway waits for the request of a new connection") {
+  WireDeployment site(OneGateway());
+  const auto start = TerminateAndFreeze(&site);
+  const Callers callers = Connect(site);
+  std::this_thread::sleep_until(start + kAfterIdleClose);
+  site.gateway(0).Continue();
+  std::this_thread::sleep_for(kDrainFirstRequestTime / 5);
+  SendRequests(callers, "new-");
+  CheckAnswers(callers, "new-");
+  CHECK(site.gateway(0).WaitExit() == 0);
+}
+
 // Guards against the idle timeout closing a connection whose next request lies
 // unread in its socket.
 TEST_CASE(
