Fix: slow streams and answers were cut when no retry was allowed

The gateway ended the running attempt first and asked for the retry afterwards.

A silent attempt is now ended only once the retry is granted; otherwise its answer is awaited, until the deadline at the latest. Both cases in unit_gateway failed before.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -309,6 +309,27 @@
 void GatewayExchange::FailAttempt(EndpointOutcome outcome,
                                   RetryReason reason,
                                   std::string_view detail) {
+  EndFailedAttempt(outcome, reason, detail);
+  if (TryAcquireRetry(reason)) {
+    StartNextAttempt();
+    return;
+  }
+  GiveUp(m_possible_runs > 0 ? ResultCode::kAnswerLost
+                             : ResultCode::kOverloaded);
+}
+
+bool GatewayExchange::ReplaceSilentAttempt(std::string_view detail) {
+  if (!TryAcquireRetry(RetryReason::kStalled)) {
+    return false;
+  }
+  EndFailedAttempt(EndpointOutcome::kLost, RetryReason::kStalled, detail);
+  StartNextAttempt();
+  return true;
+}
+
+void GatewayExchange::EndFailedAttempt(EndpointOutcome outcome,
+                                       RetryReason reason,
+                                       std::string_view detail) {
   const bool may_have_run = m_attempt && m_attempt->was_sent() &&
                             outcome != EndpointOutcome::kRefused &&
                             outcome != EndpointOutcome::kMisdirected;
@@ -329,18 +350,13 @@
              ToMilliseconds(m_context->loop->Now() - m_attempt_start));
   m_context->metrics->Count("bramleybank_attempts_lost_total", "reason",
                             NameOf(reason));
-  if (TryAcquireRetry(reason)) {
-    StartNextAttempt();
-    return;
-  }
-  GiveUp(m_possible_runs > 0 ? ResultCode::kAnswerLost
-                             : ResultCode::kOverloaded);
 }
 
 bool GatewayExchange::TryAcquireRetry(RetryReason reason) {
   const bool idempotent = m_route->IsIdempotent();
-  if (m_possible_runs > 0 &&
-      (!idempotent || m_possible_runs >= m_route->max_attempts)) {
+  const bool is_running = m_attempt && m_attempt->was_sent();
+  const int runs = m_possible_runs + (is_running ? 1 : 0);
+  if (runs > 0 && (!idempotent || runs >= m_route->max_attempts)) {
     return false;
   }
   if (m_sends >= m_route->max_attempts + kMaxExtraSends ||
@@ -374,9 +390,9 @@
 void GatewayExchange::OnAttemptTimeout() {
   m_attempt_timer = TimerHandle();
   const bool is_silent = m_attempt && m_head.status == 0;
-  if (is_silent && TimeLeft() > m_route->latency_target) {
-    FailAttempt(EndpointOutcome::kLost, RetryReason::kStalled,
-                "no answer within the latency target");
+  if (is_silent && TimeLeft() > m_route->latency_target &&
+      !ReplaceSilentAttempt("no answer within the latency target")) {
+    ArmAttemptTimer();
   }
 }
 
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -127,6 +127,14 @@
   void FailAttempt(EndpointOutcome outcome,
                    RetryReason reason,
                    std::string_view detail);
+  /// Ends a silent attempt and starts the next one if a retry is allowed. If
+  /// not, its answer is awaited further.
+  /// @returns whether the next attempt was started.
+  bool ReplaceSilentAttempt(std::string_view detail);
+  /// Ends a failed attempt, with its line in the log.
+  void EndFailedAttempt(EndpointOutcome outcome,
+                        RetryReason reason,
+                        std::string_view detail);
   void EndAttempt(EndpointOutcome outcome);
   /// Reports the outcome of the current attempt to the rollouts.
   void ReportVersionOutcome(bool failed);
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -136,8 +136,8 @@
 }
 
 void GatewayExchange::OnSilence() {
-  if (m_attempt) {
-    FailAttempt(EndpointOutcome::kLost, RetryReason::kStalled, "silent");
+  if (m_attempt && !ReplaceSilentAttempt("silent")) {
+    MonitorSilence();
   }
 }
 
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -71,9 +71,10 @@
 class Fixture {
  public:
   explicit Fixture(std::vector<std::vector<FakeEndpoint::Step>> scripts,
-                   const std::string& config = kConfig)
+                   const std::string& config = kConfig,
+                   bool allows_retries = true)
       : m_gateway(&m_loop,
-                  MakeSettings(),
+                  MakeSettings(allows_retries),
                   &store,
                   platform::MakeGatewayCodec(),
                   platform::MakeGatewayRows()) {
@@ -146,7 +147,7 @@
   bool closed = false;
 
  private:
-  static GatewaySettings MakeSettings() {
+  static GatewaySettings MakeSettings(bool allows_retries) {
     GatewaySettings settings;
     settings.name = "g1";
     settings.place = {
@@ -158,8 +159,8 @@
     settings.metrics_address = "127.0.0.1:0";
     settings.max_store_silence = std::chrono::seconds(4);
     settings.stop_grace = std::chrono::seconds(8);
-    settings.retry_share = 1;
-    settings.retry_extra = 1000;
+    settings.retry_share = allows_retries ? 1 : 0;
+    settings.retry_extra = allows_retries ? 1000 : 0;
     return settings;
   }
 
@@ -565,5 +566,29 @@
   fixture.WaitForAnswer("done");
 }
 
+// Guards against cutting a slow stream because no other attempt is allowed.
+TEST_CASE("a silent stream that must not be retried is not cut") {
+  Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)),
+                     .interval = 2 * Duration(kMaxEventSilence),
+                     .pieces = {"", Chunk(Event(2)), "0\r\n\r\n"}}}},
+                  kConfig, /*allows_retries=*/false);
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("0\r\n\r\n");
+  CHECK(fixture.answer.find("id: 2\n") != std::string::npos);
+  CHECK(fixture.endpoints[0]->requests().size() == 1);
+}
+
+// Guards against failing a request, whose answer is only late, because no other
+// attempt is allowed.
+TEST_CASE("a late answer is awaited when the request must not be retried") {
+  Fixture fixture({{{.bytes = "",
+                     .interval = std::chrono::milliseconds(300),
+                     .pieces = {"", kCompleteAnswer}}}},
+                  kConfig, /*allows_retries=*/false);
+  fixture.Send("GET /read/x");
+  fixture.WaitForAnswer("\r\n\r\n");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 200 OK\r\n"));
+}
+
 }  // namespace
 }  // namespace bramleybank
