Log dropped input of a closing connection once

A caller that goes on sending after its last answer made the gateway log one line for each 16 KB that it reads and drops, now also for as long as a slow caller reads its answer. Found by reading; the counter of bytes still counts all.

--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -345,10 +345,12 @@
        .stall_window = kCallerStallWindow,
        .min_progress = kMinCallerProgressBytes,
        .on_discarded =
-           [hooks = m_hooks, reason](size_t bytes) {
-             LogLine(LogEventId::kCallerInputDropped)
-                 .Field("reason", NameOf(reason))
-                 .Field("bytes", static_cast<long long>(bytes));
+           [hooks = m_hooks, reason, is_first = true](size_t bytes) mutable {
+             if (std::exchange(is_first, false)) {
+               LogLine(LogEventId::kCallerInputDropped)
+                   .Field("reason", NameOf(reason))
+                   .Field("bytes", static_cast<long long>(bytes));
+             }
              hooks->on_input_dropped(bytes);
            },
        .on_closed =
