--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -246,8 +246,13 @@
 /// Retry-After for streams that reach a stopping daemon. It is short because
 /// the retry reaches another daemon.
 inline constexpr std::chrono::milliseconds kDrainRetryAfter{50};
-/// Longest time until a connection is closed after its last answer.
+/// Longest time until a connection is closed after its last answer has been
+/// handed to the operating system.
 inline constexpr std::chrono::milliseconds kCallerLinger{1000};
+/// A connection that is to be closed and has unsent output is cut off when its
+/// caller takes less than kMinCallerProgressBytes of it within this time.
+inline constexpr std::chrono::milliseconds kCallerStallWindow{5000};
+inline constexpr size_t kMinCallerProgressBytes = 4 * 1024;
 /// Output buffered for a slow caller before reading from the endpoint stops
 /// (back pressure).
 inline constexpr size_t kMaxCallerBacklogBytes = 64 * 1024;
@@ -321,6 +326,11 @@
 /// A request that arrives within this time before the end of the drain is
 /// refused.
 inline constexpr std::chrono::milliseconds kDrainRefuseTime{1000};
+/// A connection that has just been accepted has this long for the first bytes
+/// of its request before it counts as idle.
+inline constexpr std::chrono::milliseconds kDrainFirstRequestTime{500};
+/// A stopping gateway accepts connections until none has come for this long.
+inline constexpr std::chrono::milliseconds kDrainQuietTime{500};
 
 // Gateway: the store.
 /// Time that the answer to a wait for changes may take beyond the wait itself.
--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -8,6 +8,7 @@
 #include "bramleybank/limits.h"
 #include "event_loop.h"
 #include "http1_status.h"
+#include "log_event.h"
 #include "tcp_connection.h"
 
 namespace bramleybank {
@@ -36,6 +37,24 @@
 
 }  // namespace
 
+const char* NameOf(CallerCloseReason reason) {
+  switch (reason) {
+    case CallerCloseReason::kIdle:
+      return "idle";
+    case CallerCloseReason::kStopping:
+      return "stopping";
+    case CallerCloseReason::kLastAnswer:
+      return "last_answer";
+    case CallerCloseReason::kByCaller:
+      return "by_caller";
+    case CallerCloseReason::kAborted:
+      return "aborted";
+    case CallerCloseReason::kStalled:
+      return "stalled";
+  }
+  return "unknown";
+}
+
 GatewayCaller::GatewayCaller(EventLoop* loop, const GatewayCallerHooks* hooks)
     : m_loop(loop),
       m_hooks(hooks),
@@ -49,37 +68,48 @@
 
 GatewayCaller::~GatewayCaller() {
   m_loop->Cancel(m_timer);
+  if (m_connection) {
+    m_connection->Close();
+  }
 }
 
 void GatewayCaller::Start(int fd) {
+  m_accepted_at = m_loop->Now();
   // The gateway keeps this object alive until on_closed is called.
   const std::weak_ptr<GatewayCaller> weak = weak_from_this();
-  m_connection =
-      TcpConnection::Adopt(m_loop, fd,
-                           {.on_connected = nullptr,
-                            .on_data =
-                                [weak](std::string_view data) {
-                                  if (const auto self = weak.lock()) {
-                                    self->OnData(data);
-                                  }
-                                },
-                            .on_end =
-                                [weak](TcpCloseReason) {
-                                  if (const auto self = weak.lock()) {
-                                    self->CloseNow();
-                                  }
-                                },
-                            .on_drained =
-                                [weak] {
-                                  const auto self = weak.lock();
-                                  if (self && self->m_on_drained) {
-                                    self->m_on_drained();
-                                  }
-                                }});
+  m_connection = TcpConnection::Adopt(
+      m_loop, fd,
+      {.on_connected = nullptr,
+       .on_data =
+           [weak](std::string_view data) {
+             if (const auto self = weak.lock()) {
+               self->OnData(data);
+             }
+           },
+       .on_end =
+           [weak](TcpCloseReason) {
+             if (const auto self = weak.lock()) {
+               self->CloseNow(CallerCloseReason::kByCaller);
+             }
+           },
+       .on_drained =
+           [weak] {
+             if (const auto self = weak.lock()) {
+               self->OnDrained();
+             }
+           }});
   ArmTimer();
 }
 
+void GatewayCaller::OnDrained() {
+  m_last_activity = m_loop->Now();
+  if (m_on_drained) {
+    m_on_drained();
+  }
+}
+
 void GatewayCaller::OnData(std::string_view data) {
+  m_has_input = true;
   m_last_activity = m_loop->Now();
   if (!m_is_busy && !m_parser.is_inside_message()) {
     m_message_start = m_last_activity;
@@ -140,7 +170,7 @@
   m_hooks->on_request(shared_from_this(), std::move(m_request));
 }
 
-void GatewayCaller::CloseNow() {
+void GatewayCaller::CloseNow(CallerCloseReason reason) {
   if (m_closed) {
     return;
   }
@@ -152,22 +182,24 @@
   if (m_is_busy && on_disconnect) {
     on_disconnect();
   }
-  m_hooks->on_closed(this);
+  m_hooks->on_closed(this, reason);
 }
 
 void GatewayCaller::Abort() {
   m_on_disconnect = nullptr;
-  CloseNow();
+  CloseNow(CallerCloseReason::kAborted);
 }
 
-std::string GatewayCaller::RenderHead(int status,
-                                      const HttpHeaders& headers) const {
+std::string GatewayCaller::RenderHead(int status, const HttpHeaders& headers) {
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head.append(ReasonPhrase(status)).append(kLineEnd);
   for (const auto& [name, value] : headers) {
     head.append(name).append(": ").append(value).append(kLineEnd);
   }
-  if (!m_keep_alive || m_hooks->is_draining()) {
+  // A request that has arrived behind this one gets an answer too.
+  m_states_close = !m_keep_alive ||
+                   (m_hooks->is_draining() && m_parser.unparsed_bytes() == 0);
+  if (m_states_close) {
     head.append("Connection: close\r\n");
   }
   return head;
@@ -237,8 +269,8 @@
   m_on_disconnect = nullptr;
   m_on_drained = nullptr;
   m_last_activity = m_loop->Now();
-  if (!m_keep_alive || m_hooks->is_draining()) {
-    CloseGracefully();
+  if (m_states_close) {
+    CloseGracefully(CallerCloseReason::kLastAnswer);
     return;
   }
   ArmTimer();
@@ -270,18 +302,68 @@
   return m_closed ? 0 : m_connection->unsent_bytes();
 }
 
-void GatewayCaller::CloseIfIdle() {
-  if (m_closed || m_is_busy || m_parser.is_inside_message()) {
+bool GatewayCaller::IsIdle() const {
+  return !m_closed && !m_is_busy && !m_parser.is_inside_message() &&
+         m_parser.unparsed_bytes() == 0 && m_connection->unsent_bytes() == 0;
+}
+
+bool GatewayCaller::AwaitsFirstRequest() const {
+  return !m_has_input && m_loop->Now() - m_accepted_at < kDrainFirstRequestTime;
+}
+
+void GatewayCaller::CloseIfIdle(CallerCloseReason reason) {
+  const auto self = shared_from_this();
+  if (!IsIdle()) {
     return;
   }
-  CloseGracefully();
+  m_connection->ReadNow();
+  if (!IsIdle()) {
+    return;
+  }
+  CloseNow(reason);
 }
 
-void GatewayCaller::CloseGracefully() {
+void GatewayCaller::CloseIfStalled() {
+  const uint64_t delivered = m_connection->delivered_bytes();
+  if (delivered < m_delivered_mark + kMinCallerProgressBytes) {
+    LogLine(LogEventId::kCallerCut)
+        .Field("reason", NameOf(CallerCloseReason::kStalled))
+        .Field("unsent", static_cast<long long>(m_connection->unsent_bytes()));
+    CloseNow(CallerCloseReason::kStalled);
+    return;
+  }
+  m_delivered_mark = delivered;
+  m_last_activity = m_loop->Now();
+  ArmTimer();
+}
+
+void GatewayCaller::CloseGracefully(CallerCloseReason reason) {
   m_closed = true;
   m_loop->Cancel(m_timer);
-  m_connection->FinishAndClose(kCallerLinger);
-  m_hooks->on_closed(this);
+  m_connection->FinishAndClose(
+      {.time = kCallerLinger,
+       .stall_window = kCallerStallWindow,
+       .min_progress = kMinCallerProgressBytes,
+       .on_discarded =
+           [hooks = m_hooks, reason, is_first = true](size_t bytes) mutable {
+             if (std::exchange(is_first, false)) {
+               LogLine(LogEventId::kCallerInputDropped)
+                   .Field("reason", NameOf(reason))
+                   .Field("bytes", static_cast<long long>(bytes));
+             }
+             hooks->on_input_dropped(bytes);
+           },
+       .on_closed =
+           [weak = weak_from_this(), reason](size_t unsent) {
+             if (unsent > 0) {
+               LogLine(LogEventId::kCallerCut)
+                   .Field("reason", NameOf(reason))
+                   .Field("unsent", static_cast<long long>(unsent));
+             }
+             if (const auto self = weak.lock()) {
+               self->m_hooks->on_closed(self.get(), reason);
+             }
+           }});
 }
 
 void GatewayCaller::ArmTimer() {
@@ -293,8 +375,14 @@
 }
 
 void GatewayCaller::OnTimer() {
+  const auto self = shared_from_this();
   m_timer = TimerHandle();
   m_limits = m_hooks->limits();
+  // What arrived while this process was paused or busy came in time.
+  m_connection->ReadNow();
+  if (m_closed) {
+    return;
+  }
   const TimePoint now = m_loop->Now();
   const bool in_head = m_parser.is_inside_message() && !m_has_head;
   if (in_head && now - m_message_start >= m_limits.header_timeout) {
@@ -303,10 +391,12 @@
   }
   if (!m_is_busy && !in_head &&
       now - m_last_activity >= m_limits.idle_timeout) {
-    if (m_has_head) {
+    if (m_connection->unsent_bytes() > 0) {
+      CloseIfStalled();
+    } else if (m_has_head) {
       RefuseAndClose(kStatusRequestTimeout, ResultCode::kBadHeader);
     } else {
-      CloseIfIdle();
+      CloseIfIdle(CallerCloseReason::kIdle);
     }
     return;
   }
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -4,6 +4,7 @@
 #define BRAMLEYBANK_SRC_GATEWAY_CALLER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +24,23 @@
 class GatewayCaller;
 class TcpConnection;
 
+/// Why the connection of a caller was closed.
+enum class CallerCloseReason : uint8_t {
+  /// No request arrived within the idle timeout.
+  kIdle,
+  /// The gateway stops and no request was open.
+  kStopping,
+  /// The answer to the last request has been sent.
+  kLastAnswer,
+  /// By the caller.
+  kByCaller,
+  /// In the middle of an answer that cannot be completed.
+  kAborted,
+  /// The caller does not read its answer.
+  kStalled,
+};
+const char* NameOf(CallerCloseReason reason);
+
 /// Hooks shared by all caller connections.
 struct GatewayCallerHooks {
   /// A complete request has been read. It is answered with Answer() or the
@@ -30,13 +48,17 @@
   std::function<void(const std::shared_ptr<GatewayCaller>& caller,
                      GatewayRequest request)>
       on_request;
-  /// The connection has been closed.
-  std::function<void(GatewayCaller* caller)> on_closed;
+  /// The connection has been closed and the caller has its last answer, or was
+  /// cut off.
+  std::function<void(GatewayCaller* caller, CallerCloseReason reason)>
+      on_closed;
+  /// Bytes that arrived on a closing connection were dropped.
+  std::function<void(size_t bytes)> on_input_dropped;
   /// @returns the limits of the current configuration.
   std::function<CallerLimits()> limits;
   /// A request was refused before it was complete.
   std::function<void(ResultCode code)> on_refused;
-  /// Whether connections are closed after their next answer.
+  /// Whether answers state that their connection closes.
   std::function<bool()> is_draining;
 };
 
@@ -71,12 +93,18 @@
   void SetDrainedHandler(std::function<void()> handler);
   size_t backlog_bytes() const;
 
-  /// Closes the connection if no request is being read or answered.
-  void CloseIfIdle();
+  /// Closes the connection unless a request has arrived on it that is not
+  /// answered yet, in the socket or in part included. A request that arrives
+  /// later is not read, so that its caller sees a reset.
+  void CloseIfIdle(CallerCloseReason reason);
+  /// Whether the connection has just been accepted and its first request may be
+  /// on the way.
+  bool AwaitsFirstRequest() const;
   bool is_busy() const { return m_is_busy; }
 
  private:
   void OnData(std::string_view data);
+  void OnDrained();
   void OnHead(Http1Head head);
   void OnBody(std::string_view data);
   void OnRequestComplete();
@@ -85,10 +113,13 @@
   void FinishAnswer();
   void ArmTimer();
   void OnTimer();
-  void CloseNow();
+  bool IsIdle() const;
+  /// Closes the connection if its caller has hardly read since the last call.
+  void CloseIfStalled();
+  void CloseNow(CallerCloseReason reason);
   /// Closes the connection after the buffered output has been sent.
-  void CloseGracefully();
-  std::string RenderHead(int status, const HttpHeaders& headers) const;
+  void CloseGracefully(CallerCloseReason reason);
+  std::string RenderHead(int status, const HttpHeaders& headers);
 
   EventLoop* m_loop;
   const GatewayCallerHooks* m_hooks;
@@ -98,14 +129,21 @@
   GatewayRequest m_request;
   std::function<void()> m_on_disconnect;
   std::function<void()> m_on_drained;
-  // The last time at which bytes arrived or an answer ended.
+  // The last time at which bytes arrived, an answer ended or the caller was
+  // seen to read it.
   TimePoint m_last_activity;
   TimePoint m_message_start;
+  // Bytes that the caller had received at the last check for a stall.
+  uint64_t m_delivered_mark = 0;
   TimerHandle m_timer;
+  TimePoint m_accepted_at;
+  bool m_has_input = false;
   bool m_has_head = false;
   // A request is complete and its answer is not.
   bool m_is_busy = false;
   bool m_keep_alive = true;
+  // Whether the head of the current answer states that the connection closes.
+  bool m_states_close = false;
   bool m_is_head_request = false;
   bool m_closed = false;
 };
--- a/src/tcp_connection.cc
+++ b/src/tcp_connection.cc
@@ -3,8 +3,10 @@
 #include "tcp_connection.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -127,25 +129,60 @@
   UpdateWatch();
 }
 
-void TcpConnection::FinishAndClose(Duration linger) {
-  if (m_fd < 0 || m_phase == Phase::kLingering) {
+void TcpConnection::FinishAndClose(TcpLinger linger) {
+  if (m_phase == Phase::kLingering) {
     return;
   }
-  if (m_phase == Phase::kConnecting) {
+  m_linger = std::move(linger);
+  if (m_phase != Phase::kOpen) {
     Close();
     return;
   }
   m_phase = Phase::kLingering;
   m_callbacks = {};
   m_reading = true;
-  // The timer holds a reference, so the connection lives until the timer fires
-  // or is cancelled by Close().
-  m_timer = m_loop->Schedule(
-      linger, [self = shared_from_this()]() mutable { self->Close(); });
+  m_progress_mark = delivered_bytes();
+  m_had_output = unsent_bytes() > 0;
+  ScheduleLingerCheck();
   ShutDownWriteIfDrained();
   UpdateWatch();
 }
 
+void TcpConnection::ScheduleLingerCheck() {
+  // The timer holds a reference, so the connection lives until Close() cancels
+  // the timer.
+  m_timer = m_loop->Schedule(
+      m_linger.time,
+      [self = shared_from_this()]() mutable { self->CheckLinger(); });
+}
+
+void TcpConnection::CheckLinger() {
+  const uint64_t delivered = delivered_bytes();
+  // The time in which this process was paused does not count.
+  m_stalled_for += m_linger.time;
+  if (delivered >= m_progress_mark + m_linger.min_progress) {
+    m_progress_mark = delivered;
+    m_stalled_for = Duration{0};
+  }
+  const bool has_output = unsent_bytes() > 0 || delivered < m_total_sent;
+  const bool is_stalled = m_stalled_for >= m_linger.stall_window;
+  // The peer gets the linger time after the check that found output last.
+  if (has_output ? is_stalled : !m_had_output) {
+    Close();
+    return;
+  }
+  m_had_output = has_output;
+  ScheduleLingerCheck();
+}
+
+uint64_t TcpConnection::delivered_bytes() const {
+  int in_kernel = 0;
+  if (m_fd < 0 || ioctl(m_fd, SIOCOUTQ, &in_kernel) != 0) {
+    return m_total_sent;
+  }
+  return m_total_sent - static_cast<uint64_t>(in_kernel);
+}
+
 void TcpConnection::ShutDownWriteIfDrained() {
   if (unsent_bytes() == 0 && !m_write_shut_down) {
     m_write_shut_down = true;
@@ -163,6 +200,10 @@
     close(m_fd);
     m_fd = -1;
   }
+  const TcpLinger linger = std::exchange(m_linger, {});
+  if (linger.on_closed) {
+    linger.on_closed(unsent_bytes());
+  }
 }
 
 void TcpConnection::SetReading(bool reading) {
@@ -233,6 +274,13 @@
   }
 }
 
+void TcpConnection::ReadNow() {
+  const auto self = shared_from_this();
+  if (m_phase == Phase::kOpen) {
+    ReadAvailable();
+  }
+}
+
 void TcpConnection::ReadAvailable() {
   static thread_local std::array<char, kReadBlockBytes> block;
   for (int i = 0; i < kMaxReadsPerTurn && m_fd >= 0 && m_reading; ++i) {
@@ -250,6 +298,8 @@
     if (m_callbacks.on_data) {
       const auto on_data = m_callbacks.on_data;
       on_data({block.data(), static_cast<size_t>(count)});
+    } else if (m_linger.on_discarded) {
+      m_linger.on_discarded(static_cast<size_t>(count));
     }
     if (static_cast<size_t>(count) < block.size()) {
       return;
--- a/src/tcp_listener.cc
+++ b/src/tcp_listener.cc
@@ -1,11 +1,14 @@
 // Listening socket with a limited number of accepts per loop iteration.
 #include "tcp_listener.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <cstring>
+#include <limits>
 #include <utility>
 
 #include "event_loop.h"
@@ -43,7 +46,8 @@
     return std::nullopt;
   }
   m_handler = std::move(handler);
-  m_loop->Watch(m_fd, true, false, [this](IoReady) { AcceptAll(); });
+  m_loop->Watch(m_fd, true, false,
+                [this](IoReady) { Accept(kMaxAcceptsPerTurn); });
   return ntohs(target->sin_port);
 }
 
@@ -56,8 +60,21 @@
   m_fd = -1;
 }
 
-void TcpListener::AcceptAll() {
-  for (int i = 0; i < kMaxAcceptsPerTurn && m_fd >= 0; ++i) {
+size_t TcpListener::pending_connections() const {
+  // For a listening socket the kernel reports its accept queue in this field.
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  const bool is_known =
+      m_fd >= 0 && getsockopt(m_fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+  return is_known ? info.tcpi_unacked : 0;
+}
+
+void TcpListener::AcceptPending() {
+  Accept(std::numeric_limits<int>::max());
+}
+
+void TcpListener::Accept(int max_connections) {
+  for (int i = 0; i < max_connections && m_fd >= 0; ++i) {
     const int fd =
         accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
