Log prompt parts and answer heads of attempts that end early

Callers saw 502 for streams whose engines broke off one after the other. attempt_ended said neither which parts the prompt had nor whether the answer's head had come, so the logs could not tell engines that fail by themselves from prompts that end them. It now has the hashes of all parts but the last, head and begun.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -303,6 +303,10 @@
 /// A caller that reconnects waits at most this long for the lookup.
 inline constexpr std::chrono::milliseconds kPromptLookupTimeout{150};
 
+// Gateway: prompt parts that crash endpoints.
+/// Parts of one prompt that can be suspected; further ones are not looked at.
+inline constexpr size_t kMaxSuspectParts = 16;
+
 // Gateway: start.
 /// Requests that arrive before the first configuration wait for it. Two calls
 /// to the store from another region take 90 ms.
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -18,6 +18,7 @@
 #include "log_event.h"
 #include "metric_registry.h"
 #include "prompt_locator.h"
+#include "prompt_part.h"
 #include "rollout_controller.h"
 #include "stream_silence_monitor.h"
 
@@ -324,6 +325,9 @@
       .Field("reason", NameOf(reason))
       .Field("detail", detail)
       .Field("may_have_run", may_have_run ? 1 : 0)
+      .Field("head", m_head.status != 0 ? 1 : 0)
+      .Field("begun", m_attempt_has_event ? 1 : 0)
+      .Field("parts", FormatParts(m_metadata.shared_parts))
       .Field("last_event", static_cast<long long>(m_last_event_id.value_or(0)))
       .Field("attempt_ms",
              ToMilliseconds(m_context->loop->Now() - m_attempt_start));
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -7,9 +7,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "hooks.h"
 #include "http_types.h"
+#include "prompt_part.h"
 
 namespace bramleybank {
 
@@ -46,6 +48,9 @@
   /// Identifies the parts of the prompt in order; empty when not given. A
   /// client that reconnects sends the same value.
   std::string prompt_parts;
+  /// Hashes of the ids of all prompt parts but the last, which belongs to this
+  /// request alone; at most kMaxSuspectParts, without repetitions.
+  std::vector<PromptPartHash> shared_parts;
 
   friend bool operator==(const RequestMetadata&,
                          const RequestMetadata&) = default;
--- a/tests/unit_platform_adapter.cc
+++ b/tests/unit_platform_adapter.cc
@@ -157,6 +157,31 @@
   CHECK(metadata.prompt_tokens == 1460);
 }
 
+// Guards against suspects that a caller chooses by odd lists, and against
+// suspicion of the last part, which no other request has.
+TEST_CASE("all prompt parts but the last are identified by their ids") {
+  using Parts = std::vector<PromptPartHash>;
+  const auto parts_of = [](const std::string& list) {
+    return MakeGatewayCodec()
+        .decode_request({{"Prompt-Prefix", list}})
+        .shared_parts;
+  };
+  CHECK(parts_of("a:200, b:90,c:5") ==
+        Parts{HashPromptPart("a"), HashPromptPart("b")});
+  CHECK(parts_of("a:1,c:5") == parts_of("a:2,d:6"));
+  CHECK(parts_of("a:200").empty());
+  CHECK(parts_of("").empty());
+  CHECK(parts_of(" ,:5,,  ,c:1").empty());
+  CHECK(parts_of("a,a:1,c:1") == Parts{HashPromptPart("a")});
+  const std::string long_id(10000, 'x');
+  CHECK(parts_of(long_id + ":1,c:1") == Parts{HashPromptPart(long_id)});
+  std::string many;
+  for (int i = 0; i < 500; ++i) {
+    many += std::to_string(i) + ":1,";
+  }
+  CHECK(parts_of(many + "c:1").size() == kMaxSuspectParts);
+}
+
 // Guards against a malformed or excessive Retry-After value. Such a value could
 // exclude an endpoint forever, or let the gateway ignore a requested pause.
 TEST_CASE("Retry-After and Server-Leaving are decoded") {
