--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -384,9 +384,13 @@
 
 std::unique_ptr<StreamReader> WireDeployment::Stream(
     int gateway,
-    const std::string& request_id) const {
+    const std::string& request_id,
+    const std::string& prompt_parts) const {
   HttpHeaders headers = CallerHeaders(request_id, "key-1", "25000");
   headers.emplace_back(kTokenCountsHeader, "8000,320");
+  if (!prompt_parts.empty()) {
+    headers.emplace_back(kPromptPartsHeader, prompt_parts);
+  }
   return std::make_unique<StreamReader>(
       Url(kFirstGatewayAddress + gateway, kCallerPort, "/streams/one"), headers,
       "prompt of " + request_id);
--- a/tests/wire_deployment.h
+++ b/tests/wire_deployment.h
@@ -94,8 +94,11 @@
                   const std::string& request_id,
                   const std::string& key = "key-1") const;
   /// Starts a stream through a gateway.
-  std::unique_ptr<StreamReader> Stream(int gateway,
-                                       const std::string& request_id) const;
+  /// @param prompt_parts ids and lengths of the prompt parts; empty for none.
+  std::unique_ptr<StreamReader> Stream(
+      int gateway,
+      const std::string& request_id,
+      const std::string& prompt_parts = {}) const;
   /// Waits for the end of a stream and checks that it has every event exactly
   /// once and in order.
   void CheckStreamComplete(const StreamReader& stream,
