Decide which prompt parts crash endpoints, for all gateways together

Callers of all kinds lost their streams to requests that crash one endpoint after the other: nothing related a lost endpoint to what it had begun to write on.

SuspectTracker judges the crashes that one gateway sees, PromptSuspectList merges the evidence of all of them. An answer that begins clears its parts; losses with a common cause and repeated crashes of one endpoint count once; parts that were always charged together block only requests that have both. Fleets of 7, 9, 79 and 304 gateways in memory block a bad part within the users' bound, and block nothing when a domain loses power, endpoints restart in turn or one crashes again and again (unit_prompt_suspects). Not connected yet.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -306,6 +306,61 @@
 // Gateway: prompt parts that crash endpoints.
 /// Parts of one prompt that can be suspected; further ones are not looked at.
 inline constexpr size_t kMaxSuspectParts = 16;
+/// Suspects of one service; its row has at most 20 KB.
+inline constexpr size_t kMaxPromptSuspects = 64;
+inline constexpr size_t kMaxSuspectCompanions = 4;
+inline constexpr size_t kMaxSuspectEndpointBytes = 128;
+/// Services with suspects.
+inline constexpr size_t kMaxSuspectServices = 1024;
+/// Parts of each service of which a gateway remembers that an answer to them
+/// has begun.
+inline constexpr size_t kMaxBegunParts = 8192;
+/// Weight of one crash. An endpoint that had sent the head of its answer had
+/// begun to write; one that had not may have crashed on another request. Losses
+/// of several endpoints at once have a common cause.
+inline constexpr int kCrashWeight = 3;
+inline constexpr int kWeakCrashWeight = 2;
+/// Weight of a crash if answers to all parts of the request had begun before.
+inline constexpr int kKnownCrashWeight = 2;
+inline constexpr int kMaxCrashWeight = 1000000;
+/// Weight at which a part is quarantined.
+inline constexpr int kQuarantineWeight = 6;
+/// The same for a part to which an answer has begun before its crashes.
+inline constexpr int kKnownQuarantineWeight = 8;
+/// A crash is reported after this time. Losses of endpoints within it are
+/// related, and answers that begin within it clear the parts.
+inline constexpr std::chrono::milliseconds kCrashHoldTime{200};
+inline constexpr size_t kMinRelatedCrashes = 3;
+/// Crashes within this time after a gateway has learned of the previous one are
+/// the same event. Together with kCrashHoldTime this separates events by at
+/// least 300 ms.
+inline constexpr std::chrono::milliseconds kCrashSettleTime{100};
+/// Crashes that a gateway holds, losses that it remembers, and changes of the
+/// suspects of one service that wait for the store.
+inline constexpr size_t kMaxHeldCrashes = 64;
+inline constexpr size_t kMaxRecentLosses = 256;
+inline constexpr size_t kMaxSuspectChanges = 64;
+/// A part that is not quarantined and had no crash for this long is forgotten.
+inline constexpr std::chrono::minutes kPromptSuspectTime{10};
+/// Time until one request with a quarantined part is let through as a trial. It
+/// doubles with each trial up to nine hours, so that a lasting fault costs
+/// three endpoints in the first quarter of an hour.
+inline constexpr std::chrono::seconds kQuarantineTime{60};
+inline constexpr int kMaxQuarantineDoublings = 9;
+inline constexpr int kMaxPromptTrials = 1000000;
+/// Gateways that know a suspect to be sound say so at random moments within
+/// this time, so that most of them learn it before they write.
+inline constexpr std::chrono::milliseconds kSuspectMarkSpread{800};
+/// Upper bound of the random pause before a conflicting write of the suspects
+/// is repeated; it grows with each conflict.
+inline constexpr std::chrono::milliseconds kSuspectConflictPause{60};
+inline constexpr int kMaxSuspectConflicts = 12;
+/// Longest wait for the newer row after a conflict.
+inline constexpr std::chrono::milliseconds kSuspectRowWait{1000};
+inline constexpr std::chrono::milliseconds kSuspectRetryDelay{500};
+inline constexpr std::chrono::milliseconds kSuspectCheckInterval{50};
+/// Longest time for which a request waits to become the trial.
+inline constexpr std::chrono::milliseconds kMaxTrialWait{1000};
 
 // Gateway: start.
 /// Requests that arrive before the first configuration wait for it. Two calls
--- /dev/null
+++ b/tests/unit_prompt_suspects.cc
@@ -0,0 +1,549 @@
+// Evidence against prompt parts, and fleets of gateways that share it.
+#include "prompt_suspects.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "bramleybank/limits.h"
+#include "suspect_tracker.h"
+
+namespace bramleybank {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+using Parts = std::vector<PromptPartHash>;
+
+constexpr PromptPartHash kShared = 0xa;
+constexpr PromptPartHash kDeadly = 0xd;
+constexpr PromptPartHash kOther = 0xe;
+constexpr Duration kStep = milliseconds(50);
+
+CrashReport Crash(const std::string& endpoint,
+                  const Parts& parts,
+                  int known_crashes,
+                  int weight = kCrashWeight) {
+  CrashReport report;
+  report.endpoint = endpoint;
+  report.weight = weight;
+  for (const PromptPartHash part : parts) {
+    report.parts.push_back({.part = part, .known_crashes = known_crashes});
+  }
+  return report;
+}
+
+PromptSuspectList TwoCrashes(const Parts& first, const Parts& second) {
+  PromptSuspectList list;
+  list.AddCrash(Crash("e1", first, 0));
+  list.AddCrash(Crash("e2", second, 1));
+  return list;
+}
+
+// Guards against a block of sound requests by a part that they share with the
+// crashing ones.
+TEST_CASE("parts that were always charged together block only together") {
+  const auto list = TwoCrashes({kShared, kDeadly}, {kShared, kDeadly});
+  CHECK_FALSE(list.FindBlocking(Parts{kShared, kDeadly}).empty());
+  CHECK(list.FindBlocking(Parts{kShared}).empty());
+  CHECK(list.FindBlocking(Parts{kShared, kOther}).empty());
+  CHECK(list.FindBlocking(Parts{}).empty());
+}
+
+// Guards against crashes through requests that have the bad part and new other
+// parts.
+TEST_CASE("a cleared companion is not needed for a block") {
+  auto list = TwoCrashes({kShared, kDeadly}, {kShared, kDeadly});
+  CHECK(list.FindBlocking(Parts{kOther, kDeadly}).empty());
+  list.Clear(kShared);
+  CHECK(list.FindBlocking(Parts{kOther, kDeadly}) == Parts{kDeadly});
+  list = TwoCrashes({kShared, kDeadly}, {kShared, kDeadly});
+  list.MarkKnown(kShared);
+  CHECK(list.FindBlocking(Parts{kOther, kDeadly}) == Parts{kDeadly});
+}
+
+// Guards against blame for a common cause, such as a loss of power, and for an
+// endpoint that crashes again and again.
+TEST_CASE("crashes of one event and of one endpoint count once") {
+  PromptSuspectList list;
+  for (int i = 0; i < 20; ++i) {
+    list.AddCrash(Crash("e" + std::to_string(i), {kShared}, 0));
+  }
+  CHECK(list.Find(kShared)->crashes == 1);
+  for (int i = 0; i < 20; ++i) {
+    list.AddCrash(Crash("e0", {kShared}, 1));
+  }
+  CHECK(list.Find(kShared)->weight == kCrashWeight);
+}
+
+// Guards against rows that grow without bound, and against the loss of a
+// quarantine by many weaker suspects.
+TEST_CASE("the list keeps quarantined parts and stays within its bounds") {
+  auto list = TwoCrashes({kShared, kDeadly}, {kShared, kDeadly});
+  for (PromptPartHash part = 1000; part < 5000; part += 8) {
+    Parts parts;
+    for (PromptPartHash i = 0; i < 8; ++i) {
+      parts.push_back(part + i);
+    }
+    list.AddCrash(Crash(std::string(100, 'x'), parts, 0));
+  }
+  CHECK(list.suspects().size() == kMaxPromptSuspects);
+  CHECK_FALSE(list.FindBlocking(Parts{kShared, kDeadly}).empty());
+  CHECK(list.Encode().size() < 64 * 1024);
+  CHECK(PromptSuspectList::Decode(list.Encode()) == list);
+}
+
+// Guards against a gateway that ends on, or is blocked by, a malformed row.
+TEST_CASE("malformed suspects are skipped") {
+  for (const std::string row :
+       {"", "\n", "x", "d 6 2 2 0 0 e1 -", "d 6 2 2 0 0 e1 - - -",
+        "d 6 2 2 2 0 e1 - -", "d -6 2 2 0 0 e1 - -",
+        "d 6 2 2 0 99999999999 e1 - -", "d 6 2 2 0 0 e1 1,2,3,4,5 -",
+        "d 6 2 2 0 0 e1 , -", "d 6 2 2 0 0  - -",
+        "11111111111111111 6 2 2 0 0 e1 - -"}) {
+    CHECK(PromptSuspectList::Decode(row).suspects().empty());
+  }
+  CHECK(
+      PromptSuspectList::Decode("bad\nd 6 2 2 0 0 e1 - -\nd 9 9 9 0 0 e1 - -\n")
+          .Find(0xd)
+          ->weight == 6);
+}
+
+/// Row of the store, with the delay until each gateway sees a change.
+struct FleetStore {
+  std::string value;
+  uint64_t version = 0;
+  bool is_away = false;
+  int writes = 0;
+};
+
+/// Gateways and endpoints in memory, in steps of kStep.
+class Fleet {
+ public:
+  Fleet(int gateways, int endpoints, uint32_t seed)
+      : m_random(seed), m_up_at(endpoints) {
+    for (int i = 0; i < gateways; ++i) {
+      AddGateway();
+    }
+  }
+
+  struct Request {
+    Parts parts;
+    int gateway = 0;
+    int endpoint = 0;
+    int sends = 0;
+    TimePoint writes_at;
+    bool is_trial = false;
+  };
+
+  /// A caller sends a request to a random gateway.
+  void Send(const Parts& parts) {
+    Request request;
+    request.parts = parts;
+    request.gateway = static_cast<int>(m_random() % m_gateways.size());
+    Attempt(request);
+  }
+
+  /// Cuts off all attempts at an endpoint, which is then down for a while.
+  void Crash(int endpoint, const Request* begins = nullptr) {
+    m_up_at[endpoint] = now + seconds(3);
+    const std::vector<Request> lost = Take(
+        [&](const Request& request) { return request.endpoint == endpoint; });
+    if (begins != nullptr) {
+      Lose(*begins, /*has_head=*/true);
+    }
+    for (const Request& request : lost) {
+      Lose(request, /*has_head=*/false);
+    }
+  }
+
+  void Run(
+      Duration time,
+      const std::function<void()>& each_step = [] {}) {
+    for (const TimePoint end = now + time; now < end; now += kStep) {
+      each_step();
+      for (const Request& request :
+           Take([&](const Request& r) { return r.writes_at <= now; })) {
+        Begin(request);
+      }
+      for (size_t i = 0; i < m_gateways.size(); ++i) {
+        StepGateway(static_cast<int>(i));
+      }
+    }
+  }
+
+  bool IsBlocked(int gateway, const Parts& parts) const {
+    return !tracker(gateway).FindBlocking(parts).empty();
+  }
+  int CountBlocking(const Parts& parts) const {
+    int count = 0;
+    for (size_t i = 0; i < m_gateways.size(); ++i) {
+      count += IsBlocked(static_cast<int>(i), parts) ? 1 : 0;
+    }
+    return count;
+  }
+  SuspectTracker& tracker(int gateway) { return m_gateways[gateway]->tracker; }
+  const SuspectTracker& tracker(int gateway) const {
+    return m_gateways[gateway]->tracker;
+  }
+  void RestartGateways() {
+    const size_t count = m_gateways.size();
+    m_gateways.clear();
+    m_requests.clear();
+    for (size_t i = 0; i < count; ++i) {
+      AddGateway();
+    }
+  }
+
+  TimePoint now{seconds(1000)};
+  FleetStore store;
+  std::optional<PromptPartHash> bad_part;
+  int crashes = 0;
+  TimePoint fifth_crash_at;
+  int late_crashes = 0;
+  int begun = 0;
+  int refused = 0;
+  int trials = 0;
+  int refused_sound = 0;
+
+ private:
+  struct Gateway {
+    explicit Gateway(const SuspectTracker::Hooks& hooks) : tracker(hooks) {}
+    SuspectTracker tracker;
+    // When the newest row arrives, and when a write is answered.
+    TimePoint reads_at;
+    std::optional<SuspectTracker::Write> write;
+    TimePoint writes_at;
+    bool must_cancel = false;
+  };
+
+  void AddGateway() {
+    const size_t index = m_gateways.size();
+    m_gateways.push_back(std::make_unique<Gateway>(SuspectTracker::Hooks{
+        .random = [this] { return m_random(); },
+        .on_verdict = [](CrashVerdict, const CrashReport&) {},
+        .on_quarantined =
+            [this, index](const PromptSuspect&) {
+              m_gateways[index]->must_cancel = true;
+            },
+        .on_cleared = [](const PromptSuspect&) {}}));
+  }
+
+  std::vector<Request> Take(
+      const std::function<bool(const Request&)>& condition) {
+    std::vector<Request> taken;
+    std::erase_if(m_requests, [&](const Request& request) {
+      const bool is_taken = condition(request);
+      if (is_taken) {
+        taken.push_back(request);
+      }
+      return is_taken;
+    });
+    return taken;
+  }
+
+  bool IsBad(const Parts& parts) const {
+    return bad_part && std::ranges::find(parts, *bad_part) != parts.end();
+  }
+
+  void Attempt(Request request) {
+    SuspectTracker& tracker = m_gateways[request.gateway]->tracker;
+    const Parts blocking = tracker.FindBlocking(request.parts);
+    if (!blocking.empty()) {
+      if (!request.is_trial && tracker.IsTrialDue(blocking, now)) {
+        tracker.RequestTrial(
+            blocking,
+            [this, request](bool granted) mutable {
+              request.is_trial = true;
+              trials += granted ? 1 : 0;
+              granted ? Start(request) : Refuse(request);
+            },
+            now);
+      } else {
+        Refuse(request);
+      }
+      return;
+    }
+    Start(request);
+  }
+
+  void Refuse(const Request& request) {
+    ++refused;
+    refused_sound += IsBad(request.parts) ? 0 : 1;
+  }
+
+  void Start(Request request) {
+    request.endpoint = static_cast<int>(m_random() % m_up_at.size());
+    if (m_up_at[request.endpoint] > now) {
+      // Like a caller that is refused for lack of endpoints.
+      return;
+    }
+    ++request.sends;
+    request.writes_at = now + milliseconds(800 + m_random() % 1000);
+    m_requests.push_back(request);
+  }
+
+  void Begin(const Request& request) {
+    if (IsBad(request.parts)) {
+      CountCrash();
+      Crash(request.endpoint, &request);
+      return;
+    }
+    ++begun;
+    m_gateways[request.gateway]->tracker.OnBegun(request.parts, now);
+  }
+
+  void CountCrash() {
+    if (++crashes == 5) {
+      fifth_crash_at = now;
+    }
+    late_crashes += crashes > 5 && now > fifth_crash_at + seconds(4) ? 1 : 0;
+  }
+
+  void Lose(const Request& request, bool has_head) {
+    const std::string address = "e" + std::to_string(request.endpoint);
+    SuspectTracker& tracker = m_gateways[request.gateway]->tracker;
+    tracker.OnLost(address, now);
+    tracker.OnCrash(request.parts, address, has_head, now);
+    if (request.sends < 5) {
+      Attempt(request);
+    }
+  }
+
+  void StepGateway(int index) {
+    Gateway& gateway = *m_gateways[index];
+    if (!store.is_away && store.version > 0 && now >= gateway.reads_at) {
+      gateway.tracker.OnRow(
+          {.key = "s", .value = store.value, .version = store.version}, now);
+      gateway.reads_at = now + milliseconds(50 + m_random() % 400);
+    }
+    gateway.tracker.Advance(now);
+    if (gateway.write && now >= gateway.writes_at) {
+      FinishWrite(&gateway);
+    } else if (!gateway.write) {
+      gateway.write = gateway.tracker.NextWrite(now);
+      gateway.writes_at = now + milliseconds(m_random() % 100);
+    }
+    if (std::exchange(gateway.must_cancel, false)) {
+      Take([&](const Request& request) {
+        return request.gateway == index && !request.is_trial &&
+               IsBlocked(index, request.parts);
+      });
+    }
+  }
+
+  void FinishWrite(Gateway* gateway) {
+    const SuspectTracker::Write write = *std::exchange(gateway->write, {});
+    StoreResult result = StoreResult::kUnavailable;
+    if (!store.is_away) {
+      ++store.writes;
+      result = StoreResult::kConflict;
+      if (write.expected_version == store.version) {
+        store.value = write.value;
+        ++store.version;
+        result = StoreResult::kOk;
+      }
+    }
+    gateway->tracker.OnWritten(result, now);
+  }
+
+  std::mt19937 m_random;
+  std::vector<TimePoint> m_up_at;
+  std::vector<std::unique_ptr<Gateway>> m_gateways;
+  std::vector<Request> m_requests;
+};
+
+constexpr int kFleetSizes[] = {7, 9, 79, 304};
+
+void RunSound(Fleet* fleet) {
+  fleet->Run(seconds(3), [fleet] {
+    fleet->Send({kShared});
+    fleet->Send({kOther});
+  });
+}
+
+/// Sends forty sound requests a second, and two or three bad ones.
+void RunBadPart(Fleet* fleet, Duration time, int* step) {
+  fleet->Run(time, [fleet, step] {
+    fleet->Send({kShared});
+    fleet->Send({kOther});
+    if (++*step % 8 == 0) {
+      fleet->Send({kShared, kDeadly});
+    }
+  });
+}
+
+// Guards against one crash after the other in fleets in which each gateway sees
+// few of them, and against a block of sound requests.
+TEST_CASE("a fleet blocks a bad part after few crashes") {
+  for (const int gateways : kFleetSizes) {
+    for (const uint32_t seed : {1U, 2U, 3U}) {
+      Fleet fleet(gateways, std::max(12, gateways / 2), seed);
+      fleet.bad_part = kDeadly;
+      int step = 0;
+      RunSound(&fleet);
+      RunBadPart(&fleet, seconds(12), &step);
+      CAPTURE(gateways);
+      CAPTURE(seed);
+      CHECK(fleet.late_crashes <= 3);
+      CHECK(fleet.CountBlocking({kShared, kDeadly}) == gateways);
+      CHECK(fleet.CountBlocking({kShared}) == 0);
+      CHECK(fleet.refused_sound == 0);
+      const int before = fleet.crashes;
+      RunBadPart(&fleet, seconds(20), &step);
+      CHECK(fleet.crashes == before);
+    }
+  }
+}
+
+// Guards against more crashes than the users allow while a fault lasts, against
+// two trials at once, and against a block that outlasts the fault.
+TEST_CASE("trials are rare while the fault lasts, and end the block after it") {
+  Fleet fleet(9, 12, 4);
+  fleet.bad_part = kDeadly;
+  int step = 0;
+  RunBadPart(&fleet, seconds(15), &step);
+  const int before = fleet.crashes;
+  RunBadPart(&fleet, minutes(14), &step);
+  CHECK(fleet.crashes - before <= 3);
+  CHECK(fleet.trials == fleet.crashes - before);
+  fleet.bad_part.reset();
+  RunBadPart(&fleet, minutes(15), &step);
+  CHECK(fleet.CountBlocking({kShared, kDeadly}) == 0);
+  CHECK(fleet.refused_sound > 0);
+  const int refused = fleet.refused;
+  RunBadPart(&fleet, seconds(20), &step);
+  CHECK(fleet.refused == refused);
+}
+
+// Guards against blame for losses of endpoints that have another cause.
+TEST_CASE("losses of endpoints for other reasons block nothing") {
+  for (const int gateways : kFleetSizes) {
+    CAPTURE(gateways);
+    const int endpoints = std::max(12, gateways / 2);
+    Fleet fleet(gateways, endpoints, 5);
+    int step = 0;
+    const auto load = [&] {
+      fleet.Send({kShared});
+      fleet.Send({kShared, kOther});
+      fleet.Send({static_cast<PromptPartHash>(1000 + ++step)});
+    };
+    fleet.Run(seconds(5), load);
+    SUBCASE("a failure domain loses power") {
+      for (int i = 0; i < endpoints / 3; ++i) {
+        fleet.Crash(i);
+      }
+      fleet.Run(seconds(10), load);
+    }
+    SUBCASE("endpoints restart without notice, one after the other") {
+      for (int i = 0; i < endpoints; ++i) {
+        fleet.Crash(i);
+        fleet.Run(seconds(1), load);
+      }
+    }
+    SUBCASE("one endpoint crashes again and again") {
+      for (int i = 0; i < 10; ++i) {
+        fleet.Crash(0);
+        fleet.Run(seconds(4), load);
+      }
+    }
+    CHECK(fleet.CountBlocking({kShared}) == 0);
+    CHECK(fleet.CountBlocking({kShared, kOther}) == 0);
+    CHECK(fleet.refused * 100 <= fleet.begun);
+  }
+}
+
+// Guards against endpoints that crash on a part which was sound before.
+TEST_CASE("a part that turns bad is blocked") {
+  Fleet fleet(9, 12, 6);
+  int step = 0;
+  RunBadPart(&fleet, seconds(10), &step);
+  fleet.bad_part = kDeadly;
+  RunBadPart(&fleet, seconds(20), &step);
+  CHECK(fleet.CountBlocking({kShared, kDeadly}) == 9);
+  CHECK(fleet.CountBlocking({kShared}) == 0);
+  const int before = fleet.crashes;
+  RunBadPart(&fleet, seconds(20), &step);
+  CHECK(fleet.crashes == before);
+}
+
+// Guards against evidence that is lost with the gateways that found it.
+TEST_CASE("a block survives a restart of all gateways") {
+  Fleet fleet(9, 12, 7);
+  fleet.bad_part = kDeadly;
+  int step = 0;
+  RunBadPart(&fleet, seconds(12), &step);
+  const int before = fleet.crashes;
+  fleet.RestartGateways();
+  fleet.Run(seconds(1));
+  RunBadPart(&fleet, seconds(20), &step);
+  CHECK(fleet.crashes == before);
+}
+
+// Guards against a block that an operator cannot end.
+TEST_CASE("a block ends when the row is deleted") {
+  Fleet fleet(1, 12, 7);
+  const auto list = TwoCrashes({kDeadly}, {kDeadly});
+  SuspectTracker& tracker = fleet.tracker(0);
+  tracker.OnRow({.key = "s", .value = list.Encode(), .version = 5}, fleet.now);
+  CHECK(fleet.IsBlocked(0, {kDeadly}));
+  tracker.OnRow({.key = "s", .value = {}, .version = 9, .deleted = true},
+                fleet.now);
+  CHECK_FALSE(fleet.IsBlocked(0, {kDeadly}));
+  tracker.OnCrash(Parts{kDeadly}, "e3", /*has_head=*/true, fleet.now);
+  tracker.Advance(fleet.now + kCrashHoldTime);
+  const auto write = tracker.NextWrite(fleet.now + kCrashHoldTime);
+  REQUIRE(write);
+  CHECK(write->expected_version == 0);
+}
+
+// Guards against gateways that learn nothing, or send trials, while the store
+// is away.
+TEST_CASE("without the store each gateway uses its own evidence") {
+  Fleet fleet(3, 12, 8);
+  fleet.bad_part = kDeadly;
+  fleet.store.is_away = true;
+  int step = 0;
+  RunBadPart(&fleet, seconds(40), &step);
+  CHECK(fleet.CountBlocking({kShared, kDeadly}) == 3);
+  const int before = fleet.crashes;
+  RunBadPart(&fleet, minutes(3), &step);
+  CHECK(fleet.crashes == before);
+  CHECK(fleet.trials == 0);
+  fleet.store.is_away = false;
+  RunBadPart(&fleet, seconds(5), &step);
+  fleet.RestartGateways();
+  fleet.Run(seconds(1));
+  CHECK(fleet.CountBlocking({kShared, kDeadly}) == 3);
+}
+
+// Guards against memory that grows with the number of different parts.
+TEST_CASE("thousands of new parts do not grow the state without bound") {
+  Fleet fleet(1, 12, 9);
+  SuspectTracker& tracker = fleet.tracker(0);
+  for (PromptPartHash part = 1; part < 100000; part += 2) {
+    const Parts parts = {part, part + 1};
+    tracker.OnBegun(parts, fleet.now);
+    tracker.OnLost("e" + std::to_string(part), fleet.now);
+    tracker.OnCrash(Parts{part + 1000000}, "e", true, fleet.now);
+    if (part % 1001 == 0) {
+      fleet.now += kStep;
+      tracker.Advance(fleet.now);
+    }
+  }
+  CHECK(tracker.begun_parts() <= kMaxBegunParts);
+  CHECK(tracker.view().suspects().size() <= kMaxPromptSuspects);
+}
+
+}  // namespace
+}  // namespace bramleybank
