Keep prompts that crash endpoints away from them

Nothing related a lost engine to the prompt that it had begun to write on, and each gateway sees less than one of the first five crashes.

A stream that is cut off before its first event is now evidence against its prompt parts, shared by compare-and-swap in one row per service of the table suspects, which all gateways follow. A quarantined part is refused at once with prompt_quarantined (422), or answer_lost if an attempt may have run; attempts that wait at engines are cancelled. One trial at a time, claimed in the row, ends the block when an answer begins.

--- a/include/bramleybank/result_code.h
+++ b/include/bramleybank/result_code.h
@@ -35,6 +35,7 @@
   kRetryBudgetExhausted = 2007,
   kExpectedTooLate = 2008,
   kEndpointsLimited = 2009,
+  kPromptQuarantined = 2010,
   kEngineUnreachable = 3001,
   kAttemptsExhausted = 3002,
   kResumeImpossible = 3003,
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -33,6 +33,7 @@
 #include "metric_registry.h"
 #include "permit_client.h"
 #include "prompt_locator.h"
+#include "prompt_quarantine.h"
 #include "rollout_controller.h"
 #include "rollout_records.h"
 #include "start_waiters.h"
@@ -90,6 +91,7 @@
   void UpdateRetryBudget();
   Duration RolloutPollInterval() const;
   Duration PromptInterval() const;
+  void OnPromptQuarantined();
   void ArmSilenceCheck();
   void CheckSilence();
   bool IsTooLateToStart(bool is_stream) const;
@@ -130,6 +132,7 @@
       self,
       {{rows.operator_table, RelayedStore::ReadMode::kWatched},
        {rows.endpoint_table, RelayedStore::ReadMode::kWatched},
+       {kSuspectTable, RelayedStore::ReadMode::kWatched},
        {kRolloutTable, RelayedStore::ReadMode::kPolled}},
       std::min(settings.config_bound, settings.leave_bound),
       {.on_unknown_sender = [this] { peers.OnUnknownSender(); },
@@ -193,6 +196,13 @@
                   std::function<void(const std::string&)> callback) {
              relay.QueryPrompt(prompt, std::move(callback));
            }}};
+  PromptQuarantine quarantine{
+      loop,
+      relay.store(),
+      &metrics,
+      {.wait = MaxStoreWait(settings.max_store_silence),
+       .pause = kConfigReadPause},
+      {.random = random, .on_quarantined = [this] { OnPromptQuarantined(); }}};
   size_t buffered_bytes = 0;
   ExchangeContext exchange_context;
   GatewayCallerHooks caller_hooks;
@@ -233,6 +243,7 @@
       .adopter = &adopter,
       .rollouts = &rollouts,
       .prompts = &prompts,
+      .quarantine = &quarantine,
       .buffered_bytes = &buffered_bytes,
       .random = random,
       .config = [this] { return config; },
@@ -378,6 +389,7 @@
           : kFollowerReadPause);
   operator_watch->SetPause(relay.IsReader() ? kConfigReadPause
                                             : kFollowerReadPause);
+  quarantine.SetPause(relay.IsReader() ? kConfigReadPause : kFollowerReadPause);
   UpdateRetryBudget();
 }
 
@@ -498,6 +510,12 @@
   ArmSilenceCheck();
 }
 
+void Gateway::Impl::OnPromptQuarantined() {
+  for (const auto& [number, exchange] : exchanges) {
+    exchange->OnQuarantined();
+  }
+}
+
 void Gateway::Impl::ArmSilenceCheck() {
   if (!silence_timer.is_valid() && !silence.empty()) {
     silence_timer =
@@ -571,6 +589,7 @@
   m_impl->operator_watch->Start();
   m_impl->endpoint_watch->Start();
   m_impl->prompts.Start();
+  m_impl->quarantine.Start();
   m_impl->peers.Start();
   return true;
 }
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -244,6 +244,7 @@
     return;
   }
   if (end == AttemptEnd::kBroken) {
+    ReportCrash();
     FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
                 "answer incomplete: connection closed or malformed HTTP");
     return;
@@ -429,6 +430,10 @@
            Duration{0});
     return;
   }
+  if (code == ResultCode::kPromptQuarantined) {
+    Refuse(code, Duration{0});
+    return;
+  }
   // If endpoints have named a time for the next request, callers get it as
   // Retry-After.
   Refuse(code, m_context->limiter->RemainingWait(m_service).value_or(
@@ -445,6 +450,7 @@
              m_config ? static_cast<long long>(m_config->version()) : -1)
       .Field("sends", m_sends)
       .Field("runs", m_possible_runs)
+      .Field("quarantined", m_blocking_parts)
       .Field("ms",
              ToMilliseconds(m_context->loop->Now() - m_request.received_at));
   m_context->metrics->Count("bramleybank_refusals_total", "reason",
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -21,6 +21,7 @@
 #include "hooks.h"
 #include "http1_parser.h"
 #include "limit_retry_budget.h"
+#include "prompt_part.h"
 #include "stream_backup.h"
 
 namespace bramleybank {
@@ -33,6 +34,7 @@
 class GatewayConfig;
 class MetricRegistry;
 class PromptLocator;
+class PromptQuarantine;
 class RolloutController;
 class StreamSilenceMonitor;
 struct EndpointChoice;
@@ -52,6 +54,7 @@
   EndpointAdopter* adopter = nullptr;
   RolloutController* rollouts = nullptr;
   PromptLocator* prompts = nullptr;
+  PromptQuarantine* quarantine = nullptr;
   /// Bytes of all incomplete answers that are buffered.
   size_t* buffered_bytes = nullptr;
   RandomHook random;
@@ -80,6 +83,9 @@
   /// Replaces or renews the KV cache backup of a running stream if necessary.
   /// Must be called at a regular interval.
   void MaintainBackup();
+  /// A prompt part was quarantined. Ends the exchange if it has that part and
+  /// no answer has begun.
+  void OnQuarantined();
 
  private:
   bool FindRoute();
@@ -101,6 +107,19 @@
   const EndpointRecord* RequestBetter(const EndpointChoice& choice) const;
   /// @returns whether the request may wait for a permit.
   bool MayWaitForPermit();
+  /// @returns whether an answer to this request has begun, here or earlier.
+  bool HasBegun() const;
+  void ReportBegun();
+  /// @returns the quarantined parts because of which the request must not be
+  /// sent.
+  std::vector<PromptPartHash> FindBlockingParts() const;
+  /// @returns true when the request must not be sent now: it was refused, or
+  /// waits to become a trial.
+  bool EndIfQuarantined();
+  void OnTrialAnswer(bool granted);
+  void RefuseQuarantined(const std::vector<PromptPartHash>& blocking);
+  /// The endpoint has cut off the current attempt.
+  void ReportCrash();
   void StartAttempt(const EndpointRecord& endpoint, bool from_backup);
   AttemptMetadata DescribeAttempt(const EndpointRecord& endpoint,
                                   bool from_backup);
@@ -180,6 +199,13 @@
   StreamBackup m_backup;
   // Id of the engine that has prefilled the prompt; empty when unknown.
   std::string m_prompt_endpoint_id;
+  // An event of an answer to this request has arrived.
+  bool m_has_begun = false;
+  // This request is the trial of its quarantined parts; only one attempt is.
+  bool m_is_trial = false;
+  bool m_is_trial_sent = false;
+  // Quarantined parts because of which the request was refused, for the log.
+  std::string m_blocking_parts;
   // Callbacks that outlive this object hold a weak reference, which then has
   // expired.
   std::shared_ptr<GatewayExchange*> m_alive;
--- a/src/gateway_exchange_endpoint.cc
+++ b/src/gateway_exchange_endpoint.cc
@@ -33,6 +33,9 @@
 }
 
 void GatewayExchange::StartNextAttempt() {
+  if (EndIfQuarantined()) {
+    return;
+  }
   const EndpointRecord* holder = m_backup.UsableHolder();
   if (holder != nullptr && m_context->limiter->MaySend(*holder)) {
     StartAttempt(*holder, /*from_backup=*/true);
--- /dev/null
+++ b/src/gateway_exchange_quarantine.cc
@@ -0,0 +1,104 @@
+// The part of an exchange that keeps prompts which crash endpoints away from
+// them.
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "event_loop.h"
+#include "gateway_config.h"
+#include "gateway_exchange.h"
+#include "log_event.h"
+#include "metric_registry.h"
+#include "prompt_part.h"
+#include "prompt_quarantine.h"
+
+namespace bramleybank {
+
+bool GatewayExchange::HasBegun() const {
+  return m_has_begun || m_last_event_id.value_or(0) > 0;
+}
+
+void GatewayExchange::ReportBegun() {
+  if (!std::exchange(m_has_begun, true)) {
+    m_context->quarantine->OnBegun(m_service, m_metadata.shared_parts);
+  }
+}
+
+std::vector<PromptPartHash> GatewayExchange::FindBlockingParts() const {
+  if (!is_stream() || HasBegun()) {
+    return {};
+  }
+  return m_context->quarantine->FindBlocking(m_service,
+                                             m_metadata.shared_parts);
+}
+
+bool GatewayExchange::EndIfQuarantined() {
+  if (m_is_trial && !std::exchange(m_is_trial_sent, true)) {
+    return false;
+  }
+  const std::vector<PromptPartHash> blocking = FindBlockingParts();
+  if (blocking.empty()) {
+    return false;
+  }
+  const bool waits = m_context->quarantine->RequestTrial(
+      m_service, blocking, [weak = std::weak_ptr(m_alive)](bool granted) {
+        const auto self = weak.lock();
+        if (self && !(*self)->m_is_finished) {
+          (*self)->OnTrialAnswer(granted);
+        }
+      });
+  if (!waits) {
+    RefuseQuarantined(blocking);
+  }
+  return true;
+}
+
+void GatewayExchange::OnTrialAnswer(bool granted) {
+  if (granted) {
+    m_context->metrics->Count("bramleybank_prompt_trials_total");
+    LogLine(LogEventId::kPromptTrial)
+        .Field("id", m_metadata.request_id)
+        .Field("service", m_service)
+        .Field("parts", FormatParts(m_metadata.shared_parts));
+    m_is_trial = true;
+    StartNextAttempt();
+    return;
+  }
+  const std::vector<PromptPartHash> blocking = FindBlockingParts();
+  if (blocking.empty()) {
+    StartNextAttempt();
+  } else {
+    RefuseQuarantined(blocking);
+  }
+}
+
+void GatewayExchange::OnQuarantined() {
+  if (!m_attempt || m_is_trial) {
+    return;
+  }
+  const std::vector<PromptPartHash> blocking = FindBlockingParts();
+  if (blocking.empty()) {
+    return;
+  }
+  if (m_attempt->was_sent()) {
+    ++m_possible_runs;
+  }
+  EndAttempt(EndpointOutcome::kCancelled);
+  m_context->metrics->Count("bramleybank_quarantined_attempts_total");
+  RefuseQuarantined(blocking);
+}
+
+void GatewayExchange::RefuseQuarantined(
+    const std::vector<PromptPartHash>& blocking) {
+  m_blocking_parts = FormatParts(blocking);
+  GiveUp(ResultCode::kPromptQuarantined);
+}
+
+void GatewayExchange::ReportCrash() {
+  m_context->quarantine->OnLost(m_service, m_endpoint.address);
+  if (is_stream() && !HasBegun()) {
+    m_context->quarantine->OnCrash(m_service, m_metadata.shared_parts,
+                                   m_endpoint.address, m_head.status != 0);
+  }
+}
+
+}  // namespace bramleybank
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -55,7 +55,10 @@
 void GatewayExchange::ForwardEvents() {
   bool has_progress = false;
   while (const auto event = m_events.Next()) {
-    has_progress = has_progress || IsProgress(*event);
+    if (IsProgress(*event)) {
+      has_progress = true;
+      ReportBegun();
+    }
     if (!ForwardEvent(*event)) {
       FailAttempt(EndpointOutcome::kLost, RetryReason::kChunkGap,
                   "gap in the event ids");
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -103,6 +103,18 @@
      "An endpoint has limited the rate of its requests, or ended a limit."},
     {kPermitIssuerLost, "permit_issuer_lost", kWarning,
      "A gateway that issues the permits of an endpoint has not answered."},
+    {kCrashCharged, "crash_charged", kWarning,
+     "An endpoint ended a stream before its first event; parts of the prompt "
+     "are suspected."},
+    {kPromptQuarantined, "prompt_quarantined", kWarning,
+     "A prompt part is not sent to endpoints any more, because they crash on "
+     "it."},
+    {kPromptCleared, "prompt_cleared", kInfo,
+     "A prompt part is no longer suspected: an answer to it has begun, or it "
+     "had no crash for long."},
+    {kPromptTrial, "prompt_trial", kInfo,
+     "A request with a quarantined prompt part is sent to one endpoint as a "
+     "trial."},
 };
 
 /// Limit of the buffer for lines that the reader of standard output has not
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -59,6 +59,10 @@
   kEndpointPaused = 713,
   kEndpointLimited = 714,
   kPermitIssuerLost = 715,
+  kCrashCharged = 716,
+  kPromptQuarantined = 717,
+  kPromptCleared = 718,
+  kPromptTrial = 719,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -19,6 +19,9 @@
 #include "gateway_settings.h"
 #include "prompt_locations.h"
 #include "prompt_locator.h"
+#include "prompt_part.h"
+#include "prompt_quarantine.h"
+#include "prompt_suspects.h"
 #include "request_headers.h"
 #include "store_rows.h"
 
@@ -565,5 +568,59 @@
   fixture.WaitForAnswer("done");
 }
 
+constexpr char kDeadlyPrompt[] = "Prompt-Prefix: deadly:200,own:90\r\n";
+constexpr char kSoundPrompt[] = "Prompt-Prefix: sound:200,own:90\r\n";
+
+/// Answers the watch of the suspects with one quarantined part.
+void Quarantine(FakeStore* store, const std::string& part) {
+  PromptSuspectList list;
+  list.AddCrash(
+      {.endpoint = "e1",
+       .weight = kQuarantineWeight,
+       .parts = {{.part = HashPromptPart(part), .known_crashes = 0}}});
+  store->Answer(kSuspectTable,
+                {.result = StoreResult::kOk,
+                 .rows = {{.key = "app", .value = list.Encode(), .version = 8}},
+                 .version = 8});
+}
+
+// Guards against prompts that crash one endpoint after the other.
+TEST_CASE("a stream with a quarantined prompt part is refused at once") {
+  Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)) + "0\r\n\r\n"}}});
+  Quarantine(&fixture.store, "deadly");
+  fixture.Send("POST /write/x", "good", kDeadlyPrompt);
+  fixture.WaitForAnswer("prompt_quarantined");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 422"));
+  CHECK(fixture.endpoints[0]->requests().empty());
+  fixture.Send("POST /write/x", "good", kSoundPrompt);
+  fixture.WaitForAnswer("0\r\n\r\n");
+}
+
+// Guards against crashes by requests that wait at endpoints, and against an
+// answer that wrongly promises that the request has not run.
+TEST_CASE("attempts are cancelled when a part of their prompt is quarantined") {
+  Fixture fixture({{{.bytes = kStreamHead, .closes = false}}});
+  fixture.Send("POST /write/x", "good", kDeadlyPrompt);
+  fixture.WaitFor([&] { return fixture.endpoints[0]->requests().size() == 1; });
+  Quarantine(&fixture.store, "deadly");
+  fixture.WaitForAnswer("answer_lost");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
+  fixture.WaitFor([&] { return fixture.endpoints[0]->closed_by_peer() == 1; });
+}
+
+// Guards against streams that a quarantine breaks off.
+TEST_CASE("a stream that has begun goes on when its prompt is quarantined") {
+  Fixture fixture(
+      {{{.bytes = kStreamHead + Chunk(Event(1)),
+         .closes = false,
+         .interval = std::chrono::milliseconds(300),
+         .pieces = {Chunk(Event(2)) + Chunk(Event(3)) + "0\r\n\r\n"}}}});
+  fixture.Send("POST /write/x", "good", kDeadlyPrompt);
+  fixture.WaitForAnswer("id: 1");
+  Quarantine(&fixture.store, "deadly");
+  fixture.WaitForAnswer("0\r\n\r\n");
+  CHECK(fixture.answer.find("id: 3") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace bramleybank
