Retry a stream that ends with its connection before any event

Callers got an empty stream that looked complete when an engine that sends neither a length nor chunks died right after the head of its answer. The end of the connection is then the only mark of the end, so a stream without any event counts as broken off, and as evidence against its prompt. The new case of unit_gateway fails without the change: the second engine is not asked.

--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -22,6 +22,11 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+bool HasBodyLength(const HttpHeaders& headers) {
+  return FindHeader(headers, "Content-Length") ||
+         FindHeader(headers, "Transfer-Encoding");
+}
+
 }  // namespace
 
 bool GatewayExchange::SupportsBackup() const {
@@ -130,6 +135,14 @@
                 "stream ended in the middle of an event");
     return;
   }
+  // Without a length, the end of the connection is all that marks the end, and
+  // a server that dies as it begins to write looks the same.
+  if (!HasBegun() && !HasBodyLength(m_head.headers)) {
+    ReportCrash();
+    FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
+                "connection closed before the first event");
+    return;
+  }
   EndAttempt(EndpointOutcome::kAnswered);
   if (!m_stream_started) {
     m_caller->StartStream(m_head.status, RemoveHopByHopHeaders(m_head.headers));
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -568,6 +568,16 @@
   fixture.WaitForAnswer("done");
 }
 
+// Guards against an empty stream for a caller whose engine died as it began to
+// write, in place of a retry.
+TEST_CASE("a stream without length that ends before any event is retried") {
+  Fixture fixture({{{.bytes = "HTTP/1.1 200 OK\r\n" + kSealHeaders + "\r\n"}},
+                   {{.bytes = kStreamHead + Chunk(Event(1)) + "0\r\n\r\n"}}});
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("0\r\n\r\n");
+  CHECK(fixture.answer.find("id: 1") != std::string::npos);
+}
+
 constexpr char kDeadlyPrompt[] = "Prompt-Prefix: deadly:200,own:90\r\n";
 constexpr char kSoundPrompt[] = "Prompt-Prefix: sound:200,own:90\r\n";
 
