--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -18,6 +18,7 @@
 #include "log_event.h"
 #include "metric_registry.h"
 #include "prompt_locator.h"
+#include "prompt_part.h"
 #include "rollout_controller.h"
 #include "stream_silence_monitor.h"
 
@@ -243,6 +244,7 @@
     return;
   }
   if (end == AttemptEnd::kBroken) {
+    ReportCrash();
     FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
                 "answer incomplete: connection closed or malformed HTTP");
     return;
@@ -345,6 +347,9 @@
       .Field("reason", NameOf(reason))
       .Field("detail", detail)
       .Field("may_have_run", may_have_run ? 1 : 0)
+      .Field("head", m_head.status != 0 ? 1 : 0)
+      .Field("begun", m_attempt_has_event ? 1 : 0)
+      .Field("parts", FormatParts(m_metadata.shared_parts))
       .Field("last_event", static_cast<long long>(m_last_event_id.value_or(0)))
       .Field("attempt_ms",
              ToMilliseconds(m_context->loop->Now() - m_attempt_start));
@@ -441,6 +446,10 @@
            Duration{0});
     return;
   }
+  if (code == ResultCode::kPromptQuarantined) {
+    Refuse(code, Duration{0});
+    return;
+  }
   // If endpoints have named a time for the next request, callers get it as
   // Retry-After.
   Refuse(code, m_context->limiter->RemainingWait(m_service).value_or(
@@ -457,6 +466,7 @@
              m_config ? static_cast<long long>(m_config->version()) : -1)
       .Field("sends", m_sends)
       .Field("runs", m_possible_runs)
+      .Field("quarantined", m_blocking_parts)
       .Field("ms",
              ToMilliseconds(m_context->loop->Now() - m_request.received_at));
   m_context->metrics->Count("bramleybank_refusals_total", "reason",
