Bound the nesting of JSON from other processes

Callers saw every connection refused after one request: a chat request whose `messages` were nested 100,000 deep (200 KB, below the body limit) ended the daemon, whatever model it named.

Cause: the JSON library parses without recursion, but copies and writes nested values by recursion, so dump() overflowed the stack. An engine's nested answer to a copy request did the same to a gateway (DecodeCopyAnswer).

Evidence: process_odd_input on the daemon before: no answer (status 0), and the process is gone. The decoder of copy answers ended with SIGSEGV at 200,000.

Change: json_parse parses all JSON of src, platform and tools, to a depth of 100, through the library's parser callback, which is called before a value is stored. The decoders between daemons (msgpack) had a bound already.

Result: the requests get 400 and the daemon goes on (process_odd_input).

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -8,6 +8,12 @@
 
 namespace bramleybank {
 
+// Input from outside in general.
+/// Nesting of JSON values from other processes. The JSON library copies and
+/// writes nested values by recursion, which overflows the stack at about 60,000
+/// levels. Requests and configurations use fewer than 20.
+inline constexpr size_t kMaxJsonDepth = 100;
+
 // Input from callers.
 inline constexpr size_t kMaxRequestBodyBytes = 1024 * 1024;
 inline constexpr size_t kMaxUrlBytes = 2048;
--- a/src/call_row.cc
+++ b/src/call_row.cc
@@ -8,6 +8,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "json_parse.h"
+
 namespace bramleybank {
 namespace {
 
@@ -110,7 +112,7 @@
 
 std::optional<CallRow> ParseCallRow(std::string_view text) {
   try {
-    const json value = json::parse(text);
+    const json value = ParseJson(text);
     if (value.at("format").get<int>() != kRowFormat) {
       return std::nullopt;
     }
--- a/src/config_change.cc
+++ b/src/config_change.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "bramleybank/limits.h"
+#include "json_parse.h"
 #include "member_message.h"
 
 namespace bramleybank {
@@ -92,7 +93,7 @@
 }
 
 json FormatElement(const ConfigSnapshot& snapshot, const char* list) {
-  return json::parse(FormatConfigSnapshot(snapshot)).at(list).at(0);
+  return ParseJson(FormatConfigSnapshot(snapshot)).at(list).at(0);
 }
 
 std::pair<std::string, json> FormatSubject(const ConfigChange& change) {
@@ -176,7 +177,7 @@
 std::optional<ConfigChange> ParseConfigChange(std::string_view text,
                                               Reason* error) {
   try {
-    const json value = json::parse(text);
+    const json value = ParseJson(text);
     ConfigChange change;
     change.number = value.value("number", uint64_t{0});
     change.id = value.at("id").get<std::string>();
--- a/src/config_log.cc
+++ b/src/config_log.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "json_parse.h"
+
 namespace bramleybank {
 namespace {
 
@@ -75,7 +77,7 @@
 std::optional<ConfigAnswer> ParseConfigAnswer(std::string_view text,
                                               Reason* error) {
   try {
-    const json value = json::parse(text);
+    const json value = ParseJson(text);
     ConfigAnswer answer;
     answer.number = value.at("number").get<uint64_t>();
     for (const json& entry : value.at("changes")) {
--- a/src/config_snapshot.cc
+++ b/src/config_snapshot.cc
@@ -6,6 +6,8 @@
 #include <set>
 #include <stdexcept>
 
+#include "json_parse.h"
+
 namespace bramleybank {
 namespace {
 
@@ -97,7 +99,7 @@
 std::optional<ConfigSnapshot> ParseConfigSnapshot(std::string_view text,
                                                   Reason* error) {
   try {
-    return FromJson(json::parse(text));
+    return FromJson(ParseJson(text));
   } catch (const std::exception& fault) {
     *error = {ResultCode::kBadConfiguration, fault.what()};
     return std::nullopt;
--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -20,6 +20,7 @@
 #include "http_operator_api.h"
 #include "http_refusal.h"
 #include "http_server.h"
+#include "json_parse.h"
 #include "log_event.h"
 #include "metric_registry.h"
 #include "platform_http_objects.h"
@@ -173,7 +174,7 @@
   }
 
   std::string Status() const {
-    nlohmann::json status = nlohmann::json::parse(cluster->StatusJson());
+    nlohmann::json status = ParseJson(cluster->StatusJson());
     status["version"] = kVersion;
     status["peer"] = settings.PeerAddress();
     status["region"] = settings.region;
--- a/src/daemon_cluster.cc
+++ b/src/daemon_cluster.cc
@@ -17,6 +17,7 @@
 #include "config_sync.h"
 #include "daemon_settings.h"
 #include "event_loop.h"
+#include "json_parse.h"
 #include "member_protocol.h"
 #include "member_report.h"
 #include "member_udp.h"
@@ -310,7 +311,7 @@
 
   json Status() const {
     return {
-        {"membership", json::parse(FormatMemberStatus(protocol))},
+        {"membership", ParseJson(FormatMemberStatus(protocol))},
         {"config_number", config_log.number()},
         {"config_ready", config_sync.is_ready()},
         {"cut_off", IsCutOff()},
--- a/src/platform_config_source.cc
+++ b/src/platform_config_source.cc
@@ -12,6 +12,7 @@
 #include "config_change.h"
 #include "http_client.h"
 #include "http_types.h"
+#include "json_parse.h"
 
 namespace bramleybank {
 namespace {
@@ -24,7 +25,7 @@
 std::optional<std::vector<ConfigLogRow>> ParseRows(const std::string& text) {
   try {
     std::vector<ConfigLogRow> rows;
-    const json answer = json::parse(text);
+    const json answer = ParseJson(text);
     for (const json& entry : answer.at("rows")) {
       const auto number = ParseConfigLogKey(entry.at("key").get<std::string>());
       if (!number) {
--- a/src/platform_http_table.cc
+++ b/src/platform_http_table.cc
@@ -9,6 +9,7 @@
 #include "bramleybank/limits.h"
 #include "event_loop.h"
 #include "http_client.h"
+#include "json_parse.h"
 
 namespace bramleybank {
 namespace {
@@ -57,7 +58,7 @@
   if (!outcome.complete || outcome.status != 200) {
     return results;
   }
-  const json answer = json::parse(outcome.body, nullptr, false);
+  const json answer = TryParseJson(outcome.body);
   const json list = answer.is_object() ? answer.value("results", json::array())
                                        : json::array();
   if (list.size() != count) {
--- a/src/platform_vm_list.cc
+++ b/src/platform_vm_list.cc
@@ -8,6 +8,7 @@
 #include "bramleybank/limits.h"
 #include "event_loop.h"
 #include "http_client.h"
+#include "json_parse.h"
 #include "member_message.h"
 
 namespace bramleybank {
@@ -43,7 +44,7 @@
                                                 Reason* error) {
   try {
     std::vector<VmEntry> vms;
-    const json list = json::parse(text);
+    const json list = ParseJson(text);
     for (const json& entry : list.at("vms")) {
       vms.push_back(ParseVm(entry));
     }
--- a/src/stream_engine_transfer.cc
+++ b/src/stream_engine_transfer.cc
@@ -8,6 +8,7 @@
 
 #include "bramleybank/limits.h"
 #include "http_client.h"
+#include "json_parse.h"
 #include "stream_cursor.h"
 #include "stream_token_list.h"
 
@@ -110,7 +111,7 @@
   if (m_is_over || event.data == "[DONE]") {
     return;
   }
-  const json value = json::parse(event.data, nullptr, false);
+  const json value = TryParseJson(event.data);
   if (!value.is_object() || !value.contains("request") ||
       !value["request"].is_string() || !value.contains("attempt") ||
       !value["attempt"].is_number_unsigned()) {
--- a/src/stream_request.cc
+++ b/src/stream_request.cc
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "json_parse.h"
 #include "stream_token_list.h"
 
 namespace bramleybank {
@@ -70,8 +71,8 @@
                                                         Reason* error) {
   json parsed;
   try {
-    parsed = json::parse(body);
-  } catch (const json::exception& e) {
+    parsed = ParseJson(body);
+  } catch (const std::exception& e) {
     *error = {ResultCode::kBadJson, e.what()};
     return std::nullopt;
   }
@@ -94,7 +95,7 @@
 
 std::string AddResumeTokens(const std::string& body,
                             const StreamTokenList& tokens) {
-  json value = json::parse(body);
+  json value = ParseJson(body);
   json texts = json::array();
   for (size_t i = 0; i < tokens.size(); ++i) {
     texts.push_back(tokens[i]);
--- a/tools/bramleyctl.cc
+++ b/tools/bramleyctl.cc
@@ -9,6 +9,7 @@
 #include "bramleyctl_exit.h"
 #include "bramleyctl_options.h"
 #include "bramleyctl_report.h"
+#include "json_parse.h"
 #include "log_event.h"
 
 namespace bramleybank {
@@ -42,7 +43,7 @@
   if (!CheckAnswer(answer, options, &exit_code)) {
     return exit_code;
   }
-  const json status = json::parse(answer.body);
+  const json status = ParseJson(answer.body);
   const bool members = options.command == "members";
   if (options.json) {
     std::cout << (members ? status.at("membership").at("members") : status)
@@ -66,7 +67,7 @@
   if (!CheckAnswer(answer, options, &exit_code)) {
     return exit_code;
   }
-  const json call = json::parse(answer.body);
+  const json call = ParseJson(answer.body);
   std::cout << (options.json ? call.dump() + "\n" : DescribeCall(call));
   return kCtlOk;
 }
--- a/tools/bramleyctl_change.cc
+++ b/tools/bramleyctl_change.cc
@@ -15,6 +15,7 @@
 #include "bramleyctl_client.h"
 #include "bramleyctl_options.h"
 #include "bramleyctl_report.h"
+#include "json_parse.h"
 
 namespace bramleybank {
 namespace {
@@ -64,7 +65,7 @@
 /// or nullopt if it is not known.
 std::optional<uint64_t> FetchConfigNumber(CtlClient* client) {
   const CtlAnswer answer = client->Send({.path = "/status"});
-  const json status = json::parse(answer.body, nullptr, false);
+  const json status = TryParseJson(answer.body);
   if (answer.status != 200 || !status.is_object()) {
     return std::nullopt;
   }
@@ -74,7 +75,7 @@
 std::optional<json> FetchConfirmations(CtlClient* client, uint64_t number) {
   const CtlAnswer answer = client->Send(
       {.path = "/config/confirmations?number=" + std::to_string(number)});
-  json value = json::parse(answer.body, nullptr, false);
+  json value = TryParseJson(answer.body);
   if (answer.status != 200 || !value.is_object()) {
     return std::nullopt;
   }
@@ -141,7 +142,7 @@
     std::cerr << "No target answered; nothing was sent.\n";
     return kCtlNoAnswer;
   }
-  const json value = json::parse(answer.body, nullptr, false);
+  const json value = TryParseJson(answer.body);
   if (answer.status == 200 && value.is_object() && value.contains("number")) {
     const auto number = value["number"].get<uint64_t>();
     const bool repeated = previous_number && number <= *previous_number;
@@ -167,7 +168,7 @@
     std::cerr << "bramleyctl: cannot read " << path << "\n";
     return kCtlUsage;
   }
-  json change = json::parse(text.str(), nullptr, false);
+  json change = TryParseJson(text.str());
   if (!change.is_object()) {
     return PrintFailure(options, kCtlRefused, options.id,
                         path + " does not hold a JSON object");
@@ -211,7 +212,7 @@
               << "\n";
     return kCtlRefused;
   }
-  const json value = json::parse(answer.body);
+  const json value = ParseJson(answer.body);
   std::cout << (options.json ? value.dump() + "\n"
                              : DescribeConfirmations(value));
   return IsInForce(value) ? kCtlOk : kCtlNotInForce;
--- a/tools/bramleyctl_report.cc
+++ b/tools/bramleyctl_report.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "bramleybank/result_code.h"
+#include "json_parse.h"
 #include "log_event.h"
 
 namespace bramleybank {
@@ -112,7 +113,7 @@
 }
 
 std::string DescribeRefusal(const std::string& body) {
-  const json value = json::parse(body, nullptr, false);
+  const json value = TryParseJson(body);
   if (!value.is_object() || !value.contains("error")) {
     return "the answer is not a refusal of this system: " + body;
   }
@@ -123,7 +124,7 @@
 }
 
 std::string RefusalOutcome(const std::string& body) {
-  const json value = json::parse(body, nullptr, false);
+  const json value = TryParseJson(body);
   if (!value.is_object() || !value.contains("error")) {
     return {};
   }
--- a/tools/fault_proxy.cc
+++ b/tools/fault_proxy.cc
@@ -17,6 +17,7 @@
 #include "http_request.h"
 #include "http_responder.h"
 #include "http_server.h"
+#include "json_parse.h"
 #include "log_event.h"
 #include "tool_options.h"
 
@@ -47,7 +48,7 @@
   json answer = json::object();
   int status = 404;
   if (request.method == "POST" && request.path == "/control") {
-    const json message = json::parse(request.body, nullptr, false);
+    const json message = TryParseJson(request.body);
     const bool is_named = message.is_object() && message.contains("pair");
     std::string error = "no such pair";
     for (const auto& pair : pairs) {
--- a/tools/load_gen_call.cc
+++ b/tools/load_gen_call.cc
@@ -7,6 +7,7 @@
 #include "bramleybank/result_code.h"
 #include "event_loop.h"
 #include "http_client.h"
+#include "json_parse.h"
 #include "load_gen_generation.h"
 #include "load_gen_stats.h"
 
@@ -18,7 +19,7 @@
 /// @returns whether the answer names a key other than `key`, and so belongs to
 /// another request.
 bool HasDifferentKey(const std::string& body, const std::string& key) {
-  const json answer = json::parse(body, nullptr, false);
+  const json answer = TryParseJson(body);
   if (!answer.is_object() || !answer.contains("key")) {
     return false;
   }
@@ -98,7 +99,7 @@
 }
 
 void LoadCall::OnRefusal(const HttpOutcome& outcome) {
-  const json body = json::parse(outcome.body, nullptr, false);
+  const json body = TryParseJson(outcome.body);
   int code = 0;
   std::string result = "not_run";
   if (body.is_object() && body.contains("error") && body["error"].is_object()) {
--- a/tools/load_gen_generation.cc
+++ b/tools/load_gen_generation.cc
@@ -11,6 +11,7 @@
 #include "bramleybank/result_code.h"
 #include "event_loop.h"
 #include "http_client.h"
+#include "json_parse.h"
 #include "load_gen_stats.h"
 #include "stream_cursor.h"
 
@@ -25,7 +26,7 @@
 
 /// @returns the result code in the JSON of an error, or 0 if it has none.
 int ParseErrorCode(const std::string& body) {
-  const json refusal = json::parse(body, nullptr, false);
+  const json refusal = TryParseJson(body);
   if (!refusal.is_object() || !refusal.contains("error") ||
       !refusal["error"].is_object()) {
     return 0;
@@ -168,7 +169,7 @@
     m_done = true;
     return;
   }
-  const json chunk = json::parse(event.data, nullptr, false);
+  const json chunk = TryParseJson(event.data);
   if (!chunk.is_object()) {
     m_faulty = true;
     m_context->stats->Count("fault_bad_chunk");
@@ -241,7 +242,7 @@
   const std::string adapter =
       slash == std::string::npos ? "" : name->substr(slash + 1);
   // For a chat, the engine's prompt is built from the messages.
-  const auto prompt = ExtractPrompt(json::parse(m_body));
+  const auto prompt = ExtractPrompt(ParseJson(m_body));
   m_checker.emplace(InitialChainHash(m_context->settings->model,
                                      name->substr(0, slash), adapter, *prompt),
                     m_request.max_tokens);
--- a/tools/standin_engine_http.cc
+++ b/tools/standin_engine_http.cc
@@ -9,6 +9,7 @@
 #include "answer_chain.h"
 #include "http_request.h"
 #include "http_responder.h"
+#include "json_parse.h"
 #include "standin_engine_core.h"
 
 namespace bramleybank::standin {
@@ -78,7 +79,7 @@
 std::optional<std::string> ParseBody(const std::string& text,
                                      const std::string& model,
                                      EngineRequest* out) {
-  const json body = json::parse(text, nullptr, false);
+  const json body = TryParseJson(text);
   if (!body.is_object()) {
     return "the body is not a JSON object";
   }
@@ -206,7 +207,7 @@
 
 void EngineHttp::HandleCommand(const HttpRequest& request,
                                const Responder& responder) {
-  const json command = json::parse(request.body, nullptr, false);
+  const json command = TryParseJson(request.body);
   const auto number =
       ParseNumber<uint64_t>(request.Header("X-Fencing-Number"), 0);
   if (!command.is_object() || !number) {
@@ -224,7 +225,7 @@
 void EngineHttp::HandleControl(const HttpRequest& request,
                                const Responder& responder) {
   std::string error;
-  if (m_core->ApplyControl(json::parse(request.body, nullptr, false), &error)) {
+  if (m_core->ApplyControl(TryParseJson(request.body), &error)) {
     Reply(responder, 200, json::object());
   } else {
     ReplyError(responder, 400, error);
--- a/tools/standin_engine_stream.cc
+++ b/tools/standin_engine_stream.cc
@@ -9,6 +9,7 @@
 #include "answer_chain.h"
 #include "bramleybank/limits.h"
 #include "http_responder.h"
+#include "json_parse.h"
 
 namespace bramleybank::standin {
 
@@ -143,7 +144,7 @@
       responder->Write("data: " + chunk.substr(0, chunk.size() / 2) + "\n\n");
       return;
     case StreamFaultKind::kForeign: {
-      auto foreign = nlohmann::json::parse(chunk);
+      auto foreign = ParseJson(chunk);
       foreign["request"] = "00000000deadbeef";
       foreign["text"] = FormatToken(0xdead, 0xdeadbeef);
       responder->Write("data: " + foreign.dump() + "\n\n" + event);
--- a/tools/standin_platform_server.cc
+++ b/tools/standin_platform_server.cc
@@ -12,6 +12,7 @@
 #include "http_path.h"
 #include "http_request.h"
 #include "http_responder.h"
+#include "json_parse.h"
 #include "standin_reply.h"
 
 namespace bramleybank {
@@ -99,13 +100,13 @@
 void PlatformServer::HandleControl(const HttpRequest& request,
                                    const Responder& responder) {
   try {
-    const json control = json::parse(request.body);
+    const json control = ParseJson(request.body);
     ApplyPlatformControl(control, &m_faults);
     m_vm_lag_ms = control.value("vm_lag_ms", m_vm_lag_ms);
     if (control.contains("vms")) {
       SetVms(control.at("vms"));
     }
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) {
     ReplyJson(responder.get(), 400, {{"error", error.what()}});
     return;
   }
@@ -219,12 +220,12 @@
   std::vector<PlatformWrite> writes;
   bool atomic = false;
   try {
-    const json body = json::parse(request.body);
+    const json body = ParseJson(request.body);
     atomic = body.value("atomic", false);
     for (const json& write : body.at("writes")) {
       writes.push_back(ParseWrite(write));
     }
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) {
     ReplyJson(responder.get(), 400, {{"error", error.what()}});
     return;
   }
--- a/tools/standin_service_server.cc
+++ b/tools/standin_service_server.cc
@@ -9,6 +9,7 @@
 #include "event_loop.h"
 #include "http_request.h"
 #include "http_responder.h"
+#include "json_parse.h"
 
 namespace bramleybank {
 namespace {
@@ -80,8 +81,8 @@
 void ServiceServer::HandleControl(const HttpRequest& request,
                                   const Responder& responder) {
   try {
-    ApplyServiceControl(json::parse(request.body), &m_faults);
-  } catch (const json::exception& error) {
+    ApplyServiceControl(ParseJson(request.body), &m_faults);
+  } catch (const std::exception& error) {
     Reply(responder.get(), 400, Dump({{"error", error.what()}}));
     return;
   }
