Write names that are not UTF-8 without an exception

One datagram with a failure domain that is not UTF-8 ended a daemon at the next GET /status or /config/confirmations; a caller's Request-Id with such a byte ended a gateway when the stream asked for a copy.

Cause: json::dump() throws for such strings, and nothing catches it.

Evidence: process_odd_input on the daemon before: no answer to both paths, and the process is gone; encode_copy_request threw in unit_platform_adapter.

Change: DumpJson() replaces such bytes, where strings come from outside the JSON parser. Other uses of dump() write parsed JSON, which is UTF-8.

--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -181,7 +181,7 @@
     status["failure_domain"] = settings.failure_domain;
     status["open_streams"] = streams->open_streams();
     status["not_ready_reason"] = NotReadyReason();
-    return status.dump();
+    return DumpJson(status);
   }
 
   void UpdateGauges() {
--- a/src/daemon_cluster.cc
+++ b/src/daemon_cluster.cc
@@ -401,7 +401,7 @@
 }
 
 std::string DaemonCluster::StatusJson() const {
-  return m_impl->Status().dump();
+  return DumpJson(m_impl->Status());
 }
 
 void DaemonCluster::UpdateGauges() {
--- a/src/http_config_api.cc
+++ b/src/http_config_api.cc
@@ -13,6 +13,7 @@
 #include "http_refusal.h"
 #include "http_request.h"
 #include "http_responder.h"
+#include "json_parse.h"
 
 namespace bramleybank {
 namespace {
@@ -98,11 +99,10 @@
   const ConfigConfirmations confirmations = m_cluster->Confirmations(number);
   responder->Respond(
       200, kJsonHeaders,
-      json{{"number", confirmations.number},
-           {"in_force", confirmations.in_force},
-           {"waiting", MembersJson(confirmations.waiting)},
-           {"unreachable", MembersJson(confirmations.unreachable)}}
-          .dump());
+      DumpJson({{"number", confirmations.number},
+                {"in_force", confirmations.in_force},
+                {"waiting", MembersJson(confirmations.waiting)},
+                {"unreachable", MembersJson(confirmations.unreachable)}}));
 }
 
 }  // namespace bramleybank
--- a/src/stream_request.cc
+++ b/src/stream_request.cc
@@ -101,7 +101,7 @@
     texts.push_back(tokens[i]);
   }
   value["resume_tokens"] = std::move(texts);
-  return value.dump();
+  return DumpJson(value);
 }
 
 }  // namespace bramleybank
--- a/tests/process_odd_input.cc
+++ b/tests/process_odd_input.cc
@@ -49,5 +49,41 @@
   CheckServes(deployment);
 }
 
+void SendDatagram(const std::string& ip, const std::string& bytes) {
+  const int fd = socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(7103);
+  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+  CHECK(sendto(fd, bytes.data(), bytes.size(), 0,
+               reinterpret_cast<const sockaddr*>(&address),
+               sizeof(address)) == static_cast<ssize_t>(bytes.size()));
+  close(fd);
+}
+
+TEST_CASE("a member whose names are not text ends no daemon") {
+  Deployment deployment({.domains = 1});
+  const std::string cluster = "bramleybank";
+  MemberHeader header;
+  header.cluster = XXH3_64bits(cluster.data(), cluster.size());
+  header.from = {.peer = LoopbackIp(90) + ":7103",
+                 .start_number = 1,
+                 .region = "r\xff",
+                 .failure_domain = "d\xff\xfe",
+                 .state = MemberState::kAlive};
+  MemberMessageWriter writer(header, {}, 1000);
+  SendDatagram(LoopbackIp(10), writer.Finish());
+  const std::string url = deployment.operator_url(0);
+  WaitUntil("the member to be known and lost", [&] {
+    CHECK(Send("GET", url + "/config/confirmations?number=99").status == 200);
+    CHECK(Send("GET", url + "/status").status == 200);
+    return deployment.Metric(0, "bramleybank_members_dead") >= 1;
+  });
+  const HttpAnswer status = Send("GET", url + "/status");
+  CHECK(status.status == 200);
+  CHECK(json::parse(status.body).at("unreachable_domains").size() == 1);
+  CheckServes(deployment);
+}
+
 }  // namespace
 }  // namespace bramleybank::testing
--- a/tests/unit_platform_adapter.cc
+++ b/tests/unit_platform_adapter.cc
@@ -80,6 +80,13 @@
   }
 }
 
+// Guards against a daemon that a caller ends with the id of its request.
+TEST_CASE("an id that is not text can be named in a copy request") {
+  CHECK(MakeGatewayCodec()
+            .encode_copy_request("r\xff", "10.0.0.1:80")
+            .starts_with("POST /api/kv-move"));
+}
+
 TEST_CASE("rows and writes have the store's JSON format") {
   StoreRows rows;
   REQUIRE(DecodeRows(
