Bound answers to copy requests and probes

An engine that sent its answer to a copy request, or to a probe of its report, without end filled the gateway's memory; one that sent a byte now and then blocked further copy requests of the stream and further probes of the address.

Cause: both bodies were appended without a limit, and nothing but the end of the connection ended the exchange.

Change: 64 KB and 3 s, after which the exchange counts as failed.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -245,6 +245,10 @@
 /// repeated request transfers only what is new.
 inline constexpr std::chrono::milliseconds kCopyRequestInterval{3000};
 inline constexpr int kMaxCopyRequests = 8;
+/// Answer of an engine to a copy request or to a probe of its report.
+inline constexpr size_t kMaxEngineReplyBytes = 64 * 1024;
+/// Longest time until the answer to a copy request or a probe is complete.
+inline constexpr std::chrono::milliseconds kEngineReplyTimeout{3000};
 inline constexpr std::chrono::milliseconds kCopyReleaseTime{1000};
 /// Sends of a request beyond its route's limit on attempts, as long as no
 /// attempt has run.
--- a/src/endpoint_adopter.cc
+++ b/src/endpoint_adopter.cc
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "bramleybank/limits.h"
 #include "endpoint_directory.h"
 #include "event_loop.h"
 #include "gateway_codec.h"
@@ -21,7 +22,11 @@
       m_directory(directory),
       m_config(std::move(config)) {}
 
-EndpointAdopter::~EndpointAdopter() = default;
+EndpointAdopter::~EndpointAdopter() {
+  for (const auto& [address, probe] : m_probes) {
+    m_loop->Cancel(probe->timer);
+  }
+}
 
 bool EndpointAdopter::IsOnlyEngineService(const std::string& service) const {
   const auto config = m_config();
@@ -52,15 +57,29 @@
       /*is_head_request=*/false,
       AttemptCallbacks{
           .on_head = [](const Http1Head&) {},
-          .on_body = [probe = probe.get()](
-                         std::string_view data) { probe->body.append(data); },
+          .on_body = [this, probe = probe.get()](
+                         std::string_view data) { OnProbeBody(probe, data); },
           .on_end = [this, address = entry.address](
                         AttemptEnd end) { OnProbeEnd(address, end); }});
+  probe->timer =
+      m_loop->Schedule(kEngineReplyTimeout, [this, address = entry.address] {
+        OnProbeEnd(address, AttemptEnd::kBroken);
+      });
+}
+
+void EndpointAdopter::OnProbeBody(Probe* probe, std::string_view data) {
+  if (probe->body.size() + data.size() > kMaxEngineReplyBytes) {
+    OnProbeEnd(probe->entry.address, AttemptEnd::kBroken);
+    return;
+  }
+  probe->body.append(data);
 }
 
 void EndpointAdopter::OnProbeEnd(const std::string& address, AttemptEnd end) {
   auto node = m_probes.extract(address);
   const std::shared_ptr<Probe> probe = node.mapped();
+  m_loop->Cancel(probe->timer);
+  probe->attempt->Cancel();
   // This runs inside a callback of the probe's attempt, so the attempt is freed
   // in a later turn of the loop.
   m_loop->Post([probe] {});
--- a/src/endpoint_adopter.h
+++ b/src/endpoint_adopter.h
@@ -7,7 +7,9 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
+#include "bramleybank/handle.h"
 #include "endpoint_entry.h"
 #include "gateway_attempt.h"
 #include "hooks.h"
@@ -43,10 +45,12 @@
     EndpointEntry entry;
     std::string body;
     std::unique_ptr<GatewayAttempt> attempt;
+    TimerHandle timer;
   };
 
   /// @returns whether `service` is the only configured service of engines.
   bool IsOnlyEngineService(const std::string& service) const;
+  void OnProbeBody(Probe* probe, std::string_view data);
   void OnProbeEnd(const std::string& address, AttemptEnd end);
 
   EventLoop* m_loop;
--- a/src/stream_backup.cc
+++ b/src/stream_backup.cc
@@ -120,8 +120,18 @@
       m_codec->encode_copy_request(m_request_id, m_holder->address),
       {.on_head =
            [this](const Http1Head& head) { m_answer_status = head.status; },
-       .on_body = [this](std::string_view data) { m_answer_body.append(data); },
+       .on_body = [this](std::string_view data) { AppendAnswer(data); },
        .on_end = [this](AttemptEnd end) { OnCopyEnd(end); }});
+  m_copy_request_timer = m_loop->Schedule(
+      kEngineReplyTimeout, [this] { OnCopyEnd(AttemptEnd::kBroken); });
+}
+
+void StreamBackup::AppendAnswer(std::string_view data) {
+  if (m_answer_body.size() + data.size() > kMaxEngineReplyBytes) {
+    OnCopyEnd(AttemptEnd::kBroken);
+    return;
+  }
+  m_answer_body.append(data);
 }
 
 void StreamBackup::OnCopyEnd(AttemptEnd end) {
@@ -146,6 +156,7 @@
 }
 
 void StreamBackup::CancelCopyRequest() {
+  m_loop->Cancel(std::exchange(m_copy_request_timer, TimerHandle()));
   if (!m_copy_request) {
     return;
   }
--- a/src/stream_backup.h
+++ b/src/stream_backup.h
@@ -6,7 +6,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
+#include "bramleybank/handle.h"
 #include "endpoint_entry.h"
 #include "gateway_attempt.h"
 #include "gateway_request.h"
@@ -67,6 +69,7 @@
   void SendCopyRequest(const std::string& address,
                        std::string message,
                        AttemptCallbacks callbacks);
+  void AppendAnswer(std::string_view data);
   void CancelCopyRequest();
 
   EventLoop* m_loop;
@@ -82,6 +85,7 @@
   std::optional<CopyAnswer> m_requested_copy;
   // Copy request in flight.
   std::unique_ptr<GatewayAttempt> m_copy_request;
+  TimerHandle m_copy_request_timer;
   TimePoint m_copy_request_sent_at;
   int m_answer_status = 0;
   std::string m_answer_body;
--- a/tests/unit_stream_backup.cc
+++ b/tests/unit_stream_backup.cc
@@ -24,7 +24,8 @@
     R"({"handle":"h7","created":12})";
 
 struct Fixture {
-  Fixture() {
+  explicit Fixture(const FakeEndpoint::Step& answer = {.bytes = kCopied})
+      : engine(&loop, {answer}) {
     Add("p", "a", engine.address());
     Add("b1", "b", "127.0.0.1:1");
     Add("c1", "c", "127.0.0.1:2");
@@ -56,7 +57,7 @@
   }
 
   EventLoop loop;
-  FakeEndpoint engine{&loop, {{.bytes = kCopied}}};
+  FakeEndpoint engine;
   EndpointDirectory directory{&SteadyNow};
   EndpointPicker picker{&directory, nullptr, {}, [] { return 0; }};
   GatewayCodec codec = platform::MakeGatewayCodec();
@@ -98,6 +99,34 @@
   CHECK(fixture.engine.requests()[0].find(R"("id":"r1")") != std::string::npos);
 }
 
+// Guards against an engine that fills the memory with its answer to a copy
+// request, or blocks further ones with an answer that does not end.
+TEST_CASE("an answer to a copy request that does not end is given up") {
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  const FakeEndpoint::Step endless[] = {
+      {.bytes = head,
+       .closes = false,
+       .repeated = std::string(kMaxEngineReplyBytes / 4, ' ')},
+      {.bytes = head,
+       .closes = false,
+       .repeated = " ",
+       .interval = std::chrono::milliseconds(200)}};
+  for (const FakeEndpoint::Step& step : endless) {
+    Fixture fixture(step);
+    fixture.Begin();
+    fixture.directory.OnAttemptStarted(fixture.backup.holder_id());
+    fixture.directory.OnAttemptEnded(fixture.backup.holder_id(),
+                                     EndpointOutcome::kLost);
+    fixture.backup.Maintain();
+    const TimePoint end = SteadyNow() + 2 * kEngineReplyTimeout;
+    fixture.Wait([&] {
+      return fixture.engine.closed_by_peer() == 1 || SteadyNow() > end;
+    });
+    CHECK(fixture.engine.closed_by_peer() == 1);
+    CHECK(fixture.backup.UsableHolder() == nullptr);
+  }
+}
+
 // Guards against copies that stay in the memory of engines after their stream
 // has ended.
 TEST_CASE("a requested copy is released when the stream ends") {
