Count interim responses as part of the head

A server that sent 1xx responses without end kept an attempt of a non-idempotent request, and the gateway busy, until the request's deadline.

Cause: the limit on a head started again at each interim response.

Evidence: before, unit_http1_parser reads 200,000 of them without an error, and in unit_gateway the request gets 504 at its deadline instead of 502 at the limit. Endless header lines, reason phrases, chunk extensions and trailers were bounded before; the tests now cover them, and answers that come byte by byte.

--- a/src/http1_parser.cc
+++ b/src/http1_parser.cc
@@ -9,6 +9,13 @@
 #include <utility>
 
 namespace bramleybank {
+namespace {
+
+// Counted for each start line, so that interim responses without headers are
+// bounded too.
+constexpr size_t kMinStartLineBytes = 15;
+
+}  // namespace
 
 struct Http1Parser::HttpParserAdapter {
   http_parser parser{};
@@ -20,9 +27,8 @@
   static int OnBegin(http_parser* parser) {
     Http1Parser* self = Self(parser);
     self->m_head = {};
-    self->m_head_bytes = 0;
     self->m_in_message = true;
-    return 0;
+    return CountHeadBytes(self, kMinStartLineBytes) ? 0 : 1;
   }
 
   static bool CountHeadBytes(Http1Parser* self, size_t size) {
@@ -91,6 +97,7 @@
       return 0;
     }
     self->m_in_message = false;
+    self->m_head_bytes = 0;
     self->m_paused = true;
     http_parser_pause(parser, 1);
     return 0;
--- a/src/http1_parser.h
+++ b/src/http1_parser.h
@@ -88,6 +88,7 @@
   Callbacks m_callbacks;
   std::unique_ptr<HttpParserAdapter> m_adapter;
   Http1Head m_head;
+  // Heads of the current message, its interim responses and its trailer.
   size_t m_head_bytes = 0;
   // Used for requests only.
   Http1HeadScanner m_scanner;
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -363,6 +363,58 @@
   CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
 }
 
+// Guards against attempts that last until the deadline while bytes that are no
+// answer arrive, where no other timer ends them.
+TEST_CASE("an endless head ends the attempt before the deadline") {
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  std::string interims;
+  for (int i = 0; i < 100; ++i) {
+    interims += interim;
+  }
+  const std::string chunked = "HTTP/1.1 200 OK\r\n" + kSealHeaders +
+                              "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string text(2000, 'x');
+  const std::vector<FakeEndpoint::Step> endless = {
+      Endless("", text),
+      Endless("", interims),
+      Endless("", "HTTP/1.1 102 Wait\r\nX: " + text + "\r\n\r\n"),
+      Endless("HTTP/1.1 200 ", text),
+      Endless("HTTP/1.1 200 OK\r\nX: ", text),
+      Endless("HTTP/1.1 200 OK\r\n", "X: " + text + "\r\n"),
+      Endless(chunked + "5;", text),
+      Endless(chunked + "0\r\n", "X: " + text + "\r\n"),
+      Endless(chunked, std::string(2000, '0'))};
+  for (const FakeEndpoint::Step& step : endless) {
+    CAPTURE(step.bytes);
+    CAPTURE(step.repeated.substr(0, 30));
+    Fixture fixture({{step}});
+    fixture.Send("POST /book/x");
+    fixture.WaitForAnswer("HTTP/1.1 ");
+    CHECK(fixture.answer.find("answer_lost") != std::string::npos);
+    fixture.WaitFor(
+        [&] { return fixture.endpoints[0]->closed_by_peer() == 1; });
+  }
+}
+
+// Guards against a stalled answer that is waited for beyond the deadline
+// because its server sends a byte now and then.
+TEST_CASE("an answer that arrives byte by byte ends at the deadline") {
+  const Duration pause = std::chrono::milliseconds(100);
+  const std::vector<FakeEndpoint::Step> stalled = {
+      Endless("HTTP/1.1 200 OK\r\nX: ", "x", pause),
+      Endless("", "HTTP/1.1 100 Continue\r\n\r\n", pause),
+      Endless("HTTP/1.1 200 OK\r\n" + kSealHeaders + "\r\n", "x", pause)};
+  for (const FakeEndpoint::Step& step : stalled) {
+    CAPTURE(step.bytes);
+    Fixture fixture({{step}});
+    fixture.Send("POST /book/x");
+    fixture.WaitForAnswer("timed_out");
+    CHECK(fixture.answer.starts_with("HTTP/1.1 504"));
+    fixture.WaitFor(
+        [&] { return fixture.endpoints[0]->closed_by_peer() == 1; });
+  }
+}
+
 TEST_CASE("events after a gap in a stream are not forwarded") {
   Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)) + Chunk(Event(3))}},
                    {{.bytes = kStreamHead + Chunk(Event(2)) + "0\r\n\r\n"}}});
--- a/tests/unit_http1_parser.cc
+++ b/tests/unit_http1_parser.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http1_parser.h"
@@ -157,6 +158,38 @@
   CHECK(recorder.complete == 1);
 }
 
+// Guards against memory and time that a sender takes with bytes that never
+// become an answer.
+TEST_CASE("a response whose head or framing never ends is refused") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> endless = {
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 103 Hints\r\nX: y\r\n\r\n"},
+      {"HTTP/1.1 200 ", "x"},
+      {"HTTP/1.1 200 OK\r\nX: ", "y"},
+      {"HTTP/1.1 200 OK\r\nX", "y"},
+      {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+      {"HTTP/1.1 200 OK\r\n", ":\r\n"},
+      {chunked + "1;", "x"},
+      {chunked, "0"},
+      {chunked + "0\r\n", "X: y\r\n"}};
+  constexpr int kMaxRepeats = 200'000;
+  for (const auto& [start, repeated] : endless) {
+    CAPTURE(start);
+    CAPTURE(repeated);
+    Recorder recorder(Http1Parser::Direction::kResponses);
+    recorder.parser.Feed(start);
+    for (int i = 0;
+         i < kMaxRepeats && recorder.parser.error() == Http1ParseError::kNone;
+         ++i) {
+      recorder.parser.Feed(repeated);
+    }
+    CHECK(recorder.parser.error() != Http1ParseError::kNone);
+    CHECK(recorder.complete == 0);
+  }
+}
+
 TEST_CASE("bytes that are not a response are a fault") {
   Recorder recorder(Http1Parser::Direction::kResponses);
   recorder.parser.Feed("garbage\r\n\r\n");
