Bound heads and bodies that HttpClient collects

A server that sent a body without end, for which the caller of HttpClient sets no timeout and no on_data, filled the memory.

Evidence: before, unit_http_client_answers is still receiving after 5 s; the three cases with endless heads ended by libcurl's own limits (100 to 300 KB).

Change: 32 MB for a collected body (the largest is a configuration of 6 MB), 64 KB for all heads of an answer; the transfer fails beyond that.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -119,6 +119,11 @@
 inline constexpr int kMaxIdempotentRetries = 2;
 
 // Transfers to endpoints and the platform.
+/// Status lines and headers of one answer, interim answers included.
+inline constexpr size_t kMaxClientHeadBytes = 64 * 1024;
+/// Body of one answer that is collected. The largest is a configuration
+/// snapshot of about 6 MB.
+inline constexpr size_t kMaxClientBodyBytes = 32 * 1024 * 1024;
 inline constexpr std::chrono::milliseconds kConnectTimeout{800};
 inline constexpr std::chrono::milliseconds kPlatformTimeout{1000};
 /// Table writes that arrive within this time share one batch.
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "bramleybank/limits.h"
 #include "event_loop.h"
 
 namespace bramleybank {
@@ -40,6 +41,7 @@
     HttpOutcome outcome;
     bool paused = false;
     bool headers_reported = false;
+    size_t head_bytes = 0;
     bool cancelled = false;
   };
 
@@ -103,6 +105,10 @@
   static size_t OnHeader(char* bytes, size_t size, size_t count, void* data) {
     auto* transfer = static_cast<Transfer*>(data);
     const size_t length = size * count;
+    transfer->head_bytes += length;
+    if (transfer->head_bytes > kMaxClientHeadBytes) {
+      return 0;
+    }
     const std::string_view line = TrimSpace({bytes, length});
     if (line.starts_with("HTTP/")) {
       // A new status line: discard the headers of an interim response.
@@ -143,6 +149,9 @@
     }
     const size_t length = size * count;
     if (!transfer->callbacks.on_data) {
+      if (transfer->outcome.body.size() + length > kMaxClientBodyBytes) {
+        return 0;
+      }
       transfer->outcome.body.append(bytes, length);
       return length;
     }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -46,7 +46,8 @@
   /// Error message of libcurl if the transfer failed.
   std::string error;
   HttpHeaders headers;
-  /// Complete body if there is no on_data callback.
+  /// Body if there is no on_data callback. A transfer whose body exceeds
+  /// kMaxClientBodyBytes fails.
   std::string body;
 };
 
