Take only entries of servers that are complete and in range

With odd entries of another writer among those of the servers, callers got 503 for calls and streams although sound servers were there.

Cause: DecodeEndpoint asked for four fields only. It cast any number to int, which is undefined for large ones, and took any text for an address, so that attempts went to port 0 or nowhere. An id was put into a header as it came.

Change: every field that the platform promises must be there, of its type and in range; addresses are ip:port with a port from 1 to 65535; ids are visible ASCII. The handle of a copy, which becomes part of a header too, as well. Numbers of the operator's rows, which the store has checked, are reduced to what can be converted. The rows of the test gateways in unit_gateway and of unit_platform_adapter now have all fields that the platform names.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -221,6 +221,16 @@
 /// endpoint expires after three heartbeats of 1.2 s.
 inline constexpr std::chrono::milliseconds kCrashedEndpointPause{5000};
 
+/// Slots that an endpoint may name in its entry.
+inline constexpr uint64_t kMaxEndpointSlots = 1'000'000;
+/// Times and counts in rows of the store; larger ones are reduced to these.
+inline constexpr std::chrono::hours kMaxConfiguredTime{24 * 365};
+inline constexpr double kMaxConfiguredCount = 1e9;
+/// Clock of the store. Larger values could overflow where times are added.
+inline constexpr std::chrono::hours kMaxStoreTime{24 * 365 * 1000};
+/// Names and handles of other processes that become parts of headers.
+inline constexpr size_t kMaxWireNameBytes = 200;
+
 // Gateway: attempts.
 /// Covers two round trips between regions and the accept of the connection.
 inline constexpr std::chrono::milliseconds kEndpointConnectTimeout{300};
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -27,7 +27,8 @@
   GatewayMember member{.name = row.key};
   std::istringstream words(row.value);
   words >> member.failure_domain >> member.peer_address;
-  if (!ParseTcpAddress(member.peer_address)) {
+  const auto address = SplitTcpAddress(member.peer_address);
+  if (!address || address->port == 0) {
     member.peer_address.clear();
   }
   return member;
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -66,6 +66,15 @@
   return "id: " + std::to_string(id) + "\ndata: t\n\n";
 }
 
+std::string MakeEntry(const std::string& domain,
+                      const std::string& address,
+                      const std::string& version) {
+  return R"({"service":"app","state":"ready","slots":4,"cold_left_ms":0,)"
+         R"("call_seq":0,"version":")" +
+         version + R"(","zone":")" + domain + R"(","address":")" + address +
+         "\"}";
+}
+
 /// A gateway with its configuration in force. Its endpoints have a fixed order
 /// of preference: the first is in the gateway's own failure domain.
 class Fixture {
@@ -84,9 +93,7 @@
       endpoints.push_back(std::make_unique<FakeEndpoint>(&m_loop, scripts[i]));
       rows.push_back(
           {.key = "e" + std::to_string(i),
-           .value = R"({"service":"app","state":"ready","slots":4,"zone":")" +
-                    domains[i] + R"(","address":")" + endpoints[i]->address() +
-                    "\"}",
+           .value = MakeEntry(domains[i], endpoints[i]->address(), "v1"),
            .version = i + 1});
     }
     if (!config.empty()) {
@@ -554,14 +561,12 @@
   Fixture fixture({{{.bytes = kRemainingEvents}}, {{.bytes = kNotRunAnswer}}},
                   kEngineConfig);
   fixture.store.Answer(
-      "servers",
-      {.result = StoreResult::kOk,
-       .rows = {{.key = "e1",
-                 .value = R"({"service":"app","state":"ready","slots":4,)"
-                          R"("version":"v2","zone":"far","address":")" +
-                          fixture.endpoints[1]->address() + "\"}",
-                 .version = 10}},
-       .version = 10});
+      "servers", {.result = StoreResult::kOk,
+                  .rows = {{.key = "e1",
+                            .value = MakeEntry(
+                                "far", fixture.endpoints[1]->address(), "v2"),
+                            .version = 10}},
+                  .version = 10});
   AnswerPromptRead(&fixture.store, "e1");
   fixture.Send("POST /write/x", "good", kReconnectHeaders);
   fixture.WaitForAnswer("0\r\n\r\n");
--- a/tests/unit_platform_adapter.cc
+++ b/tests/unit_platform_adapter.cc
@@ -2,6 +2,11 @@
 // users' platform.
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "base64.h"
 #include "bramleybank/limits.h"
 #include "http1_parser.h"
@@ -59,13 +64,25 @@
       DecodeConfig(R"({"version":7,"routes":[{"kind":"new"}]})").has_value());
 }
 
+constexpr char kEntry[] =
+    R"({"service":"w","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":12,"state":"ready","cold_left_ms":5,"call_seq":3,"born":17})";
+
+/// @returns kEntry with one field replaced, or without it if `value` is empty.
+std::string EntryWith(const std::string& name, const std::string& value) {
+  auto entry = nlohmann::ordered_json::parse(kEntry);
+  entry.erase(name);
+  std::string text = entry.dump();
+  if (!value.empty()) {
+    text.insert(text.size() - 1, ",\"" + name + "\":" + value);
+  }
+  return text;
+}
+
 // Guards against endpoints that are created from malformed rows, such as rows
 // of other writers.
 TEST_CASE("a malformed entry yields no endpoint") {
-  const std::string good =
-      R"({"service":"w","address":"10.0.0.1:80","zone":"z","version":"v1",)"
-      R"("slots":12,"state":"ready","cold_left_ms":5,"born":17})";
-  const auto entry = DecodeEndpoint("i-1", good);
+  const auto entry = DecodeEndpoint("i-1", kEntry);
   REQUIRE(entry);
   CHECK(entry->id == "i-1");
   CHECK(entry->failure_domain == "z");
@@ -80,6 +97,92 @@
   }
 }
 
+// Guards against conversions of numbers that do not fit, and against requests
+// to addresses that are none.
+TEST_CASE("an entry with an odd field yields no endpoint") {
+  const std::string deep = std::string(32'000, '[') + std::string(32'000, ']');
+  const std::vector<std::pair<std::string, std::vector<std::string>>> odd = {
+      {"service", {"", "3", "null", "[]", "\"\"", deep}},
+      {"zone", {"", "3", "{}"}},
+      {"version", {"", "1", "null", deep}},
+      {"state", {"", "1", "\"asleep\""}},
+      {"slots",
+       {"", "\"8\"", "0", "-1", "-9223372036854775809", "1e300", "1e400", "8.5",
+        "18446744073709551615", "1000001", "null", "[8]"}},
+      {"cold_left_ms", {"", "-1", "1e300", "1e400", "\"5\"", "null", "true"}},
+      {"call_seq", {"", "-1", "1e300", "1.5", "\"3\"", "[]"}},
+      {"born", {"-1", "1e300", "17.5", "18446744073709551615", "\"17\""}},
+      {"address",
+       {"", "3", "\"\"", "\"10.0.0.1\"", "\"10.0.0.1:\"", "\"10.0.0.1:0\"",
+        "\"10.0.0.1:-1\"", "\"10.0.0.1:65536\"", "\"10.0.0.1:70000\"",
+        "\"10.0.0.1:12345678901234567890\"", "\"10.0.0.1:80 \"",
+        "\"10.0.0.1:80/x\"", "\"10.0.0.1:8x\"", "\":80\"", "\"host:80\"",
+        "\"10.0.0.256:80\"", "\"10.0.0.1:80\\r\\nX: y\""}}};
+  for (const auto& [name, values] : odd) {
+    for (const std::string& value : values) {
+      CAPTURE(name);
+      CAPTURE(value.substr(0, 60));
+      CHECK_FALSE(DecodeEndpoint("i-1", EntryWith(name, value)).has_value());
+    }
+  }
+  for (const std::string& id :
+       {std::string(), std::string("a b"), std::string("a\r\nX: y"),
+        std::string("\xff"), std::string(201, 'a')}) {
+    CAPTURE(id);
+    CHECK_FALSE(DecodeEndpoint(id, kEntry).has_value());
+  }
+  CHECK(DecodeEndpoint("i-1", EntryWith("born", "")).has_value());
+  CHECK(DecodeEndpoint("i-1", EntryWith("cold_left_ms", "1.5"))
+            ->warmup_remaining == std::chrono::microseconds(1500));
+  CHECK(DecodeEndpoint("i-1", EntryWith("models", "[{\"name\":\"m\"}]"))
+            .has_value());
+  CHECK_FALSE(DecodeEndpoint("i-1", EntryWith("models", deep)).has_value());
+}
+
+// Guards against undefined conversions of numbers in rows of the operator.
+TEST_CASE("numbers that do not fit are reduced to the largest ones allowed") {
+  const auto config = DecodeConfig(
+      R"({"version":8,"routes":[{"name":"r","host":"h","prefix":"/",)"
+      R"("kind":"safe","timeout_ms":1e300,"target_latency_ms":-1e300,)"
+      R"("max_attempts":1e300,"priority":-1e300,"service":"w"}],)"
+      R"("services":[{"name":"w","max_conns":1e300,)"
+      R"("engine":{"slots":-1e300,"kv_capacity_tokens":1e300,)"
+      R"("handle_s":1e300}}],"tenants":[{"name":"t","priority":1e300}],)"
+      R"("limits":{"header_timeout_ms":1e300,"idle_timeout_ms":-5}})");
+  REQUIRE(config);
+  CHECK(config->routes[0].timeout == kMaxConfiguredTime);
+  CHECK(config->routes[0].latency_target == Duration{0});
+  CHECK(config->routes[0].max_attempts == kMaxConfiguredCount);
+  CHECK(config->routes[0].priority == -kMaxConfiguredCount);
+  CHECK(config->services[0].max_connections == kMaxConfiguredCount);
+  CHECK(config->services[0].engine->slots == 0);
+  CHECK(config->services[0].engine->kv_cache_tokens == kMaxConfiguredCount);
+  CHECK(config->services[0].engine->backup_lifetime == kMaxConfiguredTime);
+  CHECK(config->customers[0].priority == kMaxConfiguredCount);
+  CHECK(config->limits.header_timeout == kMaxConfiguredTime);
+  CHECK(config->limits.idle_timeout == Duration{0});
+  CHECK(
+      DecodeRollout({.key = "k",
+                     .value = R"({"service":"w","to":"v","duration_s":1e300})",
+                     .version = 1})
+          ->duration == kMaxConfiguredTime);
+}
+
+// Guards against a daemon that an engine ends with one answer, and against
+// handles that add headers to a request.
+TEST_CASE("an odd handle in a copy answer is refused") {
+  const GatewayCodec codec = MakeGatewayCodec();
+  const size_t depth = 200'000;
+  for (const std::string& handle :
+       {std::string(depth, '[') + std::string(depth, ']'), std::string("\"\""),
+        std::string("\"h\\r\\nX: y\""), "\"" + std::string(201, 'h') + "\""}) {
+    CAPTURE(handle.substr(0, 20));
+    CHECK_FALSE(codec.decode_copy_answer("{\"handle\":" + handle + "}"));
+  }
+  CHECK(codec.decode_copy_answer(R"({"handle":7,"created":"x"})")->handle ==
+        "7");
+}
+
 // Guards against a daemon that a caller ends with the id of its request.
 TEST_CASE("an id that is not text can be named in a copy request") {
   CHECK(MakeGatewayCodec()
