Leave out an odd row of the store's answer

A row without a text as its key or without a version made the whole answer unreadable, so a table with such a row would have been followed no further.

Evidence: unit_platform_adapter, DecodeRows returned false for the whole list. The store that we have never sends such a row.

Change: such a row is left out, and the others hold. process_odd_input puts odd rows into all tables that gateways read, at the store and behind relays, before and after changes, and checks that changes and new servers are followed at once, later and after a restart.

--- a/tests/process_odd_input.cc
+++ b/tests/process_odd_input.cc
@@ -85,5 +85,127 @@
   CheckServes(deployment);
 }
 
+void PutRow(const std::string& table,
+            const std::string& key,
+            const std::string& value) {
+  REQUIRE(Send("PUT",
+               "http://" + LoopbackIp(1) + ":7500/standin/operator?table=" +
+                   table + "&key=" + PercentEncode(key),
+               {}, value)
+              .status == 200);
+}
+
+/// Entries of `service` that name no server to use, and odd rows of the tables
+/// that gateways read.
+void PutOddRows(const std::string& service, const std::string& mark) {
+  const json good = {{"service", service},   {"address", "127.0.0.1:9"},
+                     {"zone", "domain-0"},   {"version", "v1"},
+                     {"slots", 8},           {"state", "ready"},
+                     {"cold_left_ms", 0},    {"call_seq", 0},
+                     {"born", 1700000000000}};
+  const std::string deep = Nested(32'000);
+  std::vector<std::string> values = {deep,
+                                     std::string(65'000, '['),
+                                     "{\"service\":" + deep + "}",
+                                     "\xff\xfe",
+                                     "",
+                                     "null",
+                                     "7",
+                                     "\"text\"",
+                                     "{}"};
+  const std::map<std::string, std::vector<std::string>> fields = {
+      {"slots", {"1e400", "1e300", "-1", "0", "\"8\"", deep}},
+      {"address",
+       {"\"127.0.0.1:0\"", "\"127.0.0.1:-1\"", "\"127.0.0.1:65536\"",
+        "\"127.0.0.1:70000\"", "\"127.0.0.1:12345678901234567890\"",
+        "\"127.0.0.1\"", "\"\"", "9", "\"127.0.0.1:9\\r\\nX: y\""}},
+      {"born", {"-1", "1e300", "\"1\""}},
+      {"cold_left_ms", {"1e300", "-1", "[]"}},
+      {"call_seq", {"1e300", "{}"}},
+      {"state", {"\"odd\"", "1"}},
+      {"zone", {"3"}}};
+  for (const auto& [name, texts] : fields) {
+    for (const std::string& text : texts) {
+      json entry = good;
+      entry.erase(name);
+      std::string value = entry.dump();
+      value.insert(value.size() - 1, ",\"" + name + "\":" + text);
+      values.push_back(value);
+    }
+  }
+  for (size_t i = 0; i < values.size(); ++i) {
+    PutRow("servers", mark + std::to_string(i), values[i]);
+  }
+  PutRow("servers", mark + " \r\nX: y", good.dump());
+  for (size_t i = 0; i < 5; ++i) {
+    PutRow("op", mark + std::to_string(i), values[i]);
+    PutRow("op", "rollout/" + mark + std::to_string(i), values[i]);
+    PutRow("gateways", mark + std::to_string(i), values[i]);
+    PutRow("rollouts", "apps/" + mark + std::to_string(i), values[i]);
+    PutRow("prompts", mark + std::to_string(i), values[i]);
+  }
+  PutRow("op", "rollout/apps",
+         R"({"service":"apps","to":7,"duration_s":1e400})");
+}
+
+/// Checks that every gateway serves the route that only this configuration has,
+/// which the odd rows before it must not prevent.
+void CheckFollowed(WireDeployment& site, uint64_t version) {
+  site.PublishConfig(version, "key-1", WireDeployment::ProbeRoute(version));
+  int calls = 0;
+  for (int i = 0; i < site.gateway_count(); ++i) {
+    WaitUntil("the configuration to be in force", [&] {
+      const std::string id = "probe-" + std::to_string(version) + "-" +
+                             std::to_string(i) + "-" + std::to_string(++calls);
+      return site.Call(i, "GET", WireDeployment::ProbeRoute(version) + "x", id)
+                 .status == 200;
+    });
+    CHECK(site.gateway(i).is_running());
+  }
+}
+
+/// Checks that every gateway uses servers that start now.
+void CheckNewServersUsed(WireDeployment& site, const std::string& version) {
+  const int added = site.AddApplications(version);
+  int calls = 0;
+  for (int i = 0; i < site.gateway_count(); ++i) {
+    WaitUntil("a new server to be used", [&] {
+      const std::string id = "new-" + version + "-" + std::to_string(i) + "-" +
+                             std::to_string(++calls);
+      CHECK(site.Call(i, "POST", "/calls/x", id).status == 200);
+      bool is_new = false;
+      for (int server = added; server < site.application_count(); ++server) {
+        is_new = is_new || site.HasRunAtApplication(server, id);
+      }
+      return is_new;
+    });
+  }
+}
+
+void CheckOddRows(const WireDeploymentOptions& options) {
+  WireDeployment site(options);
+  PutOddRows("apps", "odd");
+  CheckFollowed(site, 5);
+  CheckNewServersUsed(site, "v1");
+  for (const std::string service : {"apps", "engines"}) {
+    PutOddRows(service, "later-" + service);
+  }
+  CheckFollowed(site, 6);
+  const auto stream = site.Stream(0, "stream-1");
+  site.CheckStreamComplete(*stream, "stream-1", 40);
+  // A gateway that starts reads all of them.
+  site.StartGateway(0);
+  site.WaitServing(0);
+  CheckFollowed(site, 7);
+}
+
+TEST_CASE("tables with odd rows are followed by gateways at the store") {
+  CheckOddRows({});
+}
+
+TEST_CASE("tables with odd rows are followed by gateways behind relays") {
+  CheckOddRows({.domains = 1, .gateways_per_domain = 9});
+}
+
 }  // namespace
 }  // namespace bramleybank::testing
--- a/tests/unit_platform_adapter.cc
+++ b/tests/unit_platform_adapter.cc
@@ -168,6 +168,21 @@
           ->duration == kMaxConfiguredTime);
 }
 
+// Guards against a table that is no longer followed because of one odd row.
+TEST_CASE("an odd row of an answer is left out, and the others hold") {
+  StoreRows rows;
+  REQUIRE(DecodeRows(
+      R"({"rows":[{"key":7,"value":"eA==","ver":3},[],null,)"
+      R"({"key":"odd","value":{"a":[]},"ver":4},)"
+      R"({"key":"good","value":"eA==","ver":5},{"key":"old","ver":-1}],)"
+      R"("ver":9,"now_ms":1e300})",
+      &rows));
+  REQUIRE(rows.rows.size() == 2);
+  CHECK(rows.rows[0] == StoreRow{.key = "odd", .value = "", .version = 4});
+  CHECK(rows.rows[1] == StoreRow{.key = "good", .value = "x", .version = 5});
+  CHECK(rows.now == kMaxStoreTime);
+}
+
 // Guards against a daemon that an engine ends with one answer, and against
 // handles that add headers to a request.
 TEST_CASE("an odd handle in a copy answer is refused") {
