Check numbers of reports, decisions and load polls before conversion

By reading: numbers in rows of other gateways, in answers to load polls and in events of engines were converted as they came, which is undefined for large floating-point numbers and overflows sums of tallies.

Evidence: none of a process that ended. unit_rollout shows the odd numbers that are refused now; it was not run on the code before.

--- a/src/rollout_records.cc
+++ b/src/rollout_records.cc
@@ -1,19 +1,31 @@
 // JSON encoding of decisions and reports.
 #include "rollout_records.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "bramleybank/limits.h"
+#include "json_parse.h"
+
 namespace bramleybank {
 namespace {
 
 using Json = nlohmann::json;
 
+constexpr uint64_t kMaxVersion = std::numeric_limits<uint64_t>::max();
+// Sums over all gateways must not overflow.
+constexpr uint64_t kMaxTally = 1'000'000'000'000;
+constexpr uint64_t kMaxStarted = Duration(kMaxStoreTime).count();
+
 Json TallyJson(const VersionTally& tally) {
   return Json::array({tally.good, tally.bad});
 }
 
 VersionTally ParseTally(const Json& json) {
-  return {.good = json.at(0).get<int64_t>(), .bad = json.at(1).get<int64_t>()};
+  const auto count = [](const Json& number) {
+    return static_cast<int64_t>(WholeNumber(number, kMaxTally));
+  };
+  return {.good = count(json.at(0)), .bad = count(json.at(1))};
 }
 
 }  // namespace
@@ -29,18 +41,19 @@
 
 std::optional<RolloutDecision> DecodeDecision(const std::string& text) {
   try {
-    const Json json = Json::parse(text);
+    const Json json = ParseJson(text);
     const auto phase = ParseRolloutPhase(json.at("phase").get<std::string>());
     if (!phase) {
       return std::nullopt;
     }
     return RolloutDecision{
-        .order_id = json.at("order").get<uint64_t>(),
+        .order_id = WholeNumber(json.at("order"), kMaxVersion),
         .phase = *phase,
         .driver = json.at("driver").get<std::string>(),
-        .started = Duration(json.at("started_us").get<int64_t>()),
+        .started = Duration(static_cast<int64_t>(
+            WholeNumber(json.at("started_us"), kMaxStarted))),
         .published = json.at("published").get<bool>()};
-  } catch (const Json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
@@ -56,15 +69,15 @@
 
 std::optional<RolloutReport> DecodeReport(const std::string& text) {
   try {
-    const Json json = Json::parse(text);
-    RolloutReport report{.order_id = json.at("order").get<uint64_t>(),
+    const Json json = ParseJson(text);
+    RolloutReport report{.order_id = WholeNumber(json.at("order"), kMaxVersion),
                          .evidence = {}};
     for (const auto& [route, tally] : json.at("routes").items()) {
       report.evidence[route] = {.old_version = ParseTally(tally.at("old")),
                                 .new_version = ParseTally(tally.at("new"))};
     }
     return report;
-  } catch (const Json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
--- a/src/route_load_poller.cc
+++ b/src/route_load_poller.cc
@@ -2,12 +2,14 @@
 #include "route_load_poller.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "bramleybank/limits.h"
 #include "event_loop.h"
 #include "http_client.h"
+#include "json_parse.h"
 #include "route_director.h"
 
 namespace bramleybank {
@@ -28,17 +30,22 @@
     return std::nullopt;
   }
   try {
-    const json value = json::parse(outcome.body);
+    const json value = ParseJson(outcome.body);
+    const auto count = [&](const char* name) {
+      return static_cast<uint32_t>(
+          WholeNumber(value.at(name), std::numeric_limits<uint32_t>::max()));
+    };
     EngineReport report;
     LoadReport& load = report.load;
-    load.running = value.at("running").get<uint32_t>();
-    load.waiting = value.at("waiting").get<uint32_t>();
-    load.slots = value.at("slots").get<uint32_t>();
+    load.running = count("running");
+    load.waiting = count("waiting");
+    load.slots = count("slots");
     load.tokens_per_s = value.at("tokens_per_s").get<double>();
-    load.age = std::chrono::milliseconds(value.value("age_ms", int64_t{0}));
+    load.age = std::chrono::milliseconds(
+        value.contains("age_ms") ? count("age_ms") : 0);
     report.leaving = value.value("leaving", false);
     return report;
-  } catch (const json::exception&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
 }
--- a/src/stream_engine_transfer.cc
+++ b/src/stream_engine_transfer.cc
@@ -3,6 +3,7 @@
 
 #include <cassert>
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -19,6 +20,7 @@
 
 constexpr size_t kMaxEngineEventBytes = 64 * 1024;
 constexpr size_t kMaxErrorBodyBytes = 1024;
+constexpr uint64_t kMaxPosition = std::numeric_limits<uint64_t>::max();
 constexpr Duration kCancelTimeout = std::chrono::seconds(2);
 
 uint64_t ParseHex(const std::string& text) {
@@ -124,17 +126,17 @@
   try {
     if (value.contains("finish")) {
       const EngineEnd end{generation, attempt,
-                          value.at("count").get<uint64_t>(),
+                          WholeNumber(value.at("count"), kMaxPosition),
                           value["finish"].get<std::string>()};
       m_is_over = true;
       m_callbacks.on_end(end);
       return;
     }
     const EngineChunk chunk{generation, attempt,
-                            value.at("index").get<uint64_t>(),
+                            WholeNumber(value.at("index"), kMaxPosition),
                             value.at("text").get<std::string>()};
     m_callbacks.on_chunk(chunk);
-  } catch (const json::exception& e) {
+  } catch (const std::exception& e) {
     ReportLoss(AttemptLoss::kMalformed, e.what());
   }
 }
--- a/tests/unit_rollout.cc
+++ b/tests/unit_rollout.cc
@@ -127,6 +127,19 @@
   CHECK_FALSE(DecodeReport("x").has_value());
 }
 
+// Guards against undefined conversions and sums of numbers in odd rows.
+TEST_CASE("reports and decisions with odd numbers are refused") {
+  for (const std::string number :
+       {"-1", "1e300", "1.5", "\"1\"", "null", "18446744073709551615"}) {
+    CAPTURE(number);
+    CHECK_FALSE(DecodeReport(R"({"order":1,"routes":{"r":{"old":[0,)" + number +
+                             R"(],"new":[0,0]}}})"));
+    CHECK_FALSE(DecodeDecision(R"({"order":1,"phase":"probing","driver":"g",)"
+                               R"("published":false,"started_us":)" +
+                               number + "}"));
+  }
+}
+
 // Guards against a bad version that gets more than its share, and against a
 // version that gets requests before the shared decision is known.
 TEST_CASE("a gateway enforces the share of the new version by itself") {
