Send each request to a service or engine on its own connection

A caller got the answer to another caller's request from a plain service that wrote an answer twice, and a generation was taken for refused, and started at a second engine, while the first one ran it.

Cause: idempotent calls and engine transfers used kept connections, on which a late second answer is taken for the answer to the next request. Non-idempotent calls and the attempts of gateways had connections of their own already.

Evidence: before, unit_http_client_answers gets "answer to GET /a" for GET /b and "answer to GET /c" for DELETE /a, and the second of two generations is refused, by a server that writes its previous answer once more before the next.

Change: single_attempt for all of them, as gateways do for the same reason.

--- a/src/call_forward.cc
+++ b/src/call_forward.cc
@@ -78,9 +78,9 @@
   m_body.clear();
   HttpClientRequest request =
       MakeServiceRequest(m_request, m_parameters, endpoint);
-  // Without single_attempt, libcurl resends a request when a reused connection
-  // turns out to be closed.
-  request.single_attempt = !IsIdempotentMethod(m_request.method);
+  // On a connection that is in use again, a late second answer to an earlier
+  // request would be taken for the answer to this one.
+  request.single_attempt = true;
   HttpClientCallbacks callbacks;
   callbacks.on_headers = [weak = weak_from_this()](int status,
                                                    const HttpHeaders& headers) {
--- a/src/stream_engine_transfer.cc
+++ b/src/stream_engine_transfer.cc
@@ -34,6 +34,9 @@
                               const StreamTokenList& tokens) {
   HttpClientRequest request;
   request.connect_timeout = kConnectTimeout;
+  // On a connection that is in use again, a late second refusal of an earlier
+  // request would be taken for the answer to this one.
+  request.single_attempt = true;
   request.headers = {{"X-Request-Id", FormatGeneration(attempt.generation)},
                      {"X-Attempt", std::to_string(attempt.attempt)},
                      {"X-Priority", std::to_string(attempt.priority)}};
--- a/tests/unit_http_client_answers.cc
+++ b/tests/unit_http_client_answers.cc
@@ -78,5 +78,172 @@
   }
 }
 
+/// A server that keeps connections open and writes its previous answer on a
+/// connection once more before the next one.
+class RepeatingServer {
+ public:
+  using Answer = std::function<std::string(const std::string& request)>;
+
+  RepeatingServer(EventLoop* loop, Answer answer)
+      : m_loop(loop), m_answer(std::move(answer)), m_listener(loop) {
+    m_port = *m_listener.Start("127.0.0.1:0", [this](int fd) { Accept(fd); });
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+  size_t requests() const { return m_requests; }
+
+ private:
+  struct Peer {
+    std::shared_ptr<TcpConnection> connection;
+    std::string input;
+    std::string last_answer;
+  };
+
+  void Accept(int fd) {
+    auto peer = std::make_shared<Peer>();
+    m_peers.push_back(peer);
+    peer->connection = TcpConnection::Adopt(
+        m_loop, fd,
+        {.on_connected = nullptr,
+         .on_data =
+             [this, peer = peer.get()](std::string_view data) {
+               peer->input.append(data);
+               if (peer->input.find("\r\n\r\n") != std::string::npos) {
+                 OnRequest(peer);
+               }
+             },
+         .on_end = [](TcpCloseReason) {},
+         .on_drained = nullptr});
+  }
+
+  void OnRequest(Peer* peer) {
+    ++m_requests;
+    const std::string answer = m_answer(std::exchange(peer->input, {}));
+    peer->connection->Write(peer->last_answer + answer);
+    peer->last_answer = answer;
+  }
+
+  EventLoop* m_loop;
+  Answer m_answer;
+  TcpListener m_listener;
+  uint16_t m_port = 0;
+  size_t m_requests = 0;
+  std::vector<std::shared_ptr<Peer>> m_peers;
+};
+
+std::string MakeAnswer(const std::string& status, const std::string& body) {
+  return "HTTP/1.1 " + status +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+/// A daemon's calls to one plain service at `address`.
+class Calls {
+ public:
+  Calls(EventLoop* loop, const std::string& address)
+      : m_loop(loop),
+        m_client(loop),
+        m_table(loop, &m_client, "http://127.0.0.1:1"),
+        m_objects(&m_client, "http://127.0.0.1:1"),
+        m_server(loop, {}) {
+    auto config = std::make_shared<ConfigSnapshot>();
+    config->services = {{.name = "desk", .non_idempotent_routes = {}}};
+    EndpointConfig endpoint;
+    endpoint.address = address;
+    endpoint.kind = EndpointKind::kService;
+    endpoint.group = "desk";
+    config->endpoints = {endpoint};
+    CallRunnerOptions options;
+    options.owner = "o";
+    options.snapshot = [config] { return config; };
+    options.random = [] { return 1; };
+    m_runner = std::make_unique<CallRunner>(m_loop, &m_client, &m_table,
+                                            &m_objects, &m_metrics, options);
+    m_port = *m_server.Start(
+        "127.0.0.1", 0,
+        [this](const HttpRequest& request,
+               const std::shared_ptr<HttpResponder>& responder) {
+          m_runner->Handle(request, responder);
+        });
+  }
+
+  HttpOutcome Call(const std::string& method, const std::string& path) {
+    HttpClientRequest request =
+        Get("127.0.0.1:" + std::to_string(m_port), "/svc/desk" + path);
+    request.method = method;
+    request.single_attempt = true;
+    std::optional<HttpOutcome> outcome;
+    m_caller.Start(request, {.on_headers = nullptr,
+                             .on_data = nullptr,
+                             .on_done = [&](const HttpOutcome& result) {
+                               outcome = result;
+                             }});
+    WaitFor(m_loop, [&] { return outcome.has_value(); });
+    return outcome.value_or(HttpOutcome());
+  }
+
+ private:
+  EventLoop* m_loop;
+  HttpClient m_client;
+  HttpClient m_caller{m_loop};
+  PlatformHttpTable m_table;
+  PlatformHttpObjects m_objects;
+  MetricRegistry m_metrics;
+  HttpServer m_server;
+  std::unique_ptr<CallRunner> m_runner;
+  uint16_t m_port = 0;
+};
+
+// Guards against an answer that is not the caller's own.
+TEST_CASE("an answer written twice reaches no other call to a service") {
+  EventLoop loop;
+  RepeatingServer service(&loop, [](const std::string& request) {
+    const std::string target = request.substr(0, request.find(" HTTP"));
+    return MakeAnswer("200 OK", "answer to " + target);
+  });
+  Calls calls(&loop, service.address());
+  for (const std::string method : {"GET", "DELETE", "POST", "GET"}) {
+    for (const std::string path : {"/a", "/b", "/c"}) {
+      CHECK(calls.Call(method, path).body ==
+            "answer to " + method + " " + path);
+    }
+  }
+  CHECK(service.requests() == 12);
+}
+
+// Guards against a generation that is taken for refused, and started at a
+// second engine, while the engine runs it.
+TEST_CASE("a refusal written twice refuses no other generation") {
+  EventLoop loop;
+  int requests = 0;
+  RepeatingServer engine(&loop, [&](const std::string&) {
+    if (++requests == 1) {
+      return MakeAnswer("503 Busy", "busy");
+    }
+    return MakeAnswer(
+        "200 OK",
+        "data: {\"request\":\"7\",\"attempt\":1,\"finish\":\"stop\","
+        "\"count\":0}\n\n");
+  });
+  HttpClient client(&loop);
+  GenerationRequest request;
+  request.body = "{}";
+  int refused = 0;
+  int finished = 0;
+  const EngineCallbacks callbacks = {
+      .on_chunk = [](const EngineChunk&) {},
+      .on_end = [&](const EngineEnd&) { ++finished; },
+      .on_lost = [&](AttemptLoss, const std::string&) { ++refused; },
+      .on_rejected = [&](const std::string&) { ++refused; }};
+  for (int i = 0; i < 2; ++i) {
+    const EngineTransfer transfer(
+        &client, {.address = engine.address(), .generation = 7, .attempt = 1},
+        request, StreamTokenList(), callbacks);
+    WaitFor(&loop, [&] { return refused + finished == i + 1; });
+  }
+  CHECK(refused == 1);
+  CHECK(finished == 1);
+}
+
 }  // namespace
 }  // namespace bramleybank
