Treat a stream without an event as broken off

The caller got a complete stream of no events when a server closed its connection right after the head, as one does that dies as it begins to write.

Cause: the end of the connection completes an answer without a length, and OnStreamComplete did not ask for an event.

Evidence: before, unit_gateway fails for heads without a length, with length 0 and with an empty chunked body, and for a resumed stream whose second engine sends only a head. Ends inside a chunk, a length or an event were tried again before; the test now covers them.

Change: such an attempt is lost and retried within the usual limits, then 502. Only a resumed stream may end without an event, and only with a stated end: its first engine may have been lost after the last event.

--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -22,6 +22,12 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+/// @returns whether the end of the connection alone does not end the answer.
+bool HasStatedEnd(const Http1Head& head) {
+  return FindHeader(head.headers, "Transfer-Encoding").has_value() ||
+         FindHeader(head.headers, "Content-Length").has_value();
+}
+
 }  // namespace
 
 bool GatewayExchange::SupportsBackup() const {
@@ -127,10 +133,14 @@
                 "stream ended in the middle of an event");
     return;
   }
-  EndAttempt(EndpointOutcome::kAnswered);
-  if (!m_stream_started) {
-    m_caller->StartStream(m_head.status, RemoveHopByHopHeaders(m_head.headers));
+  // A server that dies as it begins to write closes the connection like this.
+  // Only a resumed stream may have no event left, if its end was stated.
+  if (!m_attempt_has_event && (!m_stream_started || !HasStatedEnd(m_head))) {
+    FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
+                "stream ended before its first event");
+    return;
   }
+  EndAttempt(EndpointOutcome::kAnswered);
   m_caller->FinishStream();
   Finish();
 }
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -422,6 +422,61 @@
   }
 }
 
+// Guards against an empty stream for a caller whose server dies as it begins to
+// write, and against other ends that only look complete.
+TEST_CASE("a stream that ends before it is complete is continued elsewhere") {
+  const std::string unframed = "HTTP/1.1 200 OK\r\n" + kSealHeaders + "\r\n";
+  const std::string cut = "id: 2\ndata: t\n";
+  const std::string no_event[] = {
+      unframed, kStreamHead, kStreamHead + "0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n" + kSealHeaders + "Content-Length: 0\r\n\r\n"};
+  for (const std::string& bytes : no_event) {
+    CAPTURE(bytes);
+    const std::string event = Chunk(Event(1));
+    Fixture fixture(
+        {{{.bytes = bytes}}, {{.bytes = kStreamHead + event + "0\r\n\r\n"}}});
+    fixture.Send("POST /write/x");
+    fixture.WaitForAnswer("0\r\n\r\n");
+    CHECK(fixture.answer.find(event + "0\r\n\r\n") != std::string::npos);
+  }
+  const std::string cut_off[] = {
+      unframed + Event(1) + cut, kStreamHead + Chunk(Event(1)),
+      kStreamHead + Chunk(Event(1)) + Chunk(cut) + "0\r\n\r\n",
+      kStreamHead + Chunk(Event(1)) + "5\r\n:",
+      "HTTP/1.1 200 OK\r\n" + kSealHeaders + "Content-Length: 99\r\n\r\n" +
+          Event(1)};
+  for (const std::string& bytes : cut_off) {
+    CAPTURE(bytes);
+    const std::string event = Chunk(Event(2));
+    Fixture fixture({{{.bytes = bytes}},
+                     {{.bytes = unframed}},
+                     {{.bytes = kStreamHead + event + "0\r\n\r\n"}}});
+    fixture.Send("POST /write/x");
+    fixture.WaitForAnswer("0\r\n\r\n");
+    CHECK(fixture.answer.find(Chunk(Event(1)) + event + "0\r\n\r\n") !=
+          std::string::npos);
+  }
+}
+
+// Guards against a stream that is given up although its engine was lost after
+// the last event, and the next engine has nothing left to send.
+TEST_CASE("a resumed stream may be complete without another event") {
+  Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1))}},
+                   {{.bytes = kStreamHead + "0\r\n\r\n"}}});
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("0\r\n\r\n");
+  CHECK(fixture.answer.find(Chunk(Event(1)) + "0\r\n\r\n") !=
+        std::string::npos);
+  CHECK(fixture.endpoints[1]->requests().size() == 1);
+}
+
+TEST_CASE("a stream that never has an event fails") {
+  Fixture fixture({{{.bytes = kStreamHead + "0\r\n\r\n"}}});
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("answer_lost");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
+}
+
 TEST_CASE("events after a gap in a stream are not forwarded") {
   Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)) + Chunk(Event(3))}},
                    {{.bytes = kStreamHead + Chunk(Event(2)) + "0\r\n\r\n"}}});
