Refuse event ids whose attempt number no stream reaches

A request with a forged Last-Event-ID ended the daemon.

Cause: attempts are counted up from the number in the id. At 2^32 it starts again at 0, and the sender of copies asserts that it never falls.

Evidence: process_odd_input on the daemon before: no answer, and the process is gone.

Change: ParseStreamCursor refuses numbers above one billion.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -39,6 +39,8 @@
 /// Output buffered for one slow caller before the engine transfer is paused.
 inline constexpr size_t kMaxBufferedOutputBytes = 256 * 1024;
 inline constexpr int kMaxStreamAttempts = 8;
+/// Attempt number in the id of a stream event. Attempts are counted up from it.
+inline constexpr uint32_t kMaxCursorAttempt = 1'000'000'000;
 /// A stream that finds no endpoint for this long fails.
 inline constexpr std::chrono::milliseconds kMaxInterruption{3000};
 /// Bounds of the time without a token after which a stream is stalled. The
--- a/src/stream_cursor.cc
+++ b/src/stream_cursor.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <cstdio>
 
+#include "bramleybank/limits.h"
+
 namespace bramleybank {
 namespace {
 
@@ -81,6 +83,7 @@
   const bool numbers_ok = ParseNumber(generation, 16, &cursor.generation) &&
                           ParseNumber(hash, 16, &cursor.request_hash) &&
                           ParseNumber(attempt, 10, &cursor.attempt) &&
+                          cursor.attempt <= kMaxCursorAttempt &&
                           ParseNumber(position, 10, &cursor.position);
   const bool addresses_ok = IsAddress(owner) && IsAddress(engine) &&
                             (copy == kAbsent || IsAddress(copy));
--- a/tests/process_odd_input.cc
+++ b/tests/process_odd_input.cc
@@ -49,6 +49,28 @@
   CheckServes(deployment);
 }
 
+// The engine cannot be reached, so the stream's attempts are counted up from
+// the number in the id, which must not overflow.
+TEST_CASE("a forged event id is refused and ends no daemon") {
+  Deployment deployment({.domains = 1});
+  const std::string body =
+      R"({"model":"writer","prompt":"p","max_tokens":3,"stream":true})";
+  StreamCursor cursor{.generation = 77,
+                      .request_hash = static_cast<uint32_t>(
+                          XXH3_64bits(body.data(), body.size())),
+                      .owner = LoopbackIp(10) + ":7103",
+                      .copy_holder = {},
+                      .engine = LoopbackIp(99) + ":1",
+                      .attempt = 4294967294U,
+                      .position = 0};
+  for (; cursor.attempt != 0; ++cursor.attempt) {
+    CHECK(Send("POST", deployment.caller_url(0) + "/v1/completions",
+               {{"Last-Event-ID", FormatStreamCursor(cursor)}}, body)
+              .status == 400);
+  }
+  CheckServes(deployment);
+}
+
 void SendDatagram(const std::string& ip, const std::string& bytes) {
   const int fd = socket(AF_INET, SOCK_DGRAM, 0);
   sockaddr_in address{};
--- a/tests/unit_stream_cursor.cc
+++ b/tests/unit_stream_cursor.cc
@@ -2,6 +2,7 @@
 // accepted as an event id.
 #include <doctest/doctest.h>
 
+#include "bramleybank/limits.h"
 #include "stream_cursor.h"
 
 namespace bramleybank {
@@ -36,5 +37,14 @@
   }
 }
 
+// Guards against attempt numbers that overflow while they are counted up.
+TEST_CASE("an attempt number that no stream reaches is refused") {
+  StreamCursor cursor = kCursor;
+  cursor.attempt = kMaxCursorAttempt;
+  CHECK(ParseStreamCursor(FormatStreamCursor(cursor)).has_value());
+  ++cursor.attempt;
+  CHECK_FALSE(ParseStreamCursor(FormatStreamCursor(cursor)).has_value());
+}
+
 }  // namespace
 }  // namespace bramleybank
