Reduce a time left that overflows

A request with a Deadline-Ms above 2^63 / 1000 was refused at once, as one whose time has passed.

Cause: milliseconds were converted to microseconds without a check.

Evidence: unit_platform_adapter, DecodeRequest on the code before.

Change: at most 24 h, at least 0.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -19,6 +19,8 @@
 inline constexpr size_t kMaxUrlBytes = 2048;
 inline constexpr size_t kMaxIdempotencyKeyBytes = 128;
 inline constexpr size_t kMaxCustomerNameBytes = 64;
+/// Time that a caller may name for its request; longer ones are shortened.
+inline constexpr std::chrono::hours kMaxClientTimeout{24};
 /// Memory pool of one caller connection, for headers and parts of the answer.
 /// The default of libmicrohttpd, 32 KiB, is half of what an open stream may
 /// use.
--- a/tests/unit_platform_adapter.cc
+++ b/tests/unit_platform_adapter.cc
@@ -205,6 +205,20 @@
             .starts_with("POST /api/kv-move"));
 }
 
+// Guards against a request that is refused at once because the time left to it
+// overflows.
+TEST_CASE("a time left that is too large is reduced") {
+  const GatewayCodec codec = MakeGatewayCodec();
+  const auto decode = [&](const std::string& text) {
+    return codec.decode_request({{"Deadline-Ms", text}}).client_timeout;
+  };
+  CHECK(decode("9223372036854775807") == kMaxClientTimeout);
+  CHECK(decode("-9223372036854775808") == Duration{0});
+  CHECK(decode("1500") == std::chrono::milliseconds(1500));
+  CHECK_FALSE(decode("9223372036854775808").has_value());
+  CHECK_FALSE(decode("").has_value());
+}
+
 TEST_CASE("rows and writes have the store's JSON format") {
   StoreRows rows;
   REQUIRE(DecodeRows(
