--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -8,11 +8,19 @@
 
 namespace bramleybank {
 
+// Input from outside in general.
+/// Nesting of JSON values from other processes. The JSON library copies and
+/// writes nested values by recursion, which overflows the stack at about 60,000
+/// levels. Requests and configurations use fewer than 20.
+inline constexpr size_t kMaxJsonDepth = 100;
+
 // Input from callers.
 inline constexpr size_t kMaxRequestBodyBytes = 1024 * 1024;
 inline constexpr size_t kMaxUrlBytes = 2048;
 inline constexpr size_t kMaxIdempotencyKeyBytes = 128;
 inline constexpr size_t kMaxCustomerNameBytes = 64;
+/// Time that a caller may name for its request; longer ones are shortened.
+inline constexpr std::chrono::hours kMaxClientTimeout{24};
 /// Memory pool of one caller connection, for headers and parts of the answer.
 /// The default of libmicrohttpd, 32 KiB, is half of what an open stream may
 /// use.
@@ -33,6 +41,8 @@
 /// Output buffered for one slow caller before the engine transfer is paused.
 inline constexpr size_t kMaxBufferedOutputBytes = 256 * 1024;
 inline constexpr int kMaxStreamAttempts = 8;
+/// Attempt number in the id of a stream event. Attempts are counted up from it.
+inline constexpr uint32_t kMaxCursorAttempt = 1'000'000'000;
 /// A stream that finds no endpoint for this long fails.
 inline constexpr std::chrono::milliseconds kMaxInterruption{3000};
 /// Bounds of the time without a token after which a stream is stalled. The
@@ -113,6 +123,11 @@
 inline constexpr int kMaxIdempotentRetries = 2;
 
 // Transfers to endpoints and the platform.
+/// Status lines and headers of one answer, interim answers included.
+inline constexpr size_t kMaxClientHeadBytes = 64 * 1024;
+/// Body of one answer that is collected. The largest is a configuration
+/// snapshot of about 6 MB.
+inline constexpr size_t kMaxClientBodyBytes = 32 * 1024 * 1024;
 inline constexpr std::chrono::milliseconds kConnectTimeout{800};
 inline constexpr std::chrono::milliseconds kPlatformTimeout{1000};
 /// Table writes that arrive within this time share one batch.
@@ -210,6 +225,16 @@
 /// endpoint expires after three heartbeats of 1.2 s.
 inline constexpr std::chrono::milliseconds kCrashedEndpointPause{5000};
 
+/// Slots that an endpoint may name in its entry.
+inline constexpr uint64_t kMaxEndpointSlots = 1'000'000;
+/// Times and counts in rows of the store; larger ones are reduced to these.
+inline constexpr std::chrono::hours kMaxConfiguredTime{24 * 365};
+inline constexpr double kMaxConfiguredCount = 1e9;
+/// Clock of the store. Larger values could overflow where times are added.
+inline constexpr std::chrono::hours kMaxStoreTime{24 * 365 * 1000};
+/// Names and handles of other processes that become parts of headers.
+inline constexpr size_t kMaxWireNameBytes = 200;
+
 // Gateway: attempts.
 /// Covers two round trips between regions and the accept of the connection.
 inline constexpr std::chrono::milliseconds kEndpointConnectTimeout{300};
@@ -239,6 +264,10 @@
 /// repeated request transfers only what is new.
 inline constexpr std::chrono::milliseconds kCopyRequestInterval{3000};
 inline constexpr int kMaxCopyRequests = 8;
+/// Answer of an engine to a copy request or to a probe of its report.
+inline constexpr size_t kMaxEngineReplyBytes = 64 * 1024;
+/// Longest time until the answer to a copy request or a probe is complete.
+inline constexpr std::chrono::milliseconds kEngineReplyTimeout{3000};
 inline constexpr std::chrono::milliseconds kCopyReleaseTime{1000};
 /// Sends of a request beyond its route's limit on attempts, as long as no
 /// attempt has run.
--- a/src/daemon.cc
+++ b/src/daemon.cc
@@ -20,6 +20,7 @@
 #include "http_operator_api.h"
 #include "http_refusal.h"
 #include "http_server.h"
+#include "json_parse.h"
 #include "log_event.h"
 #include "metric_registry.h"
 #include "platform_http_objects.h"
@@ -173,14 +174,14 @@
   }
 
   std::string Status() const {
-    nlohmann::json status = nlohmann::json::parse(cluster->StatusJson());
+    nlohmann::json status = ParseJson(cluster->StatusJson());
     status["version"] = kVersion;
     status["peer"] = settings.PeerAddress();
     status["region"] = settings.region;
     status["failure_domain"] = settings.failure_domain;
     status["open_streams"] = streams->open_streams();
     status["not_ready_reason"] = NotReadyReason();
-    return status.dump();
+    return DumpJson(status);
   }
 
   void UpdateGauges() {
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -22,9 +22,10 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-bool HasBodyLength(const HttpHeaders& headers) {
-  return FindHeader(headers, "Content-Length") ||
-         FindHeader(headers, "Transfer-Encoding");
+/// @returns whether the end of the connection alone does not end the answer.
+bool HasStatedEnd(const Http1Head& head) {
+  return FindHeader(head.headers, "Transfer-Encoding").has_value() ||
+         FindHeader(head.headers, "Content-Length").has_value();
 }
 
 }  // namespace
@@ -135,18 +136,14 @@
                 "stream ended in the middle of an event");
     return;
   }
-  // Without a length, the end of the connection is all that marks the end, and
-  // a server that dies as it begins to write looks the same.
-  if (!HasBegun() && !HasBodyLength(m_head.headers)) {
-    ReportCrash();
+  // A server that dies as it begins to write closes the connection like this.
+  // Only a resumed stream may have no event left, if its end was stated.
+  if (!m_attempt_has_event && (!m_stream_started || !HasStatedEnd(m_head))) {
     FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
-                "connection closed before the first event");
+                "stream ended before its first event");
     return;
   }
   EndAttempt(EndpointOutcome::kAnswered);
-  if (!m_stream_started) {
-    m_caller->StartStream(m_head.status, RemoveHopByHopHeaders(m_head.headers));
-  }
   m_caller->FinishStream();
   Finish();
 }
--- a/src/stream_engine_transfer.cc
+++ b/src/stream_engine_transfer.cc
@@ -3,11 +3,13 @@
 
 #include <cassert>
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "bramleybank/limits.h"
 #include "http_client.h"
+#include "json_parse.h"
 #include "stream_cursor.h"
 #include "stream_token_list.h"
 
@@ -18,6 +20,7 @@
 
 constexpr size_t kMaxEngineEventBytes = 64 * 1024;
 constexpr size_t kMaxErrorBodyBytes = 1024;
+constexpr uint64_t kMaxPosition = std::numeric_limits<uint64_t>::max();
 constexpr Duration kCancelTimeout = std::chrono::seconds(2);
 
 uint64_t ParseHex(const std::string& text) {
@@ -31,6 +34,9 @@
                               const StreamTokenList& tokens) {
   HttpClientRequest request;
   request.connect_timeout = kConnectTimeout;
+  // On a connection that is in use again, a late second refusal of an earlier
+  // request would be taken for the answer to this one.
+  request.single_attempt = true;
   request.headers = {{"X-Request-Id", FormatGeneration(attempt.generation)},
                      {"X-Attempt", std::to_string(attempt.attempt)},
                      {"X-Priority", std::to_string(attempt.priority)}};
@@ -110,7 +116,7 @@
   if (m_is_over || event.data == "[DONE]") {
     return;
   }
-  const json value = json::parse(event.data, nullptr, false);
+  const json value = TryParseJson(event.data);
   if (!value.is_object() || !value.contains("request") ||
       !value["request"].is_string() || !value.contains("attempt") ||
       !value["attempt"].is_number_unsigned()) {
@@ -123,17 +129,17 @@
   try {
     if (value.contains("finish")) {
       const EngineEnd end{generation, attempt,
-                          value.at("count").get<uint64_t>(),
+                          WholeNumber(value.at("count"), kMaxPosition),
                           value["finish"].get<std::string>()};
       m_is_over = true;
       m_callbacks.on_end(end);
       return;
     }
     const EngineChunk chunk{generation, attempt,
-                            value.at("index").get<uint64_t>(),
+                            WholeNumber(value.at("index"), kMaxPosition),
                             value.at("text").get<std::string>()};
     m_callbacks.on_chunk(chunk);
-  } catch (const json::exception& e) {
+  } catch (const std::exception& e) {
     ReportLoss(AttemptLoss::kMalformed, e.what());
   }
 }
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -69,6 +69,15 @@
   return "id: " + std::to_string(id) + "\ndata: t\n\n";
 }
 
+std::string MakeEntry(const std::string& domain,
+                      const std::string& address,
+                      const std::string& version) {
+  return R"({"service":"app","state":"ready","slots":4,"cold_left_ms":0,)"
+         R"("call_seq":0,"version":")" +
+         version + R"(","zone":")" + domain + R"(","address":")" + address +
+         "\"}";
+}
+
 /// A gateway with its configuration in force. Its endpoints have a fixed order
 /// of preference: the first is in the gateway's own failure domain.
 class Fixture {
@@ -88,9 +97,7 @@
       endpoints.push_back(std::make_unique<FakeEndpoint>(&m_loop, scripts[i]));
       rows.push_back(
           {.key = "e" + std::to_string(i),
-           .value = R"({"service":"app","state":"ready","slots":4,"zone":")" +
-                    domains[i] + R"(","address":")" + endpoints[i]->address() +
-                    "\"}",
+           .value = MakeEntry(domains[i], endpoints[i]->address(), "v1"),
            .version = i + 1});
     }
     if (!config.empty()) {
@@ -367,6 +374,113 @@
   CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
 }
 
+// Guards against attempts that last until the deadline while bytes that are no
+// answer arrive, where no other timer ends them.
+TEST_CASE("an endless head ends the attempt before the deadline") {
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  std::string interims;
+  for (int i = 0; i < 100; ++i) {
+    interims += interim;
+  }
+  const std::string chunked = "HTTP/1.1 200 OK\r\n" + kSealHeaders +
+                              "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string text(2000, 'x');
+  const std::vector<FakeEndpoint::Step> endless = {
+      Endless("", text),
+      Endless("", interims),
+      Endless("", "HTTP/1.1 102 Wait\r\nX: " + text + "\r\n\r\n"),
+      Endless("HTTP/1.1 200 ", text),
+      Endless("HTTP/1.1 200 OK\r\nX: ", text),
+      Endless("HTTP/1.1 200 OK\r\n", "X: " + text + "\r\n"),
+      Endless(chunked + "5;", text),
+      Endless(chunked + "0\r\n", "X: " + text + "\r\n"),
+      Endless(chunked, std::string(2000, '0'))};
+  for (const FakeEndpoint::Step& step : endless) {
+    CAPTURE(step.bytes);
+    CAPTURE(step.repeated.substr(0, 30));
+    Fixture fixture({{step}});
+    fixture.Send("POST /book/x");
+    fixture.WaitForAnswer("HTTP/1.1 ");
+    CHECK(fixture.answer.find("answer_lost") != std::string::npos);
+    fixture.WaitFor(
+        [&] { return fixture.endpoints[0]->closed_by_peer() == 1; });
+  }
+}
+
+// Guards against a stalled answer that is waited for beyond the deadline
+// because its server sends a byte now and then.
+TEST_CASE("an answer that arrives byte by byte ends at the deadline") {
+  const Duration pause = std::chrono::milliseconds(100);
+  const std::vector<FakeEndpoint::Step> stalled = {
+      Endless("HTTP/1.1 200 OK\r\nX: ", "x", pause),
+      Endless("", "HTTP/1.1 100 Continue\r\n\r\n", pause),
+      Endless("HTTP/1.1 200 OK\r\n" + kSealHeaders + "\r\n", "x", pause)};
+  for (const FakeEndpoint::Step& step : stalled) {
+    CAPTURE(step.bytes);
+    Fixture fixture({{step}});
+    fixture.Send("POST /book/x");
+    fixture.WaitForAnswer("timed_out");
+    CHECK(fixture.answer.starts_with("HTTP/1.1 504"));
+    fixture.WaitFor(
+        [&] { return fixture.endpoints[0]->closed_by_peer() == 1; });
+  }
+}
+
+// Guards against an empty stream for a caller whose server dies as it begins to
+// write, and against other ends that only look complete.
+TEST_CASE("a stream that ends before it is complete is continued elsewhere") {
+  const std::string unframed = "HTTP/1.1 200 OK\r\n" + kSealHeaders + "\r\n";
+  const std::string cut = "id: 2\ndata: t\n";
+  const std::string no_event[] = {
+      unframed, kStreamHead, kStreamHead + "0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n" + kSealHeaders + "Content-Length: 0\r\n\r\n"};
+  for (const std::string& bytes : no_event) {
+    CAPTURE(bytes);
+    const std::string event = Chunk(Event(1));
+    Fixture fixture(
+        {{{.bytes = bytes}}, {{.bytes = kStreamHead + event + "0\r\n\r\n"}}});
+    fixture.Send("POST /write/x");
+    fixture.WaitForAnswer("0\r\n\r\n");
+    CHECK(fixture.answer.find(event + "0\r\n\r\n") != std::string::npos);
+  }
+  const std::string cut_off[] = {
+      unframed + Event(1) + cut, kStreamHead + Chunk(Event(1)),
+      kStreamHead + Chunk(Event(1)) + Chunk(cut) + "0\r\n\r\n",
+      kStreamHead + Chunk(Event(1)) + "5\r\n:",
+      "HTTP/1.1 200 OK\r\n" + kSealHeaders + "Content-Length: 99\r\n\r\n" +
+          Event(1)};
+  for (const std::string& bytes : cut_off) {
+    CAPTURE(bytes);
+    const std::string event = Chunk(Event(2));
+    Fixture fixture({{{.bytes = bytes}},
+                     {{.bytes = unframed}},
+                     {{.bytes = kStreamHead + event + "0\r\n\r\n"}}});
+    fixture.Send("POST /write/x");
+    fixture.WaitForAnswer("0\r\n\r\n");
+    CHECK(fixture.answer.find(Chunk(Event(1)) + event + "0\r\n\r\n") !=
+          std::string::npos);
+  }
+}
+
+// Guards against a stream that is given up although its engine was lost after
+// the last event, and the next engine has nothing left to send.
+TEST_CASE("a resumed stream may be complete without another event") {
+  Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1))}},
+                   {{.bytes = kStreamHead + "0\r\n\r\n"}}});
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("0\r\n\r\n");
+  CHECK(fixture.answer.find(Chunk(Event(1)) + "0\r\n\r\n") !=
+        std::string::npos);
+  CHECK(fixture.endpoints[1]->requests().size() == 1);
+}
+
+TEST_CASE("a stream that never has an event fails") {
+  Fixture fixture({{{.bytes = kStreamHead + "0\r\n\r\n"}}});
+  fixture.Send("POST /write/x");
+  fixture.WaitForAnswer("answer_lost");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
+}
+
 TEST_CASE("events after a gap in a stream are not forwarded") {
   Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)) + Chunk(Event(3))}},
                    {{.bytes = kStreamHead + Chunk(Event(2)) + "0\r\n\r\n"}}});
@@ -506,14 +620,12 @@
   Fixture fixture({{{.bytes = kRemainingEvents}}, {{.bytes = kNotRunAnswer}}},
                   kEngineConfig);
   fixture.store.Answer(
-      "servers",
-      {.result = StoreResult::kOk,
-       .rows = {{.key = "e1",
-                 .value = R"({"service":"app","state":"ready","slots":4,)"
-                          R"("version":"v2","zone":"far","address":")" +
-                          fixture.endpoints[1]->address() + "\"}",
-                 .version = 10}},
-       .version = 10});
+      "servers", {.result = StoreResult::kOk,
+                  .rows = {{.key = "e1",
+                            .value = MakeEntry(
+                                "far", fixture.endpoints[1]->address(), "v2"),
+                            .version = 10}},
+                  .version = 10});
   AnswerPromptRead(&fixture.store, "e1");
   fixture.Send("POST /write/x", "good", kReconnectHeaders);
   fixture.WaitForAnswer("0\r\n\r\n");
