Test tool: the proxy can silence the connections that are open

The users' connections may go silent for good, without a reset, while new ones work. The proxy could only cut a link, which holds back new connections too and delivers everything later. "silence_all" stops forwarding on the connections that are open and reports no end of either side.

--- a/tests/process_fault_proxy.cc
+++ b/tests/process_fault_proxy.cc
@@ -198,6 +198,22 @@
   CHECK(connection.target.IsReset());
 }
 
+TEST_CASE("open connections go silent for good, and new ones work") {
+  const ProxyFixture fixture;
+  const ProxiedConnection silent(fixture);
+  silent.client.Write("x");
+  CHECK(silent.target.Read(1) == "x");
+  ProxyFixture::Control({{"silence_all", true}});
+  silent.client.Write("lost");
+  silent.target.Write("lost");
+  ProxyFixture::Control({{"clear", true}});
+  const ProxiedConnection connection(fixture);
+  connection.client.Write("new");
+  CHECK(connection.target.Read(3) == "new");
+  CHECK_FALSE(silent.target.HasInput());
+  CHECK_FALSE(silent.client.HasInput());
+}
+
 TEST_CASE("a half-open connection is accepted and never forwarded") {
   const ProxyFixture fixture;
   ProxyFixture::Control({{"half_open", true}});
--- a/tools/fault_proxy_connection.cc
+++ b/tools/fault_proxy_connection.cc
@@ -41,7 +41,7 @@
 }
 
 void ProxyConnection::UpdateWatches() {
-  for (size_t side = 0; side < 2 && !m_ended; ++side) {
+  for (size_t side = 0; side < 2 && !m_ended && !m_is_silent; ++side) {
     const Pipe& in = m_pipes[side];
     const bool read = !in.has_ended && in.queued_bytes < kMaxQueuedBytes;
     const bool write = m_pipes[1 - side].is_write_blocked;
@@ -98,7 +98,7 @@
   Pipe& pipe = m_pipes[direction];
   m_state->loop->Cancel(pipe.timer);
   while (!pipe.chunks.empty() && !pipe.is_write_blocked && !m_ended &&
-         !m_state->faults.blocked[direction]) {
+         !m_is_silent && !m_state->faults.blocked[direction]) {
     const Duration wait = pipe.chunks.front().due - m_state->loop->Now();
     if (wait.count() > 0) {
       pipe.timer =
@@ -162,6 +162,14 @@
   End();
 }
 
+void ProxyConnection::Silence() {
+  m_is_silent = true;
+  for (size_t side = 0; side < 2; ++side) {
+    m_state->loop->Cancel(m_pipes[side].timer);
+    m_state->loop->Unwatch(m_fds[side]);
+  }
+}
+
 void ProxyConnection::End() {
   if (std::exchange(m_ended, true)) {
     return;
--- a/tools/fault_proxy_connection.h
+++ b/tools/fault_proxy_connection.h
@@ -44,6 +44,9 @@
 
   /// Ends the connection with a TCP reset on both sides.
   void Reset();
+  /// Forwards nothing from now on and reports no end of either side, as when a
+  /// device on the way has lost the connection.
+  void Silence();
   /// Forwards the chunks that are due. Also called after the faults have
   /// changed.
   void Pump(size_t direction);
@@ -80,6 +83,7 @@
   std::array<Pipe, 2> m_pipes;
   std::function<void()> m_on_end;
   bool m_ended = false;
+  bool m_is_silent = false;
 };
 
 }  // namespace bramleybank
--- a/tools/fault_proxy_pair.cc
+++ b/tools/fault_proxy_pair.cc
@@ -99,12 +99,18 @@
   } else if (!m_state.faults.refuse && m_listen_fd < 0 && !Listen()) {
     return "the address is not free";
   }
-  const bool reset =
-      message.contains("reset_all") && message["reset_all"] == true;
+  const auto asks_for = [&](const char* key) {
+    return message.contains(key) && message[key] == true;
+  };
+  const bool reset = asks_for("reset_all");
+  const bool silence = asks_for("silence_all");
   for (const auto& [id, connection] : m_connections) {
     if (reset) {
       connection->Reset();
     }
+    if (silence) {
+      connection->Silence();
+    }
     connection->Pump(kToTarget);
     connection->Pump(kToClient);
   }
--- a/tools/fault_proxy_pair.h
+++ b/tools/fault_proxy_pair.h
@@ -33,7 +33,7 @@
   /// @returns false if the address cannot be bound.
   bool Start();
   /// Applies a control message; see ApplyProxyFaults(). "reset_all" resets all
-  /// connections.
+  /// connections, "silence_all" silences those that are open for good.
   /// @returns an error message, or an empty string.
   std::string Control(const nlohmann::json& message);
 
