Rows of others: a gateway that waits long at the store is not out of date

Removed keys and routes were served, added ones were not.

Cause: a gateway that the store does not answer asks others for their rows, and takes no answer that is based on one of the store's older than 1.25 s, the longest wait and timeout of a relay. In domains with fewer than eight gateways there are no relays. Each gateway there waits up to 2.8 s at the store, so unless something had just changed, all of them counted as out of date and were left out for 1 to 16 s, also when the change came.

The existing test of gateways that are cut off passed, because its waits were shorter than the limit on the age.

The limit on the age now follows from the longest wait at the store of any gateway, and that wait, of gateways without relays too, from the bound: 1.3 s of 2.5 s, so that a wait, its timeout and the retry fit into it. The age limit becomes 1.8 s. A quiet gateway without relays calls the store about twice as often as before.

The change of unit_relay to existing tests: the watches of its gateways ask for waits of 3 s, as the product does, which the limits cut to the 0.2 s of before; the check of the limits has two more conditions.

--- a/src/relayed_store.cc
+++ b/src/relayed_store.cc
@@ -12,6 +12,7 @@
 #include "log_event.h"
 #include "metric_registry.h"
 #include "relay_refusal.h"
+#include "store_watch.h"
 
 namespace bramleybank {
 namespace {
@@ -45,7 +46,7 @@
 }  // namespace
 
 Duration RelayWaitLimits::max_age() const {
-  return store_wait + kStoreWaitTimeout;
+  return std::max(store_wait, direct_wait) + kStoreWaitTimeout;
 }
 
 RelayWaitLimits RelayWaitLimitsFor(Duration bound) {
@@ -53,7 +54,8 @@
       .store_wait = std::clamp<Duration>(ShareOf(bound, kRelayStoreWaitShare),
                                          kMinRelayWait, kMaxRelayStoreWait),
       .relay_wait = std::clamp<Duration>(ShareOf(bound, kRelayWaitShare),
-                                         kMinRelayWait, kMaxRelayWait)};
+                                         kMinRelayWait, kMaxRelayWait),
+      .direct_wait = std::max<Duration>(MaxStoreWait(bound), kMinRelayWait)};
 }
 
 RelayedStore::RelayedStore(EventLoop* loop,
@@ -172,10 +174,10 @@
     m_store->Read(call->table, call->after, on_rows);
     return;
   }
-  const Duration wait = m_selector->IsRelayed()
-                            ? std::min(call->wait, m_wait_limits.store_wait)
-                            : call->wait;
-  m_store->WaitForChanges(call->table, call->version, wait, on_rows);
+  const Duration max_wait = m_selector->IsRelayed() ? m_wait_limits.store_wait
+                                                    : m_wait_limits.direct_wait;
+  m_store->WaitForChanges(call->table, call->version,
+                          std::min(call->wait, max_wait), on_rows);
 }
 
 void RelayedStore::OnStoreRows(const CallPtr& call, const StoreRows& rows) {
--- a/src/relayed_store.h
+++ b/src/relayed_store.h
@@ -31,8 +31,11 @@
   Duration store_wait{0};
   /// Longest wait of a follower for changes at its relay.
   Duration relay_wait{0};
+  /// Longest wait at the store of a gateway whose domain has no relays.
+  Duration direct_wait{0};
 
-  /// Maximum age of the store's answer that a relay's answer is based on.
+  /// Maximum age of the store's answer that the answer of a relay, or of a
+  /// gateway of a domain without relays, is based on.
   Duration max_age() const;
   friend bool operator==(const RelayWaitLimits&,
                          const RelayWaitLimits&) = default;
--- a/tests/process_config_bound.cc
+++ b/tests/process_config_bound.cc
@@ -336,6 +336,39 @@
   }
 }
 
+TEST_CASE("a single change reaches gateways that the store does not answer") {
+  const WireDeployment site(
+      {.domains = 3, .gateways_per_domain = 3, .is_proxied = true});
+  WaitForMembers(site);
+  std::mt19937_64 random(1);
+  uint64_t version = 1;
+  for (int round = 0; round < Environment("CONFIG_BOUND_ROUNDS", 1); ++round) {
+    CAPTURE(round);
+    for (int i = 0; i < site.gateway_count(); i += 3) {
+      site.ControlStoreLink(i, {{"half_open", true}, {"reset_all", true}});
+    }
+    Sleep(Draw(&random, 3000, 6000));
+    ++version;
+    site.PublishConfig(version, "key-1", WireDeployment::ProbeRoute(version));
+    const Time published = steady_clock::now();
+    for (int i = 0; i < site.gateway_count(); ++i) {
+      CAPTURE(i);
+      WaitUntil("the change", [&] {
+        return MetricValue(site.metrics_url(i), "bramleybank_config_version") ==
+               static_cast<double>(version);
+      });
+      const auto took = std::chrono::duration_cast<milliseconds>(
+          steady_clock::now() - published);
+      MESSAGE("gateway ", i, " followed after ", took.count(), " ms");
+      CHECK(took.count() <= kPartialBound.count());
+    }
+    for (int i = 0; i < site.gateway_count(); ++i) {
+      site.ControlStoreLink(i, {{"clear", true}});
+    }
+    Sleep(kContactTime);
+  }
+}
+
 TEST_CASE("configurations are in force in time after connections went silent") {
   const WireDeployment site({.domains = 3, .is_proxied = true});
   WaitForMembers(site);
--- a/tests/unit_relay.cc
+++ b/tests/unit_relay.cc
@@ -464,7 +464,8 @@
 };
 
 constexpr RelayWaitLimits kTestWaitLimits{.store_wait = milliseconds(60),
-                                          .relay_wait = milliseconds(40)};
+                                          .relay_wait = milliseconds(40),
+                                          .direct_wait = milliseconds(200)};
 
 Node::Node(Fleet* fleet, GatewayMember member)
     : self(std::move(member)),
@@ -497,7 +498,7 @@
       watch(&fleet->loop,
             &store,
             "t",
-            {.wait = milliseconds(200), .pause = milliseconds(1)},
+            {.wait = seconds(3), .pause = milliseconds(1)},
             {.on_row =
                  [this](const StoreRow& row) {
                    uint64_t& known = rows[row.key];
@@ -682,6 +683,21 @@
   CHECK(error.code == ResultCode::kPeerBadMessage);
 }
 
+// Guards against gateways of small domains whose rows count as out of date only
+// because they wait long at the store.
+TEST_CASE("gateways that are cut off are served by others after a quiet time") {
+  Fleet fleet(2, 3);
+  REQUIRE(fleet.AllReceive("old", 11));
+  for (const auto& node : fleet.nodes) {
+    node->link.is_cut = node->self.failure_domain == "d0";
+  }
+  fleet.Run(seconds(2));
+  const uint64_t version = fleet.store.Put("new", "2");
+  const TimePoint changed_at = fleet.loop.Now();
+  CHECK(fleet.AllReceive("new", version));
+  CHECK(fleet.loop.Now() - changed_at < seconds(2));
+}
+
 // Guards against a frozen or cut relay that makes a change arrive after the
 // bound of the deployment. Both waits, their timeouts and the delay of the
 // fallback must fit into it.
@@ -694,6 +710,9 @@
           milliseconds(bound_ms));
     CHECK(wait_limits.relay_wait + kRelayTimeout + kRelayFallbackSpread <
           milliseconds(bound_ms));
+    CHECK(wait_limits.direct_wait + kStoreWaitTimeout + kMaxStoreRetryDelay <
+          milliseconds(bound_ms));
+    CHECK(wait_limits.max_age() >= wait_limits.direct_wait + kStoreWaitTimeout);
   }
 }
 
