Judge crashes and quarantines by attempt, whatever was sent before

Found by the review of the crashing prompts: a request with Last-Event-Id passed a quarantine (3 of 3 attempts reached endpoints) and left no evidence, and neither did servers that closed after a head without length, inside an event or with an empty chunked body (0 writes of suspects). A trial was used up by an attempt that had not run, so that a mended part stayed blocked for twice the time.

An attempt that is cut off before its first event is now evidence, in the one place where failed attempts end; the block is checked before each attempt; and a trial lasts until an attempt may have run. A caller that resumes a stream which has no event left gets its end, if the end was stated, as before.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -156,6 +156,7 @@
   m_body.Clear();
   m_events = {};
   m_attempt_has_event = false;
+  m_attempt_has_begun = false;
   m_permit_wait_end.reset();
   m_tried_endpoints.push_back(m_endpoint.id);
   ++m_sends;
@@ -244,7 +245,6 @@
     return;
   }
   if (end == AttemptEnd::kBroken) {
-    ReportCrash();
     FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
                 "answer incomplete: connection closed or malformed HTTP");
     return;
@@ -336,7 +336,11 @@
                             outcome != EndpointOutcome::kRefused &&
                             outcome != EndpointOutcome::kMisdirected;
   EndAttempt(outcome);
+  if (outcome == EndpointOutcome::kLost && reason == RetryReason::kEarlyEnd) {
+    ReportCrash();
+  }
   if (may_have_run) {
+    m_is_trial = false;
     ++m_possible_runs;
     ReportVersionOutcome(/*failed=*/true);
   }
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -107,8 +107,6 @@
   const EndpointRecord* RequestBetter(const EndpointChoice& choice) const;
   /// @returns whether the request may wait for a permit.
   bool MayWaitForPermit();
-  /// @returns whether an answer to this request has begun, here or earlier.
-  bool HasBegun() const;
   void ReportBegun();
   /// @returns the quarantined parts because of which the request must not be
   /// sent.
@@ -207,11 +205,11 @@
   StreamBackup m_backup;
   // Id of the engine that has prefilled the prompt; empty when unknown.
   std::string m_prompt_endpoint_id;
-  // An event of an answer to this request has arrived.
-  bool m_has_begun = false;
-  // This request is the trial of its quarantined parts; only one attempt is.
+  // An event has arrived in the current attempt.
+  bool m_attempt_has_begun = false;
+  // This request is the trial of its quarantined parts, until one of its
+  // attempts may have run.
   bool m_is_trial = false;
-  bool m_is_trial_sent = false;
   // Quarantined parts because of which the request was refused, for the log.
   std::string m_blocking_parts;
   // Callbacks that outlive this object hold a weak reference, which then has
--- a/src/gateway_exchange_quarantine.cc
+++ b/src/gateway_exchange_quarantine.cc
@@ -13,18 +13,14 @@
 
 namespace bramleybank {
 
-bool GatewayExchange::HasBegun() const {
-  return m_has_begun || m_last_event_id.value_or(0) > 0;
-}
-
 void GatewayExchange::ReportBegun() {
-  if (!std::exchange(m_has_begun, true)) {
+  if (!std::exchange(m_attempt_has_begun, true)) {
     m_context->quarantine->OnBegun(m_service, m_metadata.shared_parts);
   }
 }
 
 std::vector<PromptPartHash> GatewayExchange::FindBlockingParts() const {
-  if (!is_stream() || HasBegun()) {
+  if (!is_stream()) {
     return {};
   }
   return m_context->quarantine->FindBlocking(m_service,
@@ -32,7 +28,7 @@
 }
 
 bool GatewayExchange::EndIfQuarantined() {
-  if (m_is_trial && !std::exchange(m_is_trial_sent, true)) {
+  if (m_is_trial) {
     return false;
   }
   const std::vector<PromptPartHash> blocking = FindBlockingParts();
@@ -72,7 +68,7 @@
 }
 
 void GatewayExchange::OnQuarantined() {
-  if (!m_attempt || m_is_trial) {
+  if (!m_attempt || m_is_trial || m_attempt_has_begun) {
     return;
   }
   const std::vector<PromptPartHash> blocking = FindBlockingParts();
@@ -95,7 +91,7 @@
 
 void GatewayExchange::ReportCrash() {
   m_context->quarantine->OnLost(m_service, m_endpoint.address);
-  if (is_stream() && !HasBegun()) {
+  if (is_stream() && !m_attempt_has_begun) {
     m_context->quarantine->OnCrash(m_service, m_metadata.shared_parts,
                                    m_endpoint.address, m_head.status != 0);
   }
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -61,8 +61,8 @@
 void GatewayExchange::ForwardEvents() {
   bool has_progress = false;
   while (const auto event = m_events.Next()) {
-    if (IsProgress(*event)) {
-      has_progress = true;
+    has_progress = has_progress || IsProgress(*event);
+    if (event->id || IsProgress(*event)) {
       ReportBegun();
     }
     if (!ForwardEvent(*event)) {
@@ -138,12 +138,16 @@
   }
   // A server that dies as it begins to write closes the connection like this.
   // Only a resumed stream may have no event left, if its end was stated.
-  if (!m_attempt_has_event && (!m_stream_started || !HasStatedEnd(m_head))) {
+  const bool is_resumed = m_last_event_id.value_or(0) > 0;
+  if (!m_attempt_has_event && (!is_resumed || !HasStatedEnd(m_head))) {
     FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
                 "stream ended before its first event");
     return;
   }
   EndAttempt(EndpointOutcome::kAnswered);
+  if (!m_stream_started) {
+    m_caller->StartStream(m_head.status, RemoveHopByHopHeaders(m_head.headers));
+  }
   m_caller->FinishStream();
   Finish();
 }
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -5,9 +5,11 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base64.h"
@@ -769,5 +771,44 @@
   CHECK(fixture.answer.find("id: 3") != std::string::npos);
 }
 
+// Guards against a caller's event id that takes a prompt past its quarantine.
+TEST_CASE("a resumed stream with a quarantined prompt part is refused") {
+  Fixture fixture({{{.bytes = kStreamHead}}});
+  Quarantine(&fixture.store, "deadly");
+  fixture.Send("POST /write/x", "good",
+               std::string(kDeadlyPrompt) + "Last-Event-Id: 3\r\n");
+  fixture.WaitForAnswer("prompt_quarantined");
+  CHECK(fixture.endpoints[0]->requests().empty());
+}
+
+// Guards against crashes that are no evidence because of what was sent before.
+TEST_CASE(
+    "an attempt that ends before its first event is evidence of a crash") {
+  const std::string lengthless = "HTTP/1.1 200 OK\r\n" + kSealHeaders + "\r\n";
+  const std::string resumed = "Last-Event-Id: 3\r\n";
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"", ""},
+      {"HTTP/1.1 200 OK\r\nReq", ""},
+      {kStreamHead, ""},
+      {kStreamHead, resumed},
+      {lengthless, ""},
+      {lengthless + "id: 1\nda", ""},
+      {kStreamHead + Chunk("id: 1\nda") + "0\r\n\r\n", ""},
+      {kStreamHead + "0\r\n\r\n", ""}};
+  for (const auto& [bytes, headers] : cases) {
+    CAPTURE(bytes);
+    const std::vector<FakeEndpoint::Step> steps = {{.bytes = bytes}};
+    Fixture fixture({steps, steps, steps});
+    fixture.store.Answer(
+        kSuspectTable, {.result = StoreResult::kOk, .rows = {}, .version = 8});
+    fixture.Send("POST /write/x", "good", kDeadlyPrompt + headers);
+    fixture.WaitFor([&] {
+      return std::ranges::any_of(fixture.store.writes, [](const auto& write) {
+        return write.table == kSuspectTable;
+      });
+    });
+  }
+}
+
 }  // namespace
 }  // namespace bramleybank
