Tell the time until the next trial of a quarantined prompt part

A refusal because of a quarantine named no time after which the request may be sent, so that callers repeated it at once. RemainingTime() gives the time until the next trial of all blocking parts may be asked for, for the Retry-After of the refusal. IsTrialDue() uses it, so that both agree.

--- a/src/prompt_quarantine.cc
+++ b/src/prompt_quarantine.cc
@@ -119,6 +119,14 @@
   return tracker == nullptr ? nullptr : tracker->view().Find(part);
 }
 
+std::optional<Duration> PromptQuarantine::RemainingTime(
+    const std::string& service,
+    std::span<const PromptPartHash> blocking) const {
+  const SuspectTracker* tracker = FindTracker(service);
+  return tracker == nullptr ? std::nullopt
+                            : tracker->RemainingTime(blocking, m_loop->Now());
+}
+
 bool PromptQuarantine::RequestTrial(const std::string& service,
                                     std::span<const PromptPartHash> blocking,
                                     std::function<void(bool)> callback) {
--- a/src/prompt_quarantine.h
+++ b/src/prompt_quarantine.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -62,6 +63,11 @@
   std::vector<PromptPartHash> FindBlocking(
       const std::string& service,
       std::span<const PromptPartHash> parts) const;
+  /// @returns the time until the next trial of these quarantined parts may be
+  /// asked for; nothing if one of them is not suspected.
+  std::optional<Duration> RemainingTime(
+      const std::string& service,
+      std::span<const PromptPartHash> blocking) const;
   /// Asks to send one request with these parts as a trial.
   /// @param callback gets whether this is the only trial; runs once, later.
   /// @returns false when no trial is due.
--- a/src/suspect_tracker.cc
+++ b/src/suspect_tracker.cc
@@ -365,14 +365,24 @@
 
 bool SuspectTracker::IsTrialDue(std::span<const PromptPartHash> blocking,
                                 TimePoint now) const {
-  return std::ranges::all_of(blocking, [&](PromptPartHash part) {
+  return RemainingTime(blocking, now) == Duration::zero();
+}
+
+std::optional<Duration> SuspectTracker::RemainingTime(
+    std::span<const PromptPartHash> blocking,
+    TimePoint now) const {
+  Duration remaining = Duration::zero();
+  for (const PromptPartHash part : blocking) {
     const auto it = m_knowledge.find(part);
     if (it == m_knowledge.end()) {
-      return false;
+      return std::nullopt;
     }
     const int doublings = std::min(it->second.trials, kMaxQuarantineDoublings);
-    return now - it->second.trials_at >= kQuarantineTime * (1 << doublings);
-  });
+    const TimePoint due_at =
+        it->second.trials_at + kQuarantineTime * (1 << doublings);
+    remaining = std::max(remaining, due_at - now);
+  }
+  return remaining;
 }
 
 void SuspectTracker::RequestTrial(std::span<const PromptPartHash> blocking,
--- a/src/suspect_tracker.h
+++ b/src/suspect_tracker.h
@@ -87,6 +87,11 @@
   /// @returns whether all these quarantined parts may have a trial.
   bool IsTrialDue(std::span<const PromptPartHash> blocking,
                   TimePoint now) const;
+  /// @returns the time until all these quarantined parts may have a trial, zero
+  /// if they may now; nothing if one of them is not suspected.
+  std::optional<Duration> RemainingTime(
+      std::span<const PromptPartHash> blocking,
+      TimePoint now) const;
   /// Asks for the only trial of these parts. The callback runs once.
   void RequestTrial(std::span<const PromptPartHash> blocking,
                     TrialCallback callback,
--- a/tests/unit_prompt_suspects.cc
+++ b/tests/unit_prompt_suspects.cc
@@ -426,6 +426,28 @@
   CHECK(fleet.refused == refused);
 }
 
+// Guards against callers who repeat a refused request long before it can be
+// sent.
+TEST_CASE(
+    "the time until the next trial is known and doubles with each trial") {
+  Fleet fleet(1, 12, 7);
+  const Parts parts = {kDeadly};
+  SuspectTracker& tracker = fleet.tracker(0);
+  CHECK_FALSE(tracker.RemainingTime(parts, fleet.now));
+  auto list = TwoCrashes(parts, parts);
+  tracker.OnRow({.key = "s", .value = list.Encode(), .version = 5}, fleet.now);
+  CHECK(tracker.RemainingTime(parts, fleet.now) == kQuarantineTime);
+  const TimePoint due_at = fleet.now + kQuarantineTime;
+  CHECK(tracker.RemainingTime(parts, due_at - seconds(1)) == seconds(1));
+  CHECK(tracker.RemainingTime(parts, due_at + seconds(9)) == Duration::zero());
+  CHECK_FALSE(tracker.IsTrialDue(parts, due_at - seconds(1)));
+  CHECK(tracker.IsTrialDue(parts, due_at));
+  REQUIRE(list.ClaimTrial(kDeadly, 0));
+  tracker.OnRow({.key = "s", .value = list.Encode(), .version = 6}, due_at);
+  CHECK(tracker.RemainingTime(parts, due_at) == 2 * kQuarantineTime);
+  CHECK_FALSE(tracker.RemainingTime(Parts{kDeadly, kOther}, due_at));
+}
+
 // Guards against blame for losses of endpoints that have another cause.
 TEST_CASE("losses of endpoints for other reasons block nothing") {
   for (const int gateways : kFleetSizes) {
