Keep a quarantine when an older answer is reported late

Callers met servers that had just crashed again: a gateway that saw an answer begin writes this up to 800 ms later, or after an outage of the store, and then ended a quarantine that others had made since. A clear now carries the number of crashes that were known when the answer began; with later crashes the part only becomes known.

--- a/src/prompt_suspects.cc
+++ b/src/prompt_suspects.cc
@@ -111,8 +111,11 @@
       }));
 }
 
-void PromptSuspectList::Clear(PromptPartHash part) {
-  if (PromptSuspect* suspect = FindMutable(part)) {
+void PromptSuspectList::Clear(PromptPartHash part, int known_crashes) {
+  PromptSuspect* suspect = FindMutable(part);
+  if (suspect != nullptr && suspect->crashes > known_crashes) {
+    suspect->is_known = true;
+  } else if (suspect != nullptr) {
     suspect->weight = 0;
     suspect->latest_weight = 0;
     suspect->open_crashes = 0;
--- a/src/prompt_suspects.h
+++ b/src/prompt_suspects.h
@@ -76,7 +76,9 @@
   /// Removes all weight of a part to which an answer has begun. The part stays
   /// listed, so that no gateway suspects it instead of a part that is not
   /// known.
-  void Clear(PromptPartHash part);
+  /// @param known_crashes crashes that were known when the answer began; with
+  /// later ones the part only becomes known.
+  void Clear(PromptPartHash part, int known_crashes);
   void MarkKnown(PromptPartHash part);
   /// Records a trial of a quarantined part.
   /// @param trials number of earlier trials.
--- a/src/suspect_tracker.cc
+++ b/src/suspect_tracker.cc
@@ -81,7 +81,8 @@
     // The crashes in the view are older than this answer.
     const PromptSuspect* suspect = m_view.Find(part);
     if (suspect != nullptr && !suspect->IsCleared()) {
-      AddChange(ClearedPart{part}, suspect->IsQuarantined(), now);
+      AddChange(ClearedPart{.part = part, .known_crashes = suspect->crashes},
+                suspect->IsQuarantined(), now);
     }
   }
 }
@@ -162,7 +163,7 @@
   if (const auto* report = std::get_if<CrashReport>(&change)) {
     list->AddCrash(*report);
   } else if (const auto* cleared = std::get_if<ClearedPart>(&change)) {
-    list->Clear(cleared->part);
+    list->Clear(cleared->part, cleared->known_crashes);
   } else if (const auto* known = std::get_if<KnownPart>(&change)) {
     list->MarkKnown(known->part);
   } else if (const auto* forgotten = std::get_if<ForgottenPart>(&change)) {
--- a/src/suspect_tracker.h
+++ b/src/suspect_tracker.h
@@ -102,6 +102,8 @@
  private:
   struct ClearedPart {
     PromptPartHash part = 0;
+    // Crashes that were known when the answer began.
+    int known_crashes = 0;
   };
   struct KnownPart {
     PromptPartHash part = 0;
--- a/tests/unit_prompt_suspects.cc
+++ b/tests/unit_prompt_suspects.cc
@@ -65,7 +65,7 @@
 TEST_CASE("a cleared companion is not needed for a block") {
   auto list = TwoCrashes({kShared, kDeadly}, {kShared, kDeadly});
   CHECK(list.FindBlocking(Parts{kOther, kDeadly}).empty());
-  list.Clear(kShared);
+  list.Clear(kShared, 2);
   CHECK(list.FindBlocking(Parts{kOther, kDeadly}) == Parts{kDeadly});
   list = TwoCrashes({kShared, kDeadly}, {kShared, kDeadly});
   list.MarkKnown(kShared);
@@ -538,6 +538,28 @@
   CHECK(PromptSuspectList::Decode(list.Encode()) == list);
 }
 
+// Guards against an answer before the last crashes that ends the block of the
+// other gateways, because its gateway could not write at once.
+TEST_CASE("a delayed clear does not end a newer quarantine") {
+  Fleet fleet(1, 12, 1);
+  SuspectTracker& tracker = fleet.tracker(0);
+  PromptSuspectList list;
+  list.AddCrash(Crash("e1", {kDeadly}, 0));
+  tracker.OnRow({.key = "s", .value = list.Encode(), .version = 5}, fleet.now);
+  tracker.OnBegun(Parts{kDeadly}, fleet.now);
+  for (int crash = 1; crash < 4; ++crash) {
+    list.AddCrash(Crash("e" + std::to_string(crash + 1), {kDeadly}, crash));
+  }
+  const TimePoint later = fleet.now + seconds(30);
+  tracker.OnRow({.key = "s", .value = list.Encode(), .version = 8}, later);
+  CHECK(fleet.IsBlocked(0, {kDeadly}));
+  const auto write = tracker.NextWrite(later);
+  REQUIRE(write);
+  const auto written = PromptSuspectList::Decode(write->value);
+  CHECK_FALSE(written.FindBlocking(Parts{kDeadly}).empty());
+  CHECK(written.Find(kDeadly)->is_known);
+}
+
 // Guards against evidence that is lost with the gateways that found it.
 TEST_CASE("a block survives a restart of all gateways") {
   Fleet fleet(9, 12, 7);
