--- a/src/prompt_suspects.h
+++ b/src/prompt_suspects.h
@@ -38,8 +38,11 @@
 /// Evidence against one prompt part.
 struct PromptSuspect {
   PromptPartHash part = 0;
-  /// Sum of the weights of the crashes since an answer has begun.
+  /// Sum of the weights of the crashes since an answer has begun, each with the
+  /// strongest report of it.
   int weight = 0;
+  /// Weight of the last crash.
+  int latest_weight = 0;
   /// All crashes, and those since an answer has begun.
   int crashes = 0;
   int open_crashes = 0;
@@ -67,13 +70,15 @@
  public:
   /// Adds the evidence of a crash. Reports of a crash that happened before its
   /// observer knew the previous one belong to the same event, such as the loss
-  /// of a failure domain, and add no weight. Neither do repeated crashes of one
-  /// endpoint.
+  /// of a failure domain, and add no weight beyond that of its strongest
+  /// report. Repeated crashes of one endpoint add none.
   void AddCrash(const CrashReport& report);
   /// Removes all weight of a part to which an answer has begun. The part stays
   /// listed, so that no gateway suspects it instead of a part that is not
   /// known.
-  void Clear(PromptPartHash part);
+  /// @param known_crashes crashes that were known when the answer began; with
+  /// later ones the part only becomes known.
+  void Clear(PromptPartHash part, int known_crashes);
   void MarkKnown(PromptPartHash part);
   /// Records a trial of a quarantined part.
   /// @param trials number of earlier trials.
--- a/src/suspect_tracker.cc
+++ b/src/suspect_tracker.cc
@@ -81,7 +81,8 @@
     // The crashes in the view are older than this answer.
     const PromptSuspect* suspect = m_view.Find(part);
     if (suspect != nullptr && !suspect->IsCleared()) {
-      AddChange(ClearedPart{part}, suspect->IsQuarantined(), now);
+      AddChange(ClearedPart{.part = part, .known_crashes = suspect->crashes},
+                suspect->IsQuarantined(), now);
     }
   }
 }
@@ -125,8 +126,11 @@
     m_hooks.on_verdict(CrashVerdict::kCleared, report);
     return;
   }
-  const bool is_related = EndpointsLostAround(crash->at) >= kMinRelatedCrashes;
-  const bool is_weak = is_related || !crash->has_head;
+  // An endpoint that had sent the head of its answer was about to write exactly
+  // this answer, however many others were lost beside it.
+  const bool is_weak = !crash->has_head;
+  const bool is_related =
+      is_weak && EndpointsLostAround(crash->at) >= kMinRelatedCrashes;
   const bool has_new_part = std::ranges::any_of(
       report.parts, [this](const auto& p) { return !IsKnown(p.part); });
   if (has_new_part) {
@@ -136,8 +140,9 @@
       return IsKnown(charged.part);
     });
   }
-  report.weight = (has_new_part ? kCrashWeight : kKnownCrashWeight) -
-                  (is_weak ? kCrashWeight - kWeakCrashWeight : 0);
+  report.weight = !is_weak       ? kCrashWeight
+                  : has_new_part ? kWeakCrashWeight
+                                 : kKnownWeakCrashWeight;
   m_hooks.on_verdict(
       is_related ? CrashVerdict::kRelated : CrashVerdict::kCharged, report);
   AddChange(std::move(report), /*is_urgent=*/true, now);
@@ -158,7 +163,7 @@
   if (const auto* report = std::get_if<CrashReport>(&change)) {
     list->AddCrash(*report);
   } else if (const auto* cleared = std::get_if<ClearedPart>(&change)) {
-    list->Clear(cleared->part);
+    list->Clear(cleared->part, cleared->known_crashes);
   } else if (const auto* known = std::get_if<KnownPart>(&change)) {
     list->MarkKnown(known->part);
   } else if (const auto* forgotten = std::get_if<ForgottenPart>(&change)) {
@@ -365,14 +370,24 @@
 
 bool SuspectTracker::IsTrialDue(std::span<const PromptPartHash> blocking,
                                 TimePoint now) const {
-  return std::ranges::all_of(blocking, [&](PromptPartHash part) {
+  return RemainingTime(blocking, now) == Duration::zero();
+}
+
+std::optional<Duration> SuspectTracker::RemainingTime(
+    std::span<const PromptPartHash> blocking,
+    TimePoint now) const {
+  Duration remaining = Duration::zero();
+  for (const PromptPartHash part : blocking) {
     const auto it = m_knowledge.find(part);
     if (it == m_knowledge.end()) {
-      return false;
+      return std::nullopt;
     }
     const int doublings = std::min(it->second.trials, kMaxQuarantineDoublings);
-    return now - it->second.trials_at >= kQuarantineTime * (1 << doublings);
-  });
+    const TimePoint due_at =
+        it->second.trials_at + kQuarantineTime * (1 << doublings);
+    remaining = std::max(remaining, due_at - now);
+  }
+  return remaining;
 }
 
 void SuspectTracker::RequestTrial(std::span<const PromptPartHash> blocking,
