--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -450,10 +450,6 @@
            Duration{0});
     return;
   }
-  if (code == ResultCode::kPromptQuarantined) {
-    Refuse(code, Duration{0});
-    return;
-  }
   // If endpoints have named a time for the next request, callers get it as
   // Retry-After.
   Refuse(code, m_context->limiter->RemainingWait(m_service).value_or(
--- a/src/gateway_exchange_quarantine.cc
+++ b/src/gateway_exchange_quarantine.cc
@@ -86,7 +86,13 @@
 void GatewayExchange::RefuseQuarantined(
     const std::vector<PromptPartHash>& blocking) {
   m_blocking_parts = FormatParts(blocking);
-  GiveUp(ResultCode::kPromptQuarantined);
+  if (m_stream_started || m_possible_runs > 0) {
+    GiveUp(ResultCode::kPromptQuarantined);
+    return;
+  }
+  Refuse(ResultCode::kPromptQuarantined,
+         m_context->quarantine->RemainingTime(m_service, blocking)
+             .value_or(kBusyRetryAfter));
 }
 
 void GatewayExchange::ReportCrash() {
--- a/src/result_code.cc
+++ b/src/result_code.cc
@@ -41,8 +41,9 @@
      "The expected wait exceeds the caller's timeout."},
     {kEndpointsLimited, "endpoints_limited", 503,
      "All endpoints limit the rate of their requests."},
-    {kPromptQuarantined, "prompt_quarantined", 422,
-     "Endpoints have crashed on a part of this prompt; do not repeat it."},
+    {kPromptQuarantined, "prompt_quarantined", 503,
+     "Endpoints have crashed on a part of this prompt; do not repeat it before "
+     "the time in Retry-After."},
     {kEngineUnreachable, "engine_unreachable", 502,
      "No engine accepted the request."},
     {kAttemptsExhausted, "attempts_exhausted", 502,
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -739,7 +739,8 @@
   Quarantine(&fixture.store, "deadly");
   fixture.Send("POST /write/x", "good", kDeadlyPrompt);
   fixture.WaitForAnswer("prompt_quarantined");
-  CHECK(fixture.answer.starts_with("HTTP/1.1 422"));
+  CHECK(fixture.answer.starts_with("HTTP/1.1 503"));
+  CHECK(fixture.answer.find("Retry-After: ") != std::string::npos);
   CHECK(fixture.endpoints[0]->requests().empty());
   fixture.Send("POST /write/x", "good", kSoundPrompt);
   fixture.WaitForAnswer("0\r\n\r\n");
