Close no idle connection whose last answer is still on its way

An idle close resets the connection if the caller sends a request afterwards. Such a connection now counts as idle only when its output has been delivered, and is cut only when the caller hardly reads.

--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -304,7 +304,12 @@
 
 bool GatewayCaller::IsIdle() const {
   return !m_closed && !m_is_busy && !m_parser.is_inside_message() &&
-         m_parser.unparsed_bytes() == 0 && m_connection->unsent_bytes() == 0;
+         m_parser.unparsed_bytes() == 0 && !HasUndeliveredOutput();
+}
+
+bool GatewayCaller::HasUndeliveredOutput() const {
+  return m_connection->unsent_bytes() > 0 ||
+         m_connection->delivered_bytes() < m_connection->sent_bytes();
 }
 
 bool GatewayCaller::AwaitsFirstRequest() const {
@@ -391,7 +396,7 @@
   }
   if (!m_is_busy && !in_head &&
       now - m_last_activity >= m_limits.idle_timeout) {
-    if (m_connection->unsent_bytes() > 0) {
+    if (HasUndeliveredOutput()) {
       CloseIfStalled();
     } else if (m_has_head) {
       RefuseAndClose(kStatusRequestTimeout, ResultCode::kBadHeader);
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -114,6 +114,9 @@
   void ArmTimer();
   void OnTimer();
   bool IsIdle() const;
+  /// Whether the caller's VM has not received all answers yet. A close could
+  /// then destroy an answer, if the caller has sent a further request.
+  bool HasUndeliveredOutput() const;
   /// Closes the connection if its caller has hardly read since the last call.
   void CloseIfStalled();
   void CloseNow(CallerCloseReason reason);
