--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -280,7 +280,8 @@
 inline constexpr std::chrono::milliseconds kCallerLinger{1000};
 /// A connection that is to be closed and has unsent output is cut off when its
 /// caller takes less than kMinCallerProgressBytes of it within this time.
-inline constexpr std::chrono::milliseconds kCallerStallWindow{5000};
+/// A slow receiver acknowledges in steps of its buffer, often 64 KB.
+inline constexpr std::chrono::milliseconds kCallerStallWindow{15000};
 inline constexpr size_t kMinCallerProgressBytes = 4 * 1024;
 /// Output buffered for a slow caller before reading from the endpoint stops
 /// (back pressure).
