Answer requests that are open when a planned stop must end

Exchanges whose answer has not begun are now refused first: 502 if they may have run, 503 otherwise. Connections that are accepted at the last moment are read before the stop, too. The new case of process_stop fails without the change: status 0.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -95,7 +95,8 @@
   void ArmSilenceCheck();
   void CheckSilence();
   bool IsTooLateToStart(bool is_stream) const;
-  void CloseIdleCallers();
+  /// @param is_last whether the gateway stops right after this.
+  void CloseIdleCallers(bool is_last);
   GatewayDrainLoad DrainLoad() const;
   void ContinueDrain();
 
@@ -565,12 +566,12 @@
          (is_stream || drain->Next(loop->Now(), DrainLoad()).refuse_requests);
 }
 
-void Gateway::Impl::CloseIdleCallers() {
+void Gateway::Impl::CloseIdleCallers(bool is_last) {
   // Includes the connections that wait to be accepted.
   listener.AcceptPending();
   const auto open = callers;
   for (const auto& [key, caller] : open) {
-    if (!caller->AwaitsFirstRequest()) {
+    if (is_last || !caller->AwaitsFirstRequest()) {
       caller->CloseIfIdle(CallerCloseReason::kStopping);
     }
   }
@@ -586,11 +587,15 @@
   if (!drain) {
     return;
   }
-  if (drain->Next(loop->Now(), DrainLoad()).close_idle_callers) {
-    CloseIdleCallers();
+  const GatewayDrainStep first = drain->Next(loop->Now(), DrainLoad());
+  if (first.close_idle_callers) {
+    CloseIdleCallers(first.stop);
   }
   const GatewayDrainStep step = drain->Next(loop->Now(), DrainLoad());
   if (step.stop) {
+    for (const auto& [number, exchange] : exchanges) {
+      exchange->RefuseForStop();
+    }
     LogLine(LogEventId::kDrainEnded)
         .Field("requests", static_cast<long long>(exchanges.size()))
         .Field("connections", static_cast<long long>(callers.size()))
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -423,6 +423,19 @@
          Duration{0});
 }
 
+void GatewayExchange::RefuseForStop() {
+  if (m_is_finished || m_stream_started) {
+    return;
+  }
+  const bool may_have_run =
+      m_possible_runs > 0 || (m_attempt && m_attempt->was_sent());
+  if (m_attempt) {
+    EndAttempt(EndpointOutcome::kCancelled);
+  }
+  Refuse(may_have_run ? ResultCode::kAnswerLost : ResultCode::kDraining,
+         may_have_run ? Duration{0} : Duration(kDrainRetryAfter));
+}
+
 void GatewayExchange::OnCallerDisconnect() {
   LogLine(LogEventId::kStreamCallerGone)
       .Field("id", m_metadata.request_id)
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -80,6 +80,8 @@
   void Start();
   /// The silence monitor has found no progress in the current attempt.
   void OnSilence();
+  /// The gateway stops now: refuses a request whose answer has not begun.
+  void RefuseForStop();
   /// Replaces or renews the KV cache backup of a running stream if necessary.
   /// Must be called at a regular interval.
   void MaintainBackup();
--- a/tests/process_stop.cc
+++ b/tests/process_stop.cc
@@ -168,6 +168,21 @@
   CHECK(site.gateway(0).WaitExit() == 0);
 }
 
+// Guards against requests that get no answer because the time of a stop is
+// over.
+TEST_CASE("a request that is open when a stop must end gets an answer") {
+  WireDeployment site(OneGateway());
+  RawCaller caller(site.caller_address(0));
+  site.gateway(0).Terminate();
+  WaitUntil("not ready",
+            [&] { return Send("GET", site.ready_url(0)).status != 200; });
+  site.application(0).Pause();
+  caller.Write(RawRequest("/calls/x", "call-1"));
+  CHECK(caller.ReadAnswer().status == 502);
+  CHECK(site.gateway(0).WaitExit() == 0);
+  site.application(0).Continue();
+}
+
 /// Reads an answer in blocks of at most 1 MB with pauses, so that it takes
 /// longer than the linger time.
 size_t ReadSlowly(RawCaller* caller) {
