Block no popular part because of resets at one gateway in an outage

Callers of all gateways were refused for up to some seconds after an outage of the store: one gateway whose connections were reset meanwhile had quarantined a first part that was sound everywhere, wrote that when the store returned, and the others took it over.

A crash marks the parts to which an answer has begun at its gateway at once, so that they need the weight of known parts. While writes are not answered, reports without the head of an answer quarantine no such part. A gateway that knows a part to be sound marks it before it applies a row that quarantines it.

--- a/src/suspect_tracker.cc
+++ b/src/suspect_tracker.cc
@@ -119,6 +119,16 @@
   return m_begun.Contains(part) || (suspect != nullptr && suspect->is_known);
 }
 
+bool SuspectTracker::IsUnconfirmed(const CrashReport& report) const {
+  return m_is_store_away && report.weight < kCrashWeight &&
+         std::ranges::any_of(report.parts, [&](const ChargedPart& charged) {
+           const PromptSuspect* suspect = m_view.Find(charged.part);
+           return IsKnown(charged.part) && suspect != nullptr &&
+                  !suspect->IsQuarantined() &&
+                  suspect->weight + report.weight >= kKnownQuarantineWeight;
+         });
+}
+
 void SuspectTracker::Judge(HeldCrash* crash, TimePoint now) {
   ForgetOld(now);
   CrashReport& report = crash->report;
@@ -143,9 +153,21 @@
   report.weight = !is_weak       ? kCrashWeight
                   : has_new_part ? kWeakCrashWeight
                                  : kKnownWeakCrashWeight;
+  if (IsUnconfirmed(report)) {
+    m_hooks.on_verdict(CrashVerdict::kDropped, report);
+    return;
+  }
   m_hooks.on_verdict(
       is_related ? CrashVerdict::kRelated : CrashVerdict::kCharged, report);
+  const std::vector<ChargedPart> charged_parts = report.parts;
   AddChange(std::move(report), /*is_urgent=*/true, now);
+  for (const ChargedPart& charged : charged_parts) {
+    const PromptSuspect* suspect = m_view.Find(charged.part);
+    if (suspect != nullptr && !suspect->is_known &&
+        m_begun.Contains(charged.part)) {
+      AddChange(KnownPart{charged.part}, /*is_urgent=*/true, now);
+    }
+  }
 }
 
 void SuspectTracker::AddChange(Change change, bool is_urgent, TimePoint now) {
@@ -236,10 +258,21 @@
       row.deleted ? PromptSuspectList() : PromptSuspectList::Decode(row.value);
   m_row_exists = !row.deleted;
   m_row_version = row.version;
+  m_is_store_away = false;
   if (m_waits_for_row && row.version > m_write_base) {
     m_waits_for_row = false;
     RemoveWritten();
   }
+  // Before the view changes, because a new quarantine cancels attempts.
+  const std::vector<PromptSuspect> suspects = m_row.suspects();
+  for (const PromptSuspect& suspect : suspects) {
+    const PromptSuspect* viewed = m_view.Find(suspect.part);
+    if (suspect.IsQuarantined() && !suspect.is_known &&
+        m_begun.Contains(suspect.part) &&
+        (viewed == nullptr || !viewed->is_known)) {
+      AddChange(KnownPart{suspect.part}, /*is_urgent=*/false, now);
+    }
+  }
   UpdateView(now);
   const bool has_news = std::ranges::any_of(
       m_row.suspects(), [this](const PromptSuspect& suspect) {
@@ -305,6 +338,7 @@
 
 void SuspectTracker::OnWritten(StoreResult result, TimePoint now) {
   m_is_writing = false;
+  m_is_store_away = result == StoreResult::kUnavailable;
   EndClaims(result == StoreResult::kOk);
   if (result == StoreResult::kOk) {
     m_conflicts = 0;
--- a/src/suspect_tracker.h
+++ b/src/suspect_tracker.h
@@ -145,6 +145,9 @@
   /// @returns whether an answer to this part has begun at some gateway.
   bool IsKnown(PromptPartHash part) const;
   void Judge(HeldCrash* crash, TimePoint now);
+  /// @returns whether the report would quarantine a part that is known, without
+  /// the head of an answer and while no other gateway can contradict.
+  bool IsUnconfirmed(const CrashReport& report) const;
   size_t EndpointsLostAround(TimePoint at) const;
   /// @param is_urgent whether the write must not wait for a random moment.
   void AddChange(Change change, bool is_urgent, TimePoint now);
@@ -172,6 +175,8 @@
   std::deque<Change> m_changes;
   size_t m_sent = 0;
   bool m_is_writing = false;
+  // Whether the last write had no answer and no row has arrived since.
+  bool m_is_store_away = false;
   // Version of the row that the last write was based on.
   uint64_t m_write_base = 0;
   bool m_waits_for_row = false;
--- a/tests/unit_prompt_suspects.cc
+++ b/tests/unit_prompt_suspects.cc
@@ -154,6 +154,13 @@
     Attempt(request);
   }
 
+  void SendAt(int gateway, const Parts& parts) {
+    Request request;
+    request.parts = parts;
+    request.gateway = gateway;
+    Attempt(request);
+  }
+
   /// Cuts off all attempts at an endpoint, which is then down for a while.
   void Crash(int endpoint, const Request* begins = nullptr) {
     m_up_at[endpoint] = now + seconds(3);
@@ -610,6 +617,55 @@
   CHECK(fleet.CountBlocking({kShared, kDeadly}) == 3);
 }
 
+// Guards against a block of a popular first part at all gateways that one of
+// them learned from resets of its own connections during an outage.
+TEST_CASE("resets at one gateway without the store block nothing elsewhere") {
+  for (const bool has_begun : {true, false}) {
+    for (const bool has_head : {true, false}) {
+      for (const int interval_ms : {350, 700, 1400}) {
+        if (has_begun && has_head) {
+          // Not told apart from a part that turns bad during the outage.
+          continue;
+        }
+        Fleet fleet(9, 12, 8);
+        int n = 0;
+        int blocking = 0;
+        const auto load = [&] {
+          fleet.SendAt(1 + n % 8, {kShared});
+          fleet.SendAt(1 + n * 3 % 8, {kShared, kOther});
+          ++n;
+          for (int i = has_begun ? 0 : 1; i < 9; ++i) {
+            blocking += fleet.IsBlocked(i, {kShared}) ? 1 : 0;
+          }
+        };
+        fleet.Run(seconds(5), [&] {
+          load();
+          if (has_begun) {
+            fleet.SendAt(0, {kShared});
+          }
+        });
+        fleet.store.is_away = true;
+        for (int i = 0; i < 14; ++i) {
+          if (!fleet.IsBlocked(0, {kShared})) {
+            const std::string address = "e" + std::to_string(i % 6);
+            fleet.tracker(0).OnLost(address, fleet.now);
+            fleet.tracker(0).OnCrash(Parts{kShared}, address, has_head,
+                                     fleet.now);
+          }
+          fleet.Run(milliseconds(interval_ms), load);
+        }
+        fleet.store.is_away = false;
+        fleet.Run(seconds(10), load);
+        CAPTURE(has_begun);
+        CAPTURE(has_head);
+        CAPTURE(interval_ms);
+        CHECK(blocking == 0);
+        CHECK(fleet.refused == 0);
+      }
+    }
+  }
+}
+
 // Guards against memory that grows with the number of different parts.
 TEST_CASE("thousands of new parts do not grow the state without bound") {
   Fleet fleet(1, 12, 9);
