Hold the report of a crash that matters among many others

A gateway holds 64 crashes and 64 unwritten changes. When an endpoint with that many waiting streams crashed on one of them, the report of that one was dropped, each time, and its part was never blocked. A crash with the head of its answer now replaces a held one without; of the unwritten changes, weak reports are dropped first, which also keeps clears and marks.

--- a/src/suspect_tracker.cc
+++ b/src/suspect_tracker.cc
@@ -53,8 +53,15 @@
     return;
   }
   if (m_held.size() >= kMaxHeldCrashes) {
-    m_hooks.on_verdict(CrashVerdict::kDropped, report);
-    return;
+    const auto weak =
+        has_head ? std::ranges::find(m_held, false, &HeldCrash::has_head)
+                 : m_held.end();
+    if (weak == m_held.end()) {
+      m_hooks.on_verdict(CrashVerdict::kDropped, report);
+      return;
+    }
+    m_hooks.on_verdict(CrashVerdict::kDropped, weak->report);
+    m_held.erase(weak);
   }
   m_held.push_back(
       {.report = std::move(report), .has_head = has_head, .at = now});
@@ -391,8 +398,15 @@
 }
 
 void SuspectTracker::DropChanges() {
-  Change dropped = std::move(m_changes[m_sent]);
-  m_changes.erase(m_changes.begin() + static_cast<std::ptrdiff_t>(m_sent));
+  const auto first = m_changes.begin() + static_cast<std::ptrdiff_t>(m_sent);
+  const auto weak =
+      std::find_if(first, m_changes.end(), [](const auto& change) {
+        const auto* report = std::get_if<CrashReport>(&change);
+        return report != nullptr && report->weight < kCrashWeight;
+      });
+  const auto position = weak != m_changes.end() ? weak : first;
+  Change dropped = std::move(*position);
+  m_changes.erase(position);
   if (const auto* report = std::get_if<CrashReport>(&dropped)) {
     m_hooks.on_verdict(CrashVerdict::kDropped, *report);
   } else if (auto* claim = std::get_if<TrialClaim>(&dropped)) {
--- a/src/suspect_tracker.h
+++ b/src/suspect_tracker.h
@@ -157,6 +157,7 @@
   void UpdateKnowledge(const PromptSuspect& suspect, TimePoint now);
   void RemoveWritten();
   void EndClaims(bool written);
+  /// Drops the first weak report, or else the first change, not yet sent.
   void DropChanges();
 
   const Hooks m_hooks;
--- a/tests/unit_prompt_suspects.cc
+++ b/tests/unit_prompt_suspects.cc
@@ -666,6 +666,25 @@
   }
 }
 
+// Guards against the loss of the one report that matters when many requests
+// wait at the endpoint that crashes.
+TEST_CASE("many waiting requests do not hide the one that crashed") {
+  Fleet fleet(1, 12, 8);
+  SuspectTracker& tracker = fleet.tracker(0);
+  for (int crash = 0; crash < 2; ++crash) {
+    const std::string address = "e" + std::to_string(crash);
+    for (size_t i = 0; i < kMaxHeldCrashes; ++i) {
+      const PromptPartHash part = 1000 * (crash + 1) + i;
+      tracker.OnCrash(Parts{part}, address, /*has_head=*/false, fleet.now);
+    }
+    tracker.OnCrash(Parts{kDeadly}, address, /*has_head=*/true, fleet.now);
+    fleet.now += seconds(2);
+    tracker.Advance(fleet.now);
+    fleet.now += seconds(1);
+  }
+  CHECK(fleet.IsBlocked(0, {kDeadly}));
+}
+
 // Guards against memory that grows with the number of different parts.
 TEST_CASE("thousands of new parts do not grow the state without bound") {
   Fleet fleet(1, 12, 9);
