Claim a trial of several quarantined parts for all of them or none

When another gateway had taken the trial of the second part, the first was counted as tried without any request being sent, so that its callers waited twice as long for the next trial.

unit_prompt_suspects: the new test failed before; all 19 cases pass.

--- a/src/suspect_tracker.cc
+++ b/src/suspect_tracker.cc
@@ -198,10 +198,17 @@
   } else if (const auto* forgotten = std::get_if<ForgottenPart>(&change)) {
     list->Forget(forgotten->part);
   } else if (const auto* claim = std::get_if<TrialClaim>(&change)) {
-    return !claim->parts.empty() &&
-           std::ranges::all_of(claim->parts, [list](const auto& part) {
-             return list->ClaimTrial(part.first, part.second);
-           });
+    // All of its parts, or none.
+    PromptSuspectList claimed = *list;
+    const bool is_possible =
+        !claim->parts.empty() &&
+        std::ranges::all_of(claim->parts, [&claimed](const auto& part) {
+          return claimed.ClaimTrial(part.first, part.second);
+        });
+    if (is_possible) {
+      *list = std::move(claimed);
+    }
+    return is_possible;
   }
   return true;
 }
--- a/tests/unit_prompt_suspects.cc
+++ b/tests/unit_prompt_suspects.cc
@@ -685,6 +685,24 @@
   CHECK(fleet.IsBlocked(0, {kDeadly}));
 }
 
+// Guards against a refused trial that doubles the time to the next one.
+TEST_CASE("a trial of several parts is claimed for all of them or none") {
+  Fleet fleet(1, 12, 8);
+  SuspectTracker& tracker = fleet.tracker(0);
+  auto list = TwoCrashes({kShared}, {kShared});
+  list.AddCrash(Crash("e1", {kOther}, 0));
+  list.AddCrash(Crash("e2", {kOther}, 1));
+  tracker.OnRow({.key = "s", .value = list.Encode(), .version = 5}, fleet.now);
+  std::optional<bool> granted;
+  tracker.RequestTrial(
+      Parts{kShared, kOther}, [&](bool value) { granted = value; }, fleet.now);
+  REQUIRE(list.ClaimTrial(kOther, 0));
+  tracker.OnRow({.key = "s", .value = list.Encode(), .version = 6}, fleet.now);
+  CHECK_FALSE(tracker.NextWrite(fleet.now));
+  CHECK(granted == false);
+  CHECK(tracker.view().Find(kShared)->trials == 0);
+}
+
 // Guards against memory that grows with the number of different parts.
 TEST_CASE("thousands of new parts do not grow the state without bound") {
   Fleet fleet(1, 12, 9);
