--- a/src/suspect_tracker.cc
+++ b/src/suspect_tracker.cc
@@ -53,8 +53,15 @@
     return;
   }
   if (m_held.size() >= kMaxHeldCrashes) {
-    m_hooks.on_verdict(CrashVerdict::kDropped, report);
-    return;
+    const auto weak =
+        has_head ? std::ranges::find(m_held, false, &HeldCrash::has_head)
+                 : m_held.end();
+    if (weak == m_held.end()) {
+      m_hooks.on_verdict(CrashVerdict::kDropped, report);
+      return;
+    }
+    m_hooks.on_verdict(CrashVerdict::kDropped, weak->report);
+    m_held.erase(weak);
   }
   m_held.push_back(
       {.report = std::move(report), .has_head = has_head, .at = now});
@@ -119,6 +126,16 @@
   return m_begun.Contains(part) || (suspect != nullptr && suspect->is_known);
 }
 
+bool SuspectTracker::IsUnconfirmed(const CrashReport& report) const {
+  return m_is_store_away && report.weight < kCrashWeight &&
+         std::ranges::any_of(report.parts, [&](const ChargedPart& charged) {
+           const PromptSuspect* suspect = m_view.Find(charged.part);
+           return IsKnown(charged.part) && suspect != nullptr &&
+                  !suspect->IsQuarantined() &&
+                  suspect->weight + report.weight >= kKnownQuarantineWeight;
+         });
+}
+
 void SuspectTracker::Judge(HeldCrash* crash, TimePoint now) {
   ForgetOld(now);
   CrashReport& report = crash->report;
@@ -143,9 +160,21 @@
   report.weight = !is_weak       ? kCrashWeight
                   : has_new_part ? kWeakCrashWeight
                                  : kKnownWeakCrashWeight;
+  if (IsUnconfirmed(report)) {
+    m_hooks.on_verdict(CrashVerdict::kDropped, report);
+    return;
+  }
   m_hooks.on_verdict(
       is_related ? CrashVerdict::kRelated : CrashVerdict::kCharged, report);
+  const std::vector<ChargedPart> charged_parts = report.parts;
   AddChange(std::move(report), /*is_urgent=*/true, now);
+  for (const ChargedPart& charged : charged_parts) {
+    const PromptSuspect* suspect = m_view.Find(charged.part);
+    if (suspect != nullptr && !suspect->is_known &&
+        m_begun.Contains(charged.part)) {
+      AddChange(KnownPart{charged.part}, /*is_urgent=*/true, now);
+    }
+  }
 }
 
 void SuspectTracker::AddChange(Change change, bool is_urgent, TimePoint now) {
@@ -169,10 +198,17 @@
   } else if (const auto* forgotten = std::get_if<ForgottenPart>(&change)) {
     list->Forget(forgotten->part);
   } else if (const auto* claim = std::get_if<TrialClaim>(&change)) {
-    return !claim->parts.empty() &&
-           std::ranges::all_of(claim->parts, [list](const auto& part) {
-             return list->ClaimTrial(part.first, part.second);
-           });
+    // All of its parts, or none.
+    PromptSuspectList claimed = *list;
+    const bool is_possible =
+        !claim->parts.empty() &&
+        std::ranges::all_of(claim->parts, [&claimed](const auto& part) {
+          return claimed.ClaimTrial(part.first, part.second);
+        });
+    if (is_possible) {
+      *list = std::move(claimed);
+    }
+    return is_possible;
   }
   return true;
 }
@@ -236,10 +272,21 @@
       row.deleted ? PromptSuspectList() : PromptSuspectList::Decode(row.value);
   m_row_exists = !row.deleted;
   m_row_version = row.version;
+  m_is_store_away = false;
   if (m_waits_for_row && row.version > m_write_base) {
     m_waits_for_row = false;
     RemoveWritten();
   }
+  // Before the view changes, because a new quarantine cancels attempts.
+  const std::vector<PromptSuspect> suspects = m_row.suspects();
+  for (const PromptSuspect& suspect : suspects) {
+    const PromptSuspect* viewed = m_view.Find(suspect.part);
+    if (suspect.IsQuarantined() && !suspect.is_known &&
+        m_begun.Contains(suspect.part) &&
+        (viewed == nullptr || !viewed->is_known)) {
+      AddChange(KnownPart{suspect.part}, /*is_urgent=*/false, now);
+    }
+  }
   UpdateView(now);
   const bool has_news = std::ranges::any_of(
       m_row.suspects(), [this](const PromptSuspect& suspect) {
@@ -305,6 +352,7 @@
 
 void SuspectTracker::OnWritten(StoreResult result, TimePoint now) {
   m_is_writing = false;
+  m_is_store_away = result == StoreResult::kUnavailable;
   EndClaims(result == StoreResult::kOk);
   if (result == StoreResult::kOk) {
     m_conflicts = 0;
@@ -357,8 +405,15 @@
 }
 
 void SuspectTracker::DropChanges() {
-  Change dropped = std::move(m_changes[m_sent]);
-  m_changes.erase(m_changes.begin() + static_cast<std::ptrdiff_t>(m_sent));
+  const auto first = m_changes.begin() + static_cast<std::ptrdiff_t>(m_sent);
+  const auto weak =
+      std::find_if(first, m_changes.end(), [](const auto& change) {
+        const auto* report = std::get_if<CrashReport>(&change);
+        return report != nullptr && report->weight < kCrashWeight;
+      });
+  const auto position = weak != m_changes.end() ? weak : first;
+  Change dropped = std::move(*position);
+  m_changes.erase(position);
   if (const auto* report = std::get_if<CrashReport>(&dropped)) {
     m_hooks.on_verdict(CrashVerdict::kDropped, *report);
   } else if (auto* claim = std::get_if<TrialClaim>(&dropped)) {
--- a/tests/unit_prompt_suspects.cc
+++ b/tests/unit_prompt_suspects.cc
@@ -154,6 +154,13 @@
     Attempt(request);
   }
 
+  void SendAt(int gateway, const Parts& parts) {
+    Request request;
+    request.parts = parts;
+    request.gateway = gateway;
+    Attempt(request);
+  }
+
   /// Cuts off all attempts at an endpoint, which is then down for a while.
   void Crash(int endpoint, const Request* begins = nullptr) {
     m_up_at[endpoint] = now + seconds(3);
@@ -610,6 +617,92 @@
   CHECK(fleet.CountBlocking({kShared, kDeadly}) == 3);
 }
 
+// Guards against a block of a popular first part at all gateways that one of
+// them learned from resets of its own connections during an outage.
+TEST_CASE("resets at one gateway without the store block nothing elsewhere") {
+  for (const bool has_begun : {true, false}) {
+    for (const bool has_head : {true, false}) {
+      for (const int interval_ms : {350, 700, 1400}) {
+        if (has_begun && has_head) {
+          // Not told apart from a part that turns bad during the outage.
+          continue;
+        }
+        Fleet fleet(9, 12, 8);
+        int n = 0;
+        int blocking = 0;
+        const auto load = [&] {
+          fleet.SendAt(1 + n % 8, {kShared});
+          fleet.SendAt(1 + n * 3 % 8, {kShared, kOther});
+          ++n;
+          for (int i = has_begun ? 0 : 1; i < 9; ++i) {
+            blocking += fleet.IsBlocked(i, {kShared}) ? 1 : 0;
+          }
+        };
+        fleet.Run(seconds(5), [&] {
+          load();
+          if (has_begun) {
+            fleet.SendAt(0, {kShared});
+          }
+        });
+        fleet.store.is_away = true;
+        for (int i = 0; i < 14; ++i) {
+          if (!fleet.IsBlocked(0, {kShared})) {
+            const std::string address = "e" + std::to_string(i % 6);
+            fleet.tracker(0).OnLost(address, fleet.now);
+            fleet.tracker(0).OnCrash(Parts{kShared}, address, has_head,
+                                     fleet.now);
+          }
+          fleet.Run(milliseconds(interval_ms), load);
+        }
+        fleet.store.is_away = false;
+        fleet.Run(seconds(10), load);
+        CAPTURE(has_begun);
+        CAPTURE(has_head);
+        CAPTURE(interval_ms);
+        CHECK(blocking == 0);
+        CHECK(fleet.refused == 0);
+      }
+    }
+  }
+}
+
+// Guards against the loss of the one report that matters when many requests
+// wait at the endpoint that crashes.
+TEST_CASE("many waiting requests do not hide the one that crashed") {
+  Fleet fleet(1, 12, 8);
+  SuspectTracker& tracker = fleet.tracker(0);
+  for (int crash = 0; crash < 2; ++crash) {
+    const std::string address = "e" + std::to_string(crash);
+    for (size_t i = 0; i < kMaxHeldCrashes; ++i) {
+      const PromptPartHash part = 1000 * (crash + 1) + i;
+      tracker.OnCrash(Parts{part}, address, /*has_head=*/false, fleet.now);
+    }
+    tracker.OnCrash(Parts{kDeadly}, address, /*has_head=*/true, fleet.now);
+    fleet.now += seconds(2);
+    tracker.Advance(fleet.now);
+    fleet.now += seconds(1);
+  }
+  CHECK(fleet.IsBlocked(0, {kDeadly}));
+}
+
+// Guards against a refused trial that doubles the time to the next one.
+TEST_CASE("a trial of several parts is claimed for all of them or none") {
+  Fleet fleet(1, 12, 8);
+  SuspectTracker& tracker = fleet.tracker(0);
+  auto list = TwoCrashes({kShared}, {kShared});
+  list.AddCrash(Crash("e1", {kOther}, 0));
+  list.AddCrash(Crash("e2", {kOther}, 1));
+  tracker.OnRow({.key = "s", .value = list.Encode(), .version = 5}, fleet.now);
+  std::optional<bool> granted;
+  tracker.RequestTrial(
+      Parts{kShared, kOther}, [&](bool value) { granted = value; }, fleet.now);
+  REQUIRE(list.ClaimTrial(kOther, 0));
+  tracker.OnRow({.key = "s", .value = list.Encode(), .version = 6}, fleet.now);
+  CHECK_FALSE(tracker.NextWrite(fleet.now));
+  CHECK(granted == false);
+  CHECK(tracker.view().Find(kShared)->trials == 0);
+}
+
 // Guards against memory that grows with the number of different parts.
 TEST_CASE("thousands of new parts do not grow the state without bound") {
   Fleet fleet(1, 12, 9);
