Test deployments wait for their plain services

process_calls_daemon failed once beside load ("a planned stop lets an open call finish"): the first control call to a stand-in of a service got no answer, since the deployment waited for engines and daemons but not for services.

--- a/tests/process_deployment.cc
+++ b/tests/process_deployment.cc
@@ -128,6 +128,9 @@
   for (int i = 0; i < engine_count(); ++i) {
     WaitReady(engine_url(i) + "/healthz");
   }
+  for (size_t i = 0; i < m_services.size(); ++i) {
+    WaitReady(service_url(static_cast<int>(i)) + "/runs");
+  }
   for (int i = 0; i < daemon_count(); ++i) {
     StartDaemon(i);
   }
