Keep a silent attempt until another endpoint can take its request

What callers saw: streams were broken off in the middle and idempotent requests got 502 long before their deadline, although every server was sound and only silent for a while. Two engines silent for 1.2 s, twice: 8 of 8 streams cut after event 22 of 120. Two applications silent for 5 s: 502 after 4.0 s of 20 s.

Cause: ReplaceSilentAttempt asked only whether a retry was allowed. It ended the attempt, charged the retry budget and then looked for an endpoint; with none left the request was given up. It is the class of: an attempt is ended before its successor is certain.

The tests on the code before: process_silent_server.cc:26: streams go on after engines have been silent twice REQUIRE( received.size() == events ) values: REQUIRE( 22 == 120 ) process_silent_server.cc:71: CHECK( answer.status == 200 ) values: 502 == 200

Change: a silent attempt ends only when a retry is allowed, an endpoint is there that seems sound, is untried and needs no permit that is missing (or the holder of the backup), no part of the prompt is quarantined, and the budget grants the retry, in this order, so that the budget is charged for real replacements only.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -256,6 +256,10 @@
 inline constexpr std::chrono::milliseconds kSilenceCheckInterval{50};
 /// Longest wait for the first event before another engine is tried.
 inline constexpr std::chrono::milliseconds kFirstEventTimeout{4500};
+/// Interval at which a successor is looked for while a silent attempt is kept,
+/// and the one for successors that only need a permit.
+inline constexpr std::chrono::milliseconds kSilenceRecheckInterval{1000};
+inline constexpr std::chrono::milliseconds kPermitRecheckInterval{100};
 /// Earliest time after the first event at which the engine sends the first part
 /// of a copy.
 inline constexpr std::chrono::milliseconds kMinBackupAge{250};
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -157,6 +157,7 @@
   m_events = {};
   m_attempt_has_event = false;
   m_attempt_has_begun = false;
+  m_attempt_is_kept = false;
   m_permit_wait_end.reset();
   m_tried_endpoints.push_back(m_endpoint.id);
   ++m_sends;
@@ -320,15 +321,6 @@
                              : ResultCode::kOverloaded);
 }
 
-bool GatewayExchange::ReplaceSilentAttempt(std::string_view detail) {
-  if (!TryAcquireRetry(RetryReason::kStalled)) {
-    return false;
-  }
-  EndFailedAttempt(EndpointOutcome::kLost, RetryReason::kStalled, detail);
-  StartNextAttempt();
-  return true;
-}
-
 void GatewayExchange::EndFailedAttempt(EndpointOutcome outcome,
                                        RetryReason reason,
                                        std::string_view detail) {
@@ -361,17 +353,17 @@
                             NameOf(reason));
 }
 
-bool GatewayExchange::TryAcquireRetry(RetryReason reason) {
-  const bool idempotent = m_route->IsIdempotent();
+bool GatewayExchange::MayRetry() const {
   const bool is_running = m_attempt && m_attempt->was_sent();
   const int runs = m_possible_runs + (is_running ? 1 : 0);
-  if (runs > 0 && (!idempotent || runs >= m_route->max_attempts)) {
-    return false;
-  }
-  if (m_sends >= m_route->max_attempts + kMaxExtraSends ||
-      TimeLeft() <= Duration{0}) {
+  if (runs > 0 && (!m_route->IsIdempotent() || runs >= m_route->max_attempts)) {
     return false;
   }
+  return m_sends < m_route->max_attempts + kMaxExtraSends &&
+         TimeLeft() > Duration{0};
+}
+
+bool GatewayExchange::ChargeRetry(RetryReason reason) {
   if (reason == RetryReason::kConnectFailed) {
     // No endpoint received the request, so the retry adds no load and does not
     // count against the retry budget.
@@ -384,25 +376,8 @@
   return granted;
 }
 
-void GatewayExchange::ArmAttemptTimer() {
-  m_context->loop->Cancel(m_attempt_timer);
-  m_attempt_timer = TimerHandle();
-  const Duration target = m_route->latency_target;
-  if (m_route->kind != RequestKind::kIdempotent || target <= Duration{0} ||
-      m_possible_runs + 1 >= m_route->max_attempts) {
-    return;
-  }
-  m_attempt_timer =
-      m_context->loop->Schedule(target, [this] { OnAttemptTimeout(); });
-}
-
-void GatewayExchange::OnAttemptTimeout() {
-  m_attempt_timer = TimerHandle();
-  const bool is_silent = m_attempt && m_head.status == 0;
-  if (is_silent && TimeLeft() > m_route->latency_target &&
-      !ReplaceSilentAttempt("no answer within the latency target")) {
-    ArmAttemptTimer();
-  }
+bool GatewayExchange::TryAcquireRetry(RetryReason reason) {
+  return MayRetry() && ChargeRetry(reason);
 }
 
 void GatewayExchange::OnTimeout() {
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -90,6 +90,14 @@
   void OnQuarantined();
 
  private:
+  /// The endpoint that may take the request from a silent one.
+  struct Successor {
+    const EndpointRecord* endpoint = nullptr;
+    bool from_backup = false;
+    /// Nothing may be sent there yet.
+    bool needs_permit = false;
+  };
+
   bool FindRoute();
   bool FindCustomer();
   void ChooseService();
@@ -146,10 +154,16 @@
   void FailAttempt(EndpointOutcome outcome,
                    RetryReason reason,
                    std::string_view detail);
-  /// Ends a silent attempt and starts the next one if a retry is allowed. If
-  /// not, its answer is awaited further.
-  /// @returns whether the next attempt was started.
-  bool ReplaceSilentAttempt(std::string_view detail);
+  /// Ends a silent attempt and starts the next one if a retry is allowed and an
+  /// endpoint is there to take it. If not, its answer is awaited further.
+  /// @returns when to ask again; empty if the next attempt was started.
+  std::optional<Duration> ReplaceSilentAttempt(std::string_view detail);
+  /// @returns `wait`.
+  Duration KeepSilentAttempt(std::string_view reason, Duration wait);
+  /// @returns the endpoint that would take the request from a silent one; empty
+  /// if there is none that seems sound. Requests a permit if only that is
+  /// missing.
+  std::optional<Successor> FindSuccessor() const;
   /// Ends a failed attempt, with its line in the log.
   void EndFailedAttempt(EndpointOutcome outcome,
                         RetryReason reason,
@@ -157,6 +171,11 @@
   void EndAttempt(EndpointOutcome outcome);
   /// Reports the outcome of the current attempt to the rollouts.
   void ReportVersionOutcome(bool failed);
+  /// @returns whether the request may be sent once more, the retry budget
+  /// aside.
+  bool MayRetry() const;
+  /// @returns whether the retry budget grants a retry, which it then counts.
+  bool ChargeRetry(RetryReason reason);
   bool TryAcquireRetry(RetryReason reason);
 
   void OnTimeout();
@@ -209,6 +228,8 @@
   std::string m_prompt_endpoint_id;
   // An event has arrived in the current attempt.
   bool m_attempt_has_begun = false;
+  // The current attempt was silent and could not be replaced; for the log.
+  bool m_attempt_is_kept = false;
   // This request is the trial of its quarantined parts, until one of its
   // attempts may have run.
   bool m_is_trial = false;
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -36,14 +36,6 @@
          service->engine->supports_backups && m_route->resumable;
 }
 
-void GatewayExchange::MonitorSilence() {
-  m_context->silence->Add(m_number,
-                          {.service = m_service,
-                           .failure_domain = m_endpoint.failure_domain,
-                           .endpoint_id = m_endpoint.id},
-                          m_context->loop->Now());
-}
-
 void GatewayExchange::MaintainBackup() {
   if (m_attempt && SupportsBackup()) {
     m_backup.Maintain(m_context->rollouts->RuleForRetry(m_service));
@@ -152,10 +144,4 @@
   Finish();
 }
 
-void GatewayExchange::OnSilence() {
-  if (m_attempt && !ReplaceSilentAttempt("silent")) {
-    MonitorSilence();
-  }
-}
-
 }  // namespace bramleybank
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -51,6 +51,9 @@
      "A caller reconnected with Last-Event-ID and its stream continues."},
     {kBackupReplaced, "backup_replaced", kInfo,
      "An engine was told to copy a run's memory, since the copy was lost."},
+    {kAttemptKept, "attempt_kept", kInfo,
+     "An endpoint is silent and no other can take its request; its answer is "
+     "awaited further."},
     {kCallGivenUp, "call_given_up", kInfo,
      "A non-idempotent call was given up before it was sent."},
     {kCallOutcomeUnknown, "call_outcome_unknown", kWarning,
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -33,6 +33,7 @@
   kStreamUnprotected = 307,
   kStreamReattached = 308,
   kBackupReplaced = 309,
+  kAttemptKept = 310,
   kCallGivenUp = 401,
   kCallOutcomeUnknown = 402,
   kCallRecordAbandoned = 403,
--- a/src/stream_silence_monitor.cc
+++ b/src/stream_silence_monitor.cc
@@ -27,6 +27,7 @@
   if (it != m_streams.end()) {
     it->second.last_event = now;
     it->second.has_event = true;
+    it->second.postponed_until.reset();
   }
 }
 
@@ -34,6 +35,13 @@
   m_streams.erase(stream);
 }
 
+void StreamSilenceMonitor::Postpone(uint64_t stream, TimePoint until) {
+  const auto it = m_streams.find(stream);
+  if (it != m_streams.end()) {
+    it->second.postponed_until = until;
+  }
+}
+
 SilenceFindings StreamSilenceMonitor::Check(TimePoint now) {
   SilenceFindings findings;
   const Duration since_check = now - std::exchange(m_last_check, now);
@@ -42,6 +50,7 @@
     // on.
     for (auto& [id, stream] : m_streams) {
       stream.last_event = now;
+      stream.postponed_until.reset();
     }
     return findings;
   }
@@ -51,6 +60,9 @@
     DomainState& domain =
         domains[{stream.location.service, stream.location.failure_domain}];
     domain.sample = &stream;
+    if (stream.postponed_until) {
+      continue;
+    }
     if (now - stream.last_event < kMaxDomainSilence) {
       domain.has_recent_event = domain.has_recent_event || stream.has_event;
     } else if (stream.has_event &&
@@ -70,6 +82,12 @@
     }
   }
   for (const auto& [id, stream] : m_streams) {
+    if (stream.postponed_until) {
+      if (now >= *stream.postponed_until) {
+        findings.silent_streams.push_back(id);
+      }
+      continue;
+    }
     const Duration limit =
         stream.has_event ? kMaxEventSilence : kFirstEventTimeout;
     if (now - stream.last_event > limit || is_lost(stream)) {
--- a/src/stream_silence_monitor.h
+++ b/src/stream_silence_monitor.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,9 @@
   /// An event of the stream has arrived.
   void OnEvent(uint64_t stream, TimePoint now);
   void Remove(uint64_t stream);
+  /// A silent stream stays at its engine. It is no longer evidence about its
+  /// domain, and is reported again at `until` unless it has an event before.
+  void Postpone(uint64_t stream, TimePoint until);
 
   /// Checks all streams; must be called at a regular interval. A check that
   /// comes late reports nothing, because the gateway itself was suspended and
@@ -57,6 +61,7 @@
     // Time of the last event; before the first one, time of the start.
     TimePoint last_event;
     bool has_event = false;
+    std::optional<TimePoint> postponed_until = std::nullopt;
   };
 
   /// State of the streams of one service in one failure domain.
