Test each reason for which a silent attempt is kept

Gateways with scripted endpoints: the others paused, leaving, suspect or without a permit; all tried; retry budget empty; max_attempts reached; a stream that cannot be resumed; and that a kept attempt is replaced, and the budget charged, once an endpoint can take the request.

--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -14,11 +14,8 @@
 
 #include "base64.h"
 #include "bramleybank/limits.h"
-#include "event_loop.h"
-#include "gateway_codec.h"
 #include "gateway_fakes.h"
-#include "gateway_rows.h"
-#include "gateway_settings.h"
+#include "gateway_fixture.h"
 #include "prompt_locations.h"
 #include "prompt_locator.h"
 #include "prompt_part.h"
@@ -30,156 +27,7 @@
 namespace bramleybank {
 namespace {
 
-constexpr Duration kTurn = std::chrono::milliseconds(5);
-constexpr int kMaxTurns = 4000;
-
-constexpr char kConfig[] = R"({"version":3,"routes":[
-{"name":"book","host":"h.example","prefix":"/book/","kind":"unsafe",
- "timeout_ms":2000,"service":"app","max_attempts":1},
-{"name":"read","host":"h.example","prefix":"/read/","kind":"safe",
- "timeout_ms":2000,"target_latency_ms":100,"service":"app",
- "max_attempts":2},
-{"name":"write","host":"h.example","prefix":"/write/","kind":"streaming",
- "timeout_ms":5000,"service":"app","max_attempts":5,"resumable":true}],
-"services":[{"name":"app","health_path":"/health","max_conns":9}],
-"tenants":[{"name":"family","api_keys":["good"]}]})";
-
-constexpr char kEngineConfig[] = R"({"version":3,"routes":[
-{"name":"write","host":"h.example","prefix":"/write/","kind":"streaming",
- "timeout_ms":5000,"service":"app","max_attempts":5,"resumable":true}],
-"services":[{"name":"app","engine":{"slots":4,"backups":true}}],
-"tenants":[{"name":"family","api_keys":["good"]}]})";
-
-const std::string kSealHeaders = "Request-Id: r1\r\nResponse-Seal: s\r\n";
-const std::string kCompleteAnswer =
-    "HTTP/1.1 200 OK\r\n" + kSealHeaders + "Content-Length: 4\r\n\r\ndone";
-const std::string kServerError =
-    "HTTP/1.1 500 Error\r\n" + kSealHeaders + "Content-Length: 0\r\n\r\n";
-const std::string kNotRunAnswer =
-    "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
-    "Content-Length: 0\r\n\r\n";
-const std::string kStreamHead =
-    "HTTP/1.1 200 OK\r\n" + kSealHeaders + "Transfer-Encoding: chunked\r\n\r\n";
-
-std::string Chunk(const std::string& text) {
-  char size[16];
-  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
-  return size + text + "\r\n";
-}
-
-std::string Event(int id) {
-  return "id: " + std::to_string(id) + "\ndata: t\n\n";
-}
-
-std::string MakeEntry(const std::string& domain,
-                      const std::string& address,
-                      const std::string& version) {
-  return R"({"service":"app","state":"ready","slots":4,"cold_left_ms":0,)"
-         R"("call_seq":0,"version":")" +
-         version + R"(","zone":")" + domain + R"(","address":")" + address +
-         "\"}";
-}
-
-/// A gateway with its configuration in force. Its endpoints have a fixed order
-/// of preference: the first is in the gateway's own failure domain.
-class Fixture {
- public:
-  explicit Fixture(std::vector<std::vector<FakeEndpoint::Step>> scripts,
-                   const std::string& config = kConfig,
-                   bool allows_retries = true)
-      : m_gateway(&m_loop,
-                  MakeSettings(allows_retries),
-                  &store,
-                  platform::MakeGatewayCodec(),
-                  platform::MakeGatewayRows()) {
-    REQUIRE(m_gateway.Start());
-    std::vector<StoreRow> rows;
-    const std::vector<std::string> domains = {"near", "far", "farther"};
-    for (size_t i = 0; i < scripts.size(); ++i) {
-      endpoints.push_back(std::make_unique<FakeEndpoint>(&m_loop, scripts[i]));
-      rows.push_back(
-          {.key = "e" + std::to_string(i),
-           .value = MakeEntry(domains[i], endpoints[i]->address(), "v1"),
-           .version = i + 1});
-    }
-    if (!config.empty()) {
-      store.Answer("op", {.result = StoreResult::kOk,
-                          .rows = {{.key = "config", .value = config}},
-                          .version = 9});
-    }
-    store.Answer(
-        "servers",
-        {.result = StoreResult::kOk, .rows = std::move(rows), .version = 9});
-  }
-
-  /// Sends a request and collects the answer.
-  /// @param headers complete header lines.
-  void Send(const std::string& method_and_path,
-            const std::string& key = "good",
-            const std::string& headers = "") {
-    m_client = TcpConnection::Connect(
-        &m_loop, "127.0.0.1:" + std::to_string(m_gateway.caller_port()),
-        std::chrono::seconds(5),
-        {.on_connected =
-             [this, method_and_path, key, headers] {
-               m_client->Write(method_and_path +
-                               " HTTP/1.1\r\nHost: h.example\r\n"
-                               "Request-Id: r1\r\nDeadline-Ms: 4000\r\n"
-                               "Tenant: forged\r\nAuthorization: Bearer " +
-                               key + "\r\n" + headers + "\r\n");
-             },
-         .on_data = [this](std::string_view data) { answer += data; },
-         .on_end = [this](TcpCloseReason) { closed = true; },
-         .on_drained = nullptr});
-  }
-
-  void CloseClient() { m_client->Close(); }
-
-  /// Runs the event loop until `done` returns true.
-  void WaitFor(const std::function<bool()>& done) {
-    for (int turn = 0; turn < kMaxTurns && !done(); ++turn) {
-      m_loop.RunOnce(kTurn);
-    }
-    REQUIRE(done());
-  }
-
-  void RunTurns(int turns) {
-    for (int turn = 0; turn < turns; ++turn) {
-      m_loop.RunOnce(kTurn);
-    }
-  }
-
-  void WaitForAnswer(const std::string& text) {
-    WaitFor([&] { return answer.find(text) != std::string::npos; });
-  }
-
-  FakeStore store;
-  std::vector<std::unique_ptr<FakeEndpoint>> endpoints;
-  std::string answer;
-  bool closed = false;
-
- private:
-  static GatewaySettings MakeSettings(bool allows_retries) {
-    GatewaySettings settings;
-    settings.name = "g1";
-    settings.place = {
-        .failure_domain = "near",
-        .region = "r1",
-        .regions = {{"near", "r1"}, {"far", "r2"}, {"farther", "r3"}}};
-    settings.caller_address = "127.0.0.1:0";
-    settings.ready_address = "127.0.0.1:0";
-    settings.metrics_address = "127.0.0.1:0";
-    settings.max_store_silence = std::chrono::seconds(4);
-    settings.stop_grace = std::chrono::seconds(8);
-    settings.retry_share = allows_retries ? 1 : 0;
-    settings.retry_extra = allows_retries ? 1000 : 0;
-    return settings;
-  }
-
-  EventLoop m_loop;
-  Gateway m_gateway;
-  std::shared_ptr<TcpConnection> m_client;
-};
+using Fixture = GatewayFixture;
 
 TEST_CASE("an answer is forwarded with its headers and the customer is named") {
   Fixture fixture({{{.bytes = kCompleteAnswer}}});
@@ -287,16 +135,6 @@
         std::string::npos);
 }
 
-/// An endpoint that sends `bytes`, then `repeated` until its peer closes.
-FakeEndpoint::Step Endless(const std::string& bytes,
-                           const std::string& repeated,
-                           Duration interval = std::chrono::milliseconds(5)) {
-  return {.bytes = bytes,
-          .closes = false,
-          .repeated = repeated,
-          .interval = interval};
-}
-
 // Guards against a stalled stream that is never moved because its engine sends
 // a byte now and then, and against memory that grows with an endless event.
 // Only complete new events count as progress.
@@ -688,7 +526,7 @@
   Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)),
                      .interval = 2 * Duration(kMaxEventSilence),
                      .pieces = {"", Chunk(Event(2)), "0\r\n\r\n"}}}},
-                  kConfig, /*allows_retries=*/false);
+                  kConfig, /*retries=*/0);
   fixture.Send("POST /write/x");
   fixture.WaitForAnswer("0\r\n\r\n");
   CHECK(fixture.answer.find("id: 2\n") != std::string::npos);
@@ -701,7 +539,7 @@
   Fixture fixture({{{.bytes = "",
                      .interval = std::chrono::milliseconds(300),
                      .pieces = {"", kCompleteAnswer}}}},
-                  kConfig, /*allows_retries=*/false);
+                  kConfig, /*retries=*/0);
   fixture.Send("GET /read/x");
   fixture.WaitForAnswer("\r\n\r\n");
   CHECK(fixture.answer.starts_with("HTTP/1.1 200 OK\r\n"));
@@ -717,22 +555,8 @@
   CHECK(fixture.answer.find("id: 1") != std::string::npos);
 }
 
-constexpr char kDeadlyPrompt[] = "Prompt-Prefix: deadly:200,own:90\r\n";
 constexpr char kSoundPrompt[] = "Prompt-Prefix: sound:200,own:90\r\n";
 
-/// Answers the watch of the suspects with one quarantined part.
-void Quarantine(FakeStore* store, const std::string& part) {
-  PromptSuspectList list;
-  list.AddCrash(
-      {.endpoint = "e1",
-       .weight = kQuarantineWeight,
-       .parts = {{.part = HashPromptPart(part), .known_crashes = 0}}});
-  store->Answer(kSuspectTable,
-                {.result = StoreResult::kOk,
-                 .rows = {{.key = "app", .value = list.Encode(), .version = 8}},
-                 .version = 8});
-}
-
 // Guards against prompts that crash one endpoint after the other.
 TEST_CASE("a stream with a quarantined prompt part is refused at once") {
   Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)) + "0\r\n\r\n"}}});
--- /dev/null
+++ b/tests/unit_gateway_silence.cc
@@ -0,0 +1,201 @@
+// What callers get when the endpoints of their requests are silent: the answer
+// of a silent endpoint is awaited unless another one can take the request.
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bramleybank/limits.h"
+#include "gateway_fakes.h"
+#include "gateway_fixture.h"
+
+namespace bramleybank {
+namespace {
+
+using std::chrono::milliseconds;
+using Step = FakeEndpoint::Step;
+
+// Idempotent requests pass the latency target of 100 ms, streams the time
+// between two events.
+constexpr milliseconds kSilence{700};
+constexpr char kSilenceConfig[] = R"({"version":3,"routes":[
+{"name":"read","host":"h.example","prefix":"/read/","kind":"safe",
+ "timeout_ms":4000,"target_latency_ms":100,"service":"app",
+ "max_attempts":4},
+{"name":"write","host":"h.example","prefix":"/write/","kind":"streaming",
+ "timeout_ms":4000,"service":"app","max_attempts":4,"resumable":true}],
+"services":[{"name":"app","health_path":"/health","max_conns":9}],
+"tenants":[{"name":"family","api_keys":["good"]}]})";
+const std::string kStreamEnd = "0\r\n\r\n";
+const Step kSilent = {.bytes = "", .closes = false};
+
+std::string NotRun(const std::string& headers) {
+  return "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n" +
+         headers + "Content-Length: 0\r\n\r\n";
+}
+
+/// Sends `first`, is silent, and sends `rest`.
+Step SilentBetween(const std::string& first, const std::string& rest) {
+  return {.bytes = first,
+          .closes = false,
+          .repeated = {},
+          .interval = kSilence,
+          .pieces = {"", rest}};
+}
+
+Step SlowAnswer() {
+  return SilentBetween("", kCompleteAnswer);
+}
+
+Step SlowStream() {
+  return SilentBetween(kStreamHead + Chunk(Event(1)),
+                       Chunk(Event(2)) + kStreamEnd);
+}
+
+/// A first answer after which an endpoint can take no request.
+struct State {
+  std::string name;
+  std::string answer;
+};
+
+const std::vector<State>& States() {
+  static const std::vector<State> states = {
+      {.name = "paused", .answer = NotRun("Retry-After: 9\r\n")},
+      {.name = "leaving", .answer = NotRun("Server-Leaving: 1\r\n")},
+      {.name = "suspect", .answer = ""},
+      {.name = "without a permit",
+       .answer = NotRun("Server-Limit: 0.0001\r\n")}};
+  return states;
+}
+
+/// Brings the second endpoint into its state. The first one refuses and is then
+/// sound again.
+void Prepare(GatewayFixture* fixture) {
+  fixture->Send("GET /read/x");
+  fixture->WaitForAnswer("\r\n\r\n");
+  fixture->answer.clear();
+  fixture->RunFor(kRefusedEndpointPause + milliseconds(20));
+}
+
+void CheckSlowAnswer(GatewayFixture* fixture) {
+  fixture->Send("GET /read/x");
+  fixture->WaitForAnswer("\r\n\r\n");
+  CHECK(fixture->answer.starts_with("HTTP/1.1 200"));
+}
+
+void CheckSlowStream(GatewayFixture* fixture) {
+  fixture->Send("POST /write/x");
+  fixture->WaitFor([&] { return fixture->HasEnded(kStreamEnd); });
+  CHECK(fixture->answer.find(Chunk(Event(1)) + Chunk(Event(2)) + kStreamEnd) !=
+        std::string::npos);
+}
+
+// Guards against ending the attempt at a silent endpoint when the only other
+// one can take no request.
+TEST_CASE("a silent attempt is kept while no other endpoint takes requests") {
+  for (const State& state : States()) {
+    CAPTURE(state.name);
+    const Step other = {.bytes = state.answer};
+    GatewayFixture read({{{.bytes = NotRun("")}, SlowAnswer()},
+                         {other, {.bytes = kCompleteAnswer}}},
+                        kSilenceConfig);
+    Prepare(&read);
+    CheckSlowAnswer(&read);
+    CHECK(read.endpoints[1]->requests().size() == 1);
+    GatewayFixture stream({{{.bytes = NotRun("")}, SlowStream()},
+                           {other, {.bytes = kStreamHead + kStreamEnd}}},
+                          kSilenceConfig);
+    Prepare(&stream);
+    CheckSlowStream(&stream);
+    CHECK(stream.endpoints[1]->requests().size() == 1);
+  }
+}
+
+// Guards against ending the last attempt before the deadline.
+TEST_CASE("a silent attempt is kept when all endpoints have been tried") {
+  GatewayFixture alone({{SlowAnswer()}}, kSilenceConfig);
+  CheckSlowAnswer(&alone);
+  GatewayFixture read({{kSilent}, {SlowAnswer()}}, kSilenceConfig);
+  CheckSlowAnswer(&read);
+  GatewayFixture stream(
+      {{{.bytes = kStreamHead + Chunk(Event(1)), .closes = false}},
+       {SlowStream()}},
+      kSilenceConfig);
+  CheckSlowStream(&stream);
+}
+
+// Guards against ending an attempt that no further one may follow.
+TEST_CASE("a silent attempt is kept when no retry is granted") {
+  GatewayFixture read({{SlowAnswer()}, {{.bytes = kCompleteAnswer}}},
+                      kSilenceConfig, /*retries=*/0);
+  CheckSlowAnswer(&read);
+  CHECK(read.endpoints[1]->requests().empty());
+  GatewayFixture stream({{SlowStream()}, {{.bytes = kStreamHead}}},
+                        kSilenceConfig, /*retries=*/0);
+  CheckSlowStream(&stream);
+  CHECK(stream.endpoints[1]->requests().empty());
+}
+
+// Guards against runs beyond max_attempts because of silence.
+TEST_CASE("a silent attempt is kept when its route allows no further one") {
+  std::string config = kSilenceConfig;
+  for (size_t at = 0;
+       (at = config.find("attempts\":4", at)) != std::string::npos;) {
+    config[at + 10] = '2';
+  }
+  GatewayFixture read({{kSilent}, {SlowAnswer()}, {SlowAnswer()}}, config);
+  CheckSlowAnswer(&read);
+  CHECK(read.CountRequests() == 2);
+  GatewayFixture stream(
+      {{{.bytes = kStreamHead + Chunk(Event(1)), .closes = false}},
+       {SlowStream()},
+       {SlowStream()}},
+      config);
+  CheckSlowStream(&stream);
+  CHECK(stream.CountRequests() == 2);
+}
+
+// Guards against streams that may not be resumed and are moved or cut.
+TEST_CASE("a silent stream that cannot be resumed is kept") {
+  std::string config = kSilenceConfig;
+  config.replace(config.find("true"), 4, "false");
+  GatewayFixture fixture({{SlowStream()}, {{.bytes = kStreamHead}}}, config);
+  CheckSlowStream(&fixture);
+  CHECK(fixture.endpoints[1]->requests().empty());
+}
+
+// Guards against a kept attempt at a dead endpoint that is never replaced, and
+// against a retry budget that is charged while the attempt is kept: the three
+// retries are those of Prepare() and the last one.
+TEST_CASE("a kept attempt is replaced once an endpoint can take its request") {
+  const std::string paused = NotRun("Retry-After: 0.6\r\n");
+  GatewayFixture read({{{.bytes = NotRun("")}, kSilent},
+                       {{.bytes = paused}, {.bytes = kCompleteAnswer}}},
+                      kSilenceConfig, /*retries=*/3 * kAssumedPeerCount);
+  Prepare(&read);
+  CheckSlowAnswer(&read);
+  GatewayFixture stream(
+      {{{.bytes = NotRun("")},
+        {.bytes = kStreamHead + Chunk(Event(1)), .closes = false}},
+       {{.bytes = paused},
+        {.bytes = kStreamHead + Chunk(Event(2)) + kStreamEnd}}},
+      kSilenceConfig, /*retries=*/3 * kAssumedPeerCount);
+  Prepare(&stream);
+  CheckSlowStream(&stream);
+}
+
+// Guards against a silent attempt that is kept although a permit for the other
+// endpoint can be had.
+TEST_CASE("a silent attempt is replaced at an endpoint that needs a permit") {
+  GatewayFixture fixture({{{.bytes = NotRun("")}, kSilent},
+                          {{.bytes = NotRun("Server-Limit: 50000\r\n")},
+                           {.bytes = kCompleteAnswer}}},
+                         kSilenceConfig);
+  Prepare(&fixture);
+  CheckSlowAnswer(&fixture);
+}
+
+}  // namespace
+}  // namespace bramleybank
