process_crashing_prompt: count only whole lines of the record

The test failed once with a parse error in BadRuns: it read the stand-ins' record while a line was being written. The last reading waits until the record ends with a whole line, so the bound on late requests is checked on all runs as before; a line that stays incomplete, or that another one continues, still fails the test.

--- a/tests/process_crashing_prompt.cc
+++ b/tests/process_crashing_prompt.cc
@@ -28,17 +28,30 @@
 constexpr milliseconds kRequestInterval{200};
 
 /// @returns how many attempts of requests with the bad part have reached
-/// engines.
+/// engines. An engine may be writing the last line, which is counted once it
+/// ends.
 int BadRuns(const WireDeployment& site) {
   std::ifstream file(site.record_path());
   int runs = 0;
-  for (std::string line; std::getline(file, line);) {
+  for (std::string line; std::getline(file, line) && !file.eof();) {
     const auto id = nlohmann::json::parse(line).at("request_id");
     runs += id.get<std::string>().starts_with(kBadPrefix) ? 1 : 0;
   }
   return runs;
 }
 
+/// Waits until every line of the record is whole.
+void WaitForWholeRecord(const WireDeployment& site) {
+  WaitUntil("the end of the last line of the record", [&] {
+    std::ifstream file(site.record_path(), std::ios::ate);
+    if (file.tellg() <= 0) {
+      return true;
+    }
+    file.seekg(-1, std::ios::end);
+    return file.get() == '\n';
+  });
+}
+
 /// Requests of one kind, each through the next gateway.
 struct Requests {
   void Send(const WireDeployment& site, int number) {
@@ -97,6 +110,7 @@
   }
   REQUIRE(runs_at_bound);
   CHECK(bad.Begun() == 0);
+  WaitForWholeRecord(site);
   CHECK(BadRuns(site) - *runs_at_bound <= kMaxLateRequests);
   for (const Requests* sound : {&late_same_part, &late_same_key}) {
     REQUIRE(sound->streams.size() > 10);
