Continue a stream only with events that follow by their ids

What callers saw: a stream had begun and broke off, and the next server answered 200 with something else, such as JSON or a page that has an empty line, or events without ids. The gateway forwarded that text into the stream, and ended the stream as complete.

Change: an attempt that continues a stream must first forward an event whose id follows; content without an id before that ends the attempt like a gap does. Comments and empty lines still pass.

--- a/src/event_splitter.cc
+++ b/src/event_splitter.cc
@@ -47,6 +47,7 @@
       m_start = line_start;
       return event;
     }
+    event.has_content = event.has_content || !line.starts_with(':');
     if (line.starts_with(kIdField)) {
       event.id = ParseId(line.substr(kIdField.size()));
     }
--- a/src/event_splitter.h
+++ b/src/event_splitter.h
@@ -16,6 +16,8 @@
   std::string_view bytes;
   /// Value of the id field; empty if it is missing or not a number.
   std::optional<uint64_t> id;
+  /// Whether it has more than comments and empty lines.
+  bool has_content = false;
 };
 
 /// Buffers received bytes until events are complete.
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -156,6 +156,7 @@
   m_body.Clear();
   m_events = {};
   m_attempt_has_event = false;
+  m_attempt_must_follow = m_stream_started;
   m_attempt_has_begun = false;
   m_attempt_is_kept = false;
   m_permit_wait_end.reset();
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -144,7 +144,7 @@
   void OnAnswerComplete();
   void ForwardEvents();
   /// Forwards an event to the caller, unless the caller already has it.
-  /// @returns false when events before it are missing.
+  /// @returns false when events before it are missing, or may be.
   bool ForwardEvent(const RawEvent& event);
   bool IsProgress(const RawEvent& event) const;
   void RecordEventTiming();
@@ -214,6 +214,9 @@
   AnswerBuffer m_body;
   EventSplitter m_events;
   bool m_attempt_has_event = false;
+  // The current attempt continues a stream that has begun, and none of its
+  // events has shown by its id that it does.
+  bool m_attempt_must_follow = false;
 
   // Ids of the endpoints that this request has been sent to.
   std::vector<std::string> m_tried_endpoints;
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -59,7 +59,7 @@
     }
     if (!ForwardEvent(*event)) {
       FailAttempt(EndpointOutcome::kLost, RetryReason::kChunkGap,
-                  "gap in the event ids");
+                  "events do not follow those before");
       return;
     }
   }
@@ -92,12 +92,17 @@
       return false;
     }
   }
+  // Only an id shows that an answer continues a stream that has begun.
+  if (m_attempt_must_follow && !event.id && event.has_content) {
+    return false;
+  }
   if (!m_stream_started) {
     m_stream_started = true;
     m_caller->StartStream(m_head.status, RemoveHopByHopHeaders(m_head.headers));
   }
   if (event.id) {
     m_last_event_id = event.id;
+    m_attempt_must_follow = false;
   }
   if (!m_attempt_has_event) {
     m_attempt_has_event = true;
--- a/tests/gateway_fakes.h
+++ b/tests/gateway_fakes.h
@@ -3,6 +3,9 @@
 #ifndef BRAMLEYBANK_TESTS_GATEWAY_FAKES_H_
 #define BRAMLEYBANK_TESTS_GATEWAY_FAKES_H_
 
+#include <sys/socket.h>
+
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <map>
@@ -92,6 +95,8 @@
     /// If not empty, sent one per interval after `bytes`, instead of
     /// `repeated`.
     std::vector<std::string> pieces = {};
+    /// Whether the connection is reset after `bytes`, instead of closed.
+    bool resets = false;
   };
 
   FakeEndpoint(EventLoop* loop, std::vector<Step> script)
@@ -105,8 +110,12 @@
   size_t closed_by_peer() const { return m_closed_by_peer; }
 
  private:
+  // Long enough for the peer to read what was sent before the reset.
+  static constexpr std::chrono::milliseconds kResetDelay{30};
+
   struct Peer {
     std::shared_ptr<TcpConnection> connection;
+    int fd = -1;
     std::string input;
     bool answered = false;
     bool is_gone = false;
@@ -114,6 +123,7 @@
 
   void Accept(int fd) {
     auto peer = std::make_shared<Peer>();
+    peer->fd = fd;
     m_peers.push_back(peer);
     const size_t number = std::min(m_accepted++, m_script.size() - 1);
     peer->connection = TcpConnection::Adopt(
@@ -139,7 +149,11 @@
 
   void RunStep(const std::shared_ptr<Peer>& peer, const Step& step) {
     peer->connection->Write(step.bytes);
-    if (!step.pieces.empty()) {
+    if (step.resets) {
+      const linger none{.l_onoff = 1, .l_linger = 0};
+      setsockopt(peer->fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+      m_loop->Schedule(kResetDelay, [peer] { peer->connection->Close(); });
+    } else if (!step.pieces.empty()) {
       SendPieces(peer, step.pieces, step.interval);
     } else if (!step.repeated.empty()) {
       Repeat(peer, step);
--- /dev/null
+++ b/tests/unit_gateway_broken_answer.cc
@@ -0,0 +1,143 @@
+// What callers get when an answer ends in its head or body, or when the
+// endpoint that continues a stream answers with something else.
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "gateway_fakes.h"
+#include "gateway_fixture.h"
+
+namespace bramleybank {
+namespace {
+
+using Step = FakeEndpoint::Step;
+
+const std::string kStreamEnd = "0\r\n\r\n";
+const std::string kFirstPart = kStreamHead + Chunk(Event(1));
+const std::string kUnframed = "HTTP/1.1 200 OK\r\n" + kSealHeaders;
+const std::string kOldUnframed = "HTTP/1.0 200 OK\r\n" + kSealHeaders;
+const std::string kClosing = kUnframed + "Connection: close\r\n";
+
+std::string WithLength(const std::string& status, const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\n" + kSealHeaders +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Answers of an endpoint that is asked to continue a stream, none of which may
+/// reach the caller. Their texts contain FOREIGN.
+std::vector<Step> ForeignAnswers() {
+  const std::string json = R"({"error":"FOREIGN"})";
+  return {
+      {.bytes = WithLength("500 Error", json)},
+      {.bytes = WithLength("500 Error", "data: FOREIGN\n\n")},
+      {.bytes = WithLength("503 Busy", json)},
+      {.bytes = "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
+                "Content-Length: 9\r\n\r\nFOREIGN\n\n"},
+      {.bytes = WithLength("404 FOREIGN", json)},
+      {.bytes = WithLength("302 FOREIGN", json)},
+      {.bytes = WithLength("200 OK", json)},
+      {.bytes = WithLength("200 OK", json + "\n\n")},
+      {.bytes = WithLength("200 OK", "<p>\n\nFOREIGN\n\n</p>\n\n")},
+      {.bytes = WithLength("200 OK", "data: FOREIGN\n\n")},
+      {.bytes = WithLength("200 OK", "event: error\ndata: FOREIGN\n\n")},
+      {.bytes = WithLength("200 OK", "id: x\ndata: FOREIGN\n\n")},
+      {.bytes = kUnframed + "\r\n" + json + "\n\n"},
+      {.bytes = kOldUnframed + "\r\n" + json + "\n\n"},
+      {.bytes = kOldUnframed + "\r\nid: 3\ndata: FOREIGN\n\n"},
+      {.bytes = kStreamHead + Chunk("id: 3\ndata: FOREIGN\n\n") + kStreamEnd},
+      {.bytes = kStreamHead + Chunk("id: 9\ndata: FOREIGN\n\n") + kStreamEnd},
+      {.bytes = kStreamHead + Chunk("id: 2\ndata: FOREIGN")},
+      {.bytes = "HTTP/1.1 200 OK\r\nFOREIGN"},
+      {.bytes = "HTTP/1.1 200 OK\r\nX: FOREIGN\r\n"},
+      {.bytes = "HTTP/1.0 200 OK\r\nX: FOREIGN"},
+      {.bytes = "FOREIGN\n\n"},
+      {.bytes = "FOREIGN\r\n\r\ndata: FOREIGN\n\n"},
+      {.bytes = ""}};
+}
+
+// Guards against the text of an error inside a stream, and against streams that
+// look complete although only their first part has arrived.
+TEST_CASE("a stream that cannot be continued is cut after its last event") {
+  for (const Step& step : ForeignAnswers()) {
+    CAPTURE(step.bytes);
+    GatewayFixture fixture({{{.bytes = kFirstPart}}, {step}});
+    fixture.Send("POST /write/x");
+    fixture.WaitFor([&] { return fixture.HasEnded(kStreamEnd); });
+    CHECK(fixture.answer.ends_with("\r\n\r\n" + Chunk(Event(1))));
+    CHECK(fixture.answer.find("FOREIGN") == std::string::npos);
+  }
+}
+
+// Guards against a wrong answer that keeps a stream from the next endpoint.
+TEST_CASE("a stream is continued after an answer that does not continue it") {
+  const std::string rest = kStreamHead + Chunk(Event(2)) + kStreamEnd;
+  for (const Step& step : ForeignAnswers()) {
+    CAPTURE(step.bytes);
+    GatewayFixture fixture(
+        {{{.bytes = kFirstPart}}, {step}, {{.bytes = rest}}});
+    fixture.Send("POST /write/x");
+    fixture.WaitFor([&] { return fixture.HasEnded(kStreamEnd); });
+    const bool is_complete =
+        fixture.answer.find(Chunk(Event(1)) + Chunk(Event(2)) + kStreamEnd) !=
+        std::string::npos;
+    CHECK((is_complete || fixture.endpoints[2]->requests().empty()));
+    CHECK(fixture.answer.find("FOREIGN") == std::string::npos);
+  }
+}
+
+// Guards against a head that is taken for whole though it ends in the middle.
+TEST_CASE("an answer that ends in its head is not forwarded") {
+  const std::string head = kUnframed + "Content-Length: 12\r\n\r\n";
+  const std::string old_head = kOldUnframed + "\r\n";
+  std::vector<std::string> parts = {"HTTP/1.1 100 Continue\r\n\r\n",
+                                    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 2",
+                                    "HTTP/1.1 200 OK\n", "200 OK\r\n\r\nx"};
+  for (const std::string& whole : {head, old_head}) {
+    for (size_t size = 0; size < whole.size(); size += 3) {
+      parts.push_back(whole.substr(0, size));
+    }
+    parts.push_back(whole.substr(0, whole.size() - 1));
+    parts.push_back(whole.substr(0, whole.size() - 2));
+  }
+  for (const std::string& bytes : parts) {
+    for (const char* request :
+         {"GET /read/x", "POST /book/x", "POST /write/x"}) {
+      CAPTURE(bytes);
+      CAPTURE(request);
+      GatewayFixture fixture({{{.bytes = bytes}}});
+      fixture.Send(request);
+      fixture.WaitForAnswer("answer_lost");
+      CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
+    }
+  }
+}
+
+// Guards against a body without a length that is taken for whole although its
+// connection was reset, and against refusing one that ended in order.
+TEST_CASE("an answer without a length is whole only after an orderly end") {
+  for (const std::string& head : {kUnframed, kClosing, kOldUnframed}) {
+    CAPTURE(head);
+    const std::string body = head + "\r\npart";
+    GatewayFixture reset({{{.bytes = body, .resets = true}}});
+    reset.Send("POST /book/x");
+    reset.WaitForAnswer("answer_lost");
+    CHECK(reset.answer.starts_with("HTTP/1.1 502"));
+    GatewayFixture closed({{{.bytes = body}}});
+    closed.Send("POST /book/x");
+    closed.WaitForAnswer("part");
+    CHECK(closed.answer.starts_with("HTTP/1.1 200"));
+    const std::string events = head + "\r\n" + Event(1);
+    GatewayFixture reset_stream({{{.bytes = events, .resets = true}}});
+    reset_stream.Send("POST /write/x");
+    reset_stream.WaitFor([&] { return reset_stream.HasEnded(kStreamEnd); });
+    CHECK(reset_stream.answer.ends_with(Chunk(Event(1))));
+    GatewayFixture closed_stream({{{.bytes = events}}});
+    closed_stream.Send("POST /write/x");
+    closed_stream.WaitForAnswer(Chunk(Event(1)) + kStreamEnd);
+  }
+}
+
+}  // namespace
+}  // namespace bramleybank
