Do not continue a stream after an event without an id

What callers saw: a stream with events that have no ids, or one such event after the last id, broke off; the gateway sent the request to the next server, whose events came twice or belonged to another run.

Cause: a broken stream was resumed after the last id, or from its start, whatever had been forwarded since.

Evidence, before: unit_gateway_broken_answer.cc:103 CHECK( fixture.answer.ends_with("\r\n\r\n" + start) ) is NOT correct, for a stream of an event without an id that is followed by one with id 1, and for a resumed one.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -355,6 +355,9 @@
 }
 
 bool GatewayExchange::MayRetry() const {
+  if (m_position_is_unknown) {
+    return false;
+  }
   const bool is_running = m_attempt && m_attempt->was_sent();
   const int runs = m_possible_runs + (is_running ? 1 : 0);
   if (runs > 0 && (!m_route->IsIdempotent() || runs >= m_route->max_attempts)) {
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -246,6 +246,8 @@
   // been started.
   std::optional<uint64_t> m_last_event_id;
   bool m_stream_started = false;
+  // The last event has no id, so no endpoint can be told where to go on.
+  bool m_position_is_unknown = false;
   uint64_t m_events_forwarded = 0;
   TimePoint m_last_event_at;
   Duration m_first_event_delay{0};
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -103,6 +103,9 @@
   if (event.id) {
     m_last_event_id = event.id;
     m_attempt_must_follow = false;
+    m_position_is_unknown = false;
+  } else if (event.has_content) {
+    m_position_is_unknown = true;
   }
   if (!m_attempt_has_event) {
     m_attempt_has_event = true;
--- a/tests/unit_gateway_broken_answer.cc
+++ b/tests/unit_gateway_broken_answer.cc
@@ -87,6 +87,25 @@
   }
 }
 
+// Guards against joining two runs: nothing says where to go on after an event
+// without an id.
+TEST_CASE("a stream is not continued after an event without an id") {
+  const std::string unnumbered = Chunk("data: a\n\n");
+  for (const std::string& start : {unnumbered, Chunk(Event(1)) + unnumbered}) {
+    for (const std::string& next :
+         {unnumbered, Chunk(Event(1)) + Chunk(Event(2))}) {
+      CAPTURE(start);
+      CAPTURE(next);
+      GatewayFixture fixture({{{.bytes = kStreamHead + start}},
+                              {{.bytes = kStreamHead + next + kStreamEnd}}});
+      fixture.Send("POST /write/x");
+      fixture.WaitFor([&] { return fixture.HasEnded(kStreamEnd); });
+      CHECK(fixture.answer.ends_with("\r\n\r\n" + start));
+      CHECK(fixture.endpoints[1]->requests().empty());
+    }
+  }
+}
+
 // Guards against a head that is taken for whole though it ends in the middle.
 TEST_CASE("an answer that ends in its head is not forwarded") {
   const std::string head = kUnframed + "Content-Length: 12\r\n\r\n";
