Do not take a stream with comments only for complete

What callers saw: a server sent a comment and died before its first event; the caller got a complete, empty stream.

Cause: a comment counted as the first event of an attempt, and a stream whose attempt has an event may end with its connection.

Evidence, before: unit_gateway_broken_answer.cc:120, 2 of 3 answers: CHECK( fixture.answer.ends_with(Chunk(comment) + Chunk(Event(1)) + kStreamEnd) )

--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -213,6 +213,7 @@
   AnswerMetadata m_answer;
   AnswerBuffer m_body;
   EventSplitter m_events;
+  // Not counting comments and empty lines.
   bool m_attempt_has_event = false;
   // The current attempt continues a stream that has begun, and none of its
   // events has shown by its id that it does.
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -107,12 +107,14 @@
   } else if (event.has_content) {
     m_position_is_unknown = true;
   }
-  if (!m_attempt_has_event) {
+  if (event.has_content && !m_attempt_has_event) {
     m_attempt_has_event = true;
     m_prompt_endpoint_id = m_endpoint.id;
     ReportVersionOutcome(/*failed=*/false);
   }
-  RecordEventTiming();
+  if (event.has_content) {
+    RecordEventTiming();
+  }
   m_caller->WriteStream(event.bytes);
   return true;
 }
--- a/tests/unit_gateway_broken_answer.cc
+++ b/tests/unit_gateway_broken_answer.cc
@@ -106,6 +106,22 @@
   }
 }
 
+// Guards against a stream that looks complete although only comments came.
+TEST_CASE("a stream that has only comments is continued elsewhere") {
+  const std::string comment = ": ping\n\n";
+  for (const std::string& bytes :
+       {kUnframed + "\r\n" + comment, kStreamHead + Chunk(comment),
+        kStreamHead + Chunk(comment) + kStreamEnd}) {
+    CAPTURE(bytes);
+    GatewayFixture fixture(
+        {{{.bytes = bytes}}, {{.bytes = kFirstPart + kStreamEnd}}});
+    fixture.Send("POST /write/x");
+    fixture.WaitFor([&] { return fixture.HasEnded(kStreamEnd); });
+    CHECK(fixture.answer.ends_with(Chunk(comment) + Chunk(Event(1)) +
+                                   kStreamEnd));
+  }
+}
+
 // Guards against a head that is taken for whole though it ends in the middle.
 TEST_CASE("an answer that ends in its head is not forwarded") {
   const std::string head = kUnframed + "Content-Length: 12\r\n\r\n";
