Forward a server's own failure when no endpoint is left to repeat the request

What callers saw: 502 answer_lost instead of the 500 that the server had answered.

Cause: the class of the silent attempts. An answer of 500 to an idempotent request was dropped and the retry budget charged before an endpoint was looked for.

Evidence, before: "a failure of the last endpoint is forwarded" waited in vain for the server's body (gateway_fixture.h:142: REQUIRE( done() ) is NOT correct!).

Change: such an answer is dropped only if an endpoint could get the request at once.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -278,7 +278,7 @@
   EndAttempt(failed ? EndpointOutcome::kFailed : EndpointOutcome::kAnswered);
   ++m_possible_runs;
   ReportVersionOutcome(failed);
-  if (failed && !m_stream_started &&
+  if (failed && !m_stream_started && HasEndpointLeft() &&
       TryAcquireRetry(RetryReason::kErrorEvent)) {
     StartNextAttempt();
     return;
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -109,6 +109,8 @@
   /// alive, or null.
   const EndpointRecord* FindPromptEndpoint() const;
   EndpointChoice PickEndpoint() const;
+  /// @returns whether an endpoint could get the request at once.
+  bool HasEndpointLeft() const;
   /// Requests a permit for an endpoint; the next attempt starts with the
   /// answer.
   void WaitForPermit(const EndpointRecord& endpoint);
--- a/src/gateway_exchange_endpoint.cc
+++ b/src/gateway_exchange_endpoint.cc
@@ -118,6 +118,10 @@
                                             .versions = versions});
 }
 
+bool GatewayExchange::HasEndpointLeft() const {
+  return FindBlockingParts().empty() && PickEndpoint().endpoint != nullptr;
+}
+
 AttemptMetadata GatewayExchange::DescribeAttempt(const EndpointRecord& endpoint,
                                                  bool from_backup) {
   AttemptMetadata attempt{.endpoint_id = endpoint.entry.id,
--- a/tests/unit_gateway_broken_answer.cc
+++ b/tests/unit_gateway_broken_answer.cc
@@ -149,6 +149,21 @@
   }
 }
 
+// Guards against replacing a server's own failure by a 502 when nobody is left
+// to repeat the request.
+TEST_CASE("a failure of the last endpoint is forwarded") {
+  const std::string own = WithLength("500 Error", "own");
+  GatewayFixture alone({{{.bytes = own}}});
+  alone.Send("GET /read/x");
+  alone.WaitForAnswer("\r\n\r\nown");
+  CHECK(alone.answer.starts_with("HTTP/1.1 500"));
+  GatewayFixture both({{{.bytes = own}}, {{.bytes = own}}});
+  both.Send("GET /read/x");
+  both.WaitForAnswer("\r\n\r\nown");
+  CHECK(both.answer.starts_with("HTTP/1.1 500"));
+  CHECK(both.CountRequests() == 2);
+}
+
 // Guards against a body without a length that is taken for whole although its
 // connection was reset, and against refusing one that ended in order.
 TEST_CASE("an answer without a length is whole only after an orderly end") {
