Gateway: a planned stop sends only requests that it can finish

Seen by callers: late in a planned stop, requests were passed on to servers and got 502 "may have run" when the stop ended, among them calls that must not be repeated. A refusal before they were sent would have been served elsewhere.

Cause: a gateway asked only whether the last second of the stop had begun, and only when a request started. It used neither the request's deadline nor what requests of the route take, and repeats were not asked about at all.

Evidence: on, with a grace of 8 s and calls of 1.5 s every 0.25 s, process_late_stop says for the calls sent 6.25 and 6.5 s after SIGTERM, in both cases: CHECK( call.answer.status == (has_run ? 200 : 503) ) is NOT correct! values: CHECK( 502 == 200 ) With only first sends judged, the new case of unit_gateway ends with "reason=timed_out sends=2" instead of a refusal.

Change: StopAdmission keeps the times of the last 50 answers of each route and judges every send of a stopping gateway: first ones, those after a wait for a permit, repeats, and replacements of silent attempts (which then go on). The deadline bounds the time. Non-idempotent requests need the longest known answer, a quarter of that and 1.5 s; idempotent ones nine tenths of the answers and 1 s.

The case of process_stop with a call that is open when a stop must end makes ten calls first, since a call of unknown duration is no longer sent there; its check is the same.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -412,9 +412,22 @@
 /// Reserved at the end of the drain time, so that the last bytes arrive.
 inline constexpr std::chrono::milliseconds kDrainMargin{300};
 inline constexpr std::chrono::milliseconds kDrainCheckInterval{100};
-/// A request that arrives within this time before the end of the drain is
-/// refused.
+/// No request is sent within this time before the end of the drain. Also the
+/// reserve beyond the expected time of an idempotent request.
 inline constexpr std::chrono::milliseconds kDrainRefuseTime{1000};
+/// Answers by which the duration of a route's requests is judged: the last
+/// ones, and the fewest that say anything.
+inline constexpr size_t kAnswerTimesPerRoute = 50;
+inline constexpr size_t kMinAnswerTimes = 10;
+/// Routes whose answers are known at a time.
+inline constexpr size_t kMaxAnswerTimeRoutes = 4096;
+/// Share of an idempotent route's answers, in percent, that end within the time
+/// that is expected of the next one.
+inline constexpr size_t kSafeStopQuantilePercent = 90;
+/// Reserve beyond the longest known answer of a non-idempotent route: one
+/// quarter of it, and the time for which a sound server may fall silent.
+inline constexpr int kUnsafeStopReserveShare = 4;
+inline constexpr std::chrono::milliseconds kUnsafeStopReserve{1500};
 /// A connection that has just been accepted has this long for the first bytes
 /// of its request before it counts as idle.
 inline constexpr std::chrono::milliseconds kDrainFirstRequestTime{500};
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -37,6 +37,7 @@
 #include "rollout_controller.h"
 #include "rollout_records.h"
 #include "start_waiters.h"
+#include "stop_admission.h"
 #include "store_watch.h"
 #include "stream_silence_monitor.h"
 #include "tcp_address.h"
@@ -94,7 +95,7 @@
   void OnPromptQuarantined();
   void ArmSilenceCheck();
   void CheckSilence();
-  bool IsTooLateToStart(bool is_stream) const;
+  StopVerdict JudgeStop(const StopQuery& query) const;
   /// @param is_last whether the gateway stops right after this.
   void CloseIdleCallers(bool is_last);
   GatewayDrainLoad DrainLoad() const;
@@ -226,6 +227,7 @@
       }};
   TimerHandle silence_timer;
   bool endpoints_read = false;
+  StopAdmission stop_admission;
   std::unique_ptr<GatewayDrain> drain;
   TimerHandle drain_timer;
   TimePoint last_accept;
@@ -251,8 +253,11 @@
       .buffered_bytes = &buffered_bytes,
       .random = random,
       .config = [this] { return config; },
-      .is_too_late_to_start =
-          [this](bool is_stream) { return IsTooLateToStart(is_stream); }};
+      .judge_stop = [this](const StopQuery& query) { return JudgeStop(query); },
+      .on_answer_time =
+          [this](const std::string& route, Duration time) {
+            stop_admission.OnAnswer(route, time);
+          }};
   caller_hooks = {
       .on_request =
           [this](const std::shared_ptr<GatewayCaller>& caller,
@@ -559,11 +564,9 @@
   ArmSilenceCheck();
 }
 
-bool Gateway::Impl::IsTooLateToStart(bool is_stream) const {
-  // A stream may take most of the shutdown time, so none is started during a
-  // shutdown.
-  return drain &&
-         (is_stream || drain->Next(loop->Now(), DrainLoad()).refuse_requests);
+StopVerdict Gateway::Impl::JudgeStop(const StopQuery& query) const {
+  return drain ? stop_admission.Judge(query, drain->TimeLeft(loop->Now()))
+               : StopVerdict::kSend;
 }
 
 void Gateway::Impl::CloseIdleCallers(bool is_last) {
--- a/src/gateway_drain.cc
+++ b/src/gateway_drain.cc
@@ -14,7 +14,7 @@
 GatewayDrainStep GatewayDrain::Next(TimePoint now,
                                     const GatewayDrainLoad& load) const {
   if (now >= m_stop_at) {
-    return {.close_idle_callers = true, .refuse_requests = true, .stop = true};
+    return {.close_idle_callers = true, .stop = true};
   }
   const bool close_idle = now >= m_close_idle_at;
   // One more check interval covers requests that were in flight when their idle
@@ -22,9 +22,7 @@
   const bool is_settled = now >= m_close_idle_at + 2 * kDrainCheckInterval &&
                           now - load.last_accept >= kDrainQuietTime;
   const bool is_empty = load.open_requests == 0 && load.open_connections == 0;
-  return {.close_idle_callers = close_idle,
-          .refuse_requests = now >= m_stop_at - kDrainRefuseTime,
-          .stop = is_settled && is_empty};
+  return {.close_idle_callers = close_idle, .stop = is_settled && is_empty};
 }
 
 }  // namespace bramleybank
--- a/src/gateway_drain.h
+++ b/src/gateway_drain.h
@@ -23,8 +23,6 @@
 /// Actions to take at one point of the shutdown.
 struct GatewayDrainStep {
   bool close_idle_callers = false;
-  /// New requests can no longer be finished in time.
-  bool refuse_requests = false;
   bool stop = false;
 
   friend bool operator==(const GatewayDrainStep&,
@@ -35,14 +33,16 @@
 /// load balancer has had time to notice. Then it closes idle connections. It
 /// stops when no request and no connection is open and none comes any more, or
 /// shortly before the process would be killed. The load balancer may send
-/// connections until the end when no other daemon is ready, so requests that
-/// arrive too late to be finished are refused instead of cut off.
+/// connections until the end when no other daemon is ready; StopAdmission says
+/// which of their requests can still be finished.
 class GatewayDrain {
  public:
   /// @param grace time from the stop signal until the process is killed.
   GatewayDrain(Duration grace, TimePoint now);
 
   GatewayDrainStep Next(TimePoint now, const GatewayDrainLoad& load) const;
+  /// @returns the time until the stop ends what is still open.
+  Duration TimeLeft(TimePoint now) const { return m_stop_at - now; }
 
  private:
   const TimePoint m_close_idle_at;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -78,12 +78,12 @@
   if (!FindRoute() || !FindCustomer()) {
     return;
   }
-  if (m_context->is_too_late_to_start(is_stream())) {
-    Refuse(ResultCode::kDraining, kDrainRetryAfter);
-    return;
-  }
   ChooseService();
   StartTimers();
+  if (!MayStillSend()) {
+    GiveUpForStop();
+    return;
+  }
   m_context->budget->OnFirstTry(m_service);
   const bool resumes = is_stream() && m_last_event_id && SupportsBackup();
   if (resumes && !m_metadata.prompt_parts.empty()) {
@@ -274,6 +274,7 @@
   }
   const bool failed = m_head.status >= kMinServerErrorStatus;
   EndAttempt(failed ? EndpointOutcome::kFailed : EndpointOutcome::kAnswered);
+  RecordAnswerTime();
   ++m_possible_runs;
   ReportVersionOutcome(failed);
   if (failed && !m_stream_started &&
@@ -312,6 +313,10 @@
                                   RetryReason reason,
                                   std::string_view detail) {
   EndFailedAttempt(outcome, reason, detail);
+  if (m_possible_runs == 0 && !MayStillSend()) {
+    GiveUpForStop();
+    return;
+  }
   if (TryAcquireRetry(reason)) {
     StartNextAttempt();
     return;
@@ -343,6 +348,9 @@
     m_is_trial = false;
     ++m_possible_runs;
     ReportVersionOutcome(/*failed=*/true);
+    if (reason == RetryReason::kStalled) {
+      RecordAnswerTime();
+    }
   }
   LogLine(LogEventId::kAttemptEnded)
       .Field("id", m_metadata.request_id)
@@ -369,7 +377,7 @@
     return false;
   }
   if (m_sends >= m_route->max_attempts + kMaxExtraSends ||
-      TimeLeft() <= Duration{0}) {
+      TimeLeft() <= Duration{0} || !MayStillSend()) {
     return false;
   }
   if (reason == RetryReason::kConnectFailed) {
@@ -411,6 +419,7 @@
       m_possible_runs > 0 || (m_attempt && m_attempt->was_sent());
   if (m_attempt) {
     if (may_have_run) {
+      RecordAnswerTime();
       ReportVersionOutcome(/*failed=*/true);
     }
     EndAttempt(EndpointOutcome::kCancelled);
@@ -423,19 +432,6 @@
          Duration{0});
 }
 
-void GatewayExchange::RefuseForStop() {
-  if (m_is_finished || m_stream_started) {
-    return;
-  }
-  const bool may_have_run =
-      m_possible_runs > 0 || (m_attempt && m_attempt->was_sent());
-  if (m_attempt) {
-    EndAttempt(EndpointOutcome::kCancelled);
-  }
-  Refuse(may_have_run ? ResultCode::kAnswerLost : ResultCode::kDraining,
-         may_have_run ? Duration{0} : Duration(kDrainRetryAfter));
-}
-
 void GatewayExchange::OnCallerDisconnect() {
   LogLine(LogEventId::kStreamCallerGone)
       .Field("id", m_metadata.request_id)
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -22,6 +22,7 @@
 #include "http1_parser.h"
 #include "limit_retry_budget.h"
 #include "prompt_part.h"
+#include "stop_admission.h"
 #include "stream_backup.h"
 
 namespace bramleybank {
@@ -60,9 +61,11 @@
   RandomHook random;
   /// @returns the current configuration; null before the first one.
   std::function<std::shared_ptr<const GatewayConfig>()> config;
-  /// @returns whether this daemon will stop before a new request of that kind
-  /// could end.
-  std::function<bool(bool is_stream)> is_too_late_to_start;
+  /// @returns whether a request may be sent now, considering a planned stop of
+  /// this daemon.
+  std::function<StopVerdict(const StopQuery& query)> judge_stop;
+  /// Takes the time of an attempt that has run.
+  std::function<void(const std::string& route, Duration time)> on_answer_time;
 };
 
 /// One exchange. It must stay alive until `on_finished` has been called.
@@ -95,6 +98,13 @@
   void ChooseService();
   void StartTimers();
 
+  /// @returns whether this daemon's stop, if any, leaves the time to send the
+  /// request; counts a refusal.
+  bool MayStillSend();
+  /// Ends a request that MayStillSend() has refused.
+  void GiveUpForStop();
+  void RecordAnswerTime();
+
   void LookUpPromptEndpoint();
   void StartNextAttempt();
   /// @returns the engine that has prefilled the prompt, if it seems to be
--- a/src/gateway_exchange_endpoint.cc
+++ b/src/gateway_exchange_endpoint.cc
@@ -36,6 +36,10 @@
   if (EndIfQuarantined()) {
     return;
   }
+  if (!MayStillSend()) {
+    GiveUpForStop();
+    return;
+  }
   const EndpointRecord* holder = m_backup.UsableHolder();
   if (holder != nullptr && m_context->limiter->MaySend(*holder)) {
     StartAttempt(*holder, /*from_backup=*/true);
--- /dev/null
+++ b/src/gateway_exchange_stop.cc
@@ -0,0 +1,51 @@
+// The part of an exchange that takes a planned stop of the gateway into
+// account.
+#include "bramleybank/limits.h"
+#include "event_loop.h"
+#include "gateway_config.h"
+#include "gateway_exchange.h"
+#include "metric_registry.h"
+#include "stop_admission.h"
+
+namespace bramleybank {
+
+bool GatewayExchange::MayStillSend() {
+  const StopVerdict verdict = m_context->judge_stop(
+      {.route = m_route, .time_left = TimeLeft(), .is_first = m_sends == 0});
+  if (verdict == StopVerdict::kSend) {
+    return true;
+  }
+  m_context->metrics->Count("bramleybank_stop_refusals_total", "reason",
+                            NameOf(verdict));
+  return false;
+}
+
+void GatewayExchange::GiveUpForStop() {
+  if (m_possible_runs > 0 || m_stream_started) {
+    GiveUp(ResultCode::kAnswerLost);
+    return;
+  }
+  Refuse(ResultCode::kDraining, kDrainRetryAfter);
+}
+
+void GatewayExchange::RecordAnswerTime() {
+  if (!is_stream()) {
+    m_context->on_answer_time(m_route->name,
+                              m_context->loop->Now() - m_attempt_start);
+  }
+}
+
+void GatewayExchange::RefuseForStop() {
+  if (m_is_finished || m_stream_started) {
+    return;
+  }
+  const bool may_have_run =
+      m_possible_runs > 0 || (m_attempt && m_attempt->was_sent());
+  if (m_attempt) {
+    EndAttempt(EndpointOutcome::kCancelled);
+  }
+  Refuse(may_have_run ? ResultCode::kAnswerLost : ResultCode::kDraining,
+         may_have_run ? Duration{0} : Duration(kDrainRetryAfter));
+}
+
+}  // namespace bramleybank
--- a/tests/process_stop.cc
+++ b/tests/process_stop.cc
@@ -172,6 +172,10 @@
 // over.
 TEST_CASE("a request that is open when a stop must end gets an answer") {
   WireDeployment site(OneGateway());
+  for (size_t i = 0; i < kMinAnswerTimes; ++i) {
+    const std::string id = "known-" + std::to_string(i);
+    REQUIRE(site.Call(0, "POST", "/calls/x", id).status == 200);
+  }
   RawCaller caller(site.caller_address(0));
   site.gateway(0).Terminate();
   WaitUntil("not ready",
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -135,6 +135,14 @@
 
   void CloseClient() { m_client->Close(); }
 
+  /// Starts a planned stop.
+  void Stop(Duration grace) {
+    GatewaySettings settings = MakeSettings(/*allows_retries=*/true);
+    settings.stop_grace = grace;
+    m_gateway.Reload(settings);
+    m_gateway.Drain();
+  }
+
   /// Runs the event loop until `done` returns true.
   void WaitFor(const std::function<bool()>& done) {
     for (int turn = 0; turn < kMaxTurns && !done(); ++turn) {
@@ -216,6 +224,24 @@
   CHECK(fixture.endpoints[1]->requests().size() == 1);
 }
 
+// Guards against a repeat of a non-idempotent request that the end of a stop
+// would cut.
+TEST_CASE("a request is not sent on to another endpoint at the end of a stop") {
+  constexpr Duration kGrace = std::chrono::milliseconds(2500);
+  Fixture fixture({{{.bytes = "",
+                     .closes = false,
+                     .repeated = {},
+                     .interval = std::chrono::milliseconds(1500),
+                     .pieces = {"", kNotRunAnswer}}},
+                   {{.bytes = "", .closes = false}}});
+  fixture.Stop(kGrace);
+  fixture.Send("POST /book/x");
+  fixture.WaitForAnswer("draining");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 503"));
+  CHECK(fixture.endpoints[0]->requests().size() == 1);
+  CHECK(fixture.endpoints[1]->requests().empty());
+}
+
 // Guards against a refusal with a status that wrongly promises that the request
 // has not run.
 TEST_CASE("a refusal promises not run only if nothing can have run") {
