Daemon: signals that arrive during the start no longer kill the process

Cause: SIGTERM, SIGINT and SIGHUP were blocked by EventLoop::RunOnSignal(), after the settings had been read, logging had been started and all ports had been opened. Until then they had their default action.

They stay pending until RunOnSignal() takes them: SIGTERM and SIGINT stop the gateway in order once it has started, SIGHUP reads the settings again. A daemon that is no gateway does not reload and takes SIGHUP by its default action as before. The time until main(), in which the program is loaded, cannot be covered.

--- a/tools/bramleybankd.cc
+++ b/tools/bramleybankd.cc
@@ -12,6 +12,7 @@
 #include "daemon_settings.h"
 #include "event_loop.h"
 #include "gateway_settings.h"
+#include "held_signals.h"
 #include "log_event.h"
 
 namespace bramleybank {
@@ -36,6 +37,8 @@
 };
 
 int Serve(const DaemonSettings& settings) {
+  // Only a gateway reloads its settings.
+  ReleaseSignals({SIGHUP});
   EventLoop loop;
   Daemon daemon(&loop, settings);
   if (!daemon.Start()) {
@@ -128,6 +131,7 @@
     return kExitUsage;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  HoldSignals({SIGTERM, SIGINT, SIGHUP});
   StartLogging(argv[0]);
   return Main(options);
 }
