--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -134,6 +134,14 @@
 
   void CloseClient() { m_client->Close(); }
 
+  /// Starts a planned stop.
+  void Stop(Duration grace) {
+    GatewaySettings settings = MakeSettings(kUnlimitedRetries);
+    settings.stop_grace = grace;
+    m_gateway.Reload(settings);
+    m_gateway.Drain();
+  }
+
   /// Runs the event loop until `done` returns true.
   void WaitFor(const std::function<bool()>& done) {
     for (int turn = 0; turn < kMaxTurns && !done(); ++turn) {
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -64,6 +64,24 @@
   CHECK(fixture.endpoints[1]->requests().size() == 1);
 }
 
+// Guards against a repeat of a non-idempotent request that the end of a stop
+// would cut.
+TEST_CASE("a request is not sent on to another endpoint at the end of a stop") {
+  constexpr Duration kGrace = std::chrono::milliseconds(2500);
+  Fixture fixture({{{.bytes = "",
+                     .closes = false,
+                     .repeated = {},
+                     .interval = std::chrono::milliseconds(1500),
+                     .pieces = {"", kNotRunAnswer}}},
+                   {{.bytes = "", .closes = false}}});
+  fixture.Stop(kGrace);
+  fixture.Send("POST /book/x");
+  fixture.WaitForAnswer("draining");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 503"));
+  CHECK(fixture.endpoints[0]->requests().size() == 1);
+  CHECK(fixture.endpoints[1]->requests().empty());
+}
+
 // Guards against a refusal with a status that wrongly promises that the request
 // has not run.
 TEST_CASE("a refusal promises not run only if nothing can have run") {
