--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -75,7 +75,8 @@
       m_engines(options.domains * options.engines_per_domain),
       m_applications(options.domains * options.applications_per_domain),
       m_gateways(options.domains * options.gateways_per_domain),
-      m_application_lines(m_applications.size()) {
+      m_application_lines(m_applications.size()),
+      m_application_ids(m_applications.size()) {
   m_store = std::make_unique<ChildProcess>(
       "standin_row_store", "[listen]\nip = " + LoopbackIp(kStoreAddress) +
                                "\nport = " + kStorePort + "\n");
@@ -170,6 +171,7 @@
 
 void WireDeployment::StartApplication(int i) {
   const std::string id = "app-" + std::to_string(++m_server_starts);
+  m_application_ids[i] = id;
   m_applications[i].reset();
   m_applications[i] = std::make_unique<ChildProcess>(
       "standin_wire_server",
@@ -180,10 +182,18 @@
   WaitReady(ApplicationUrl(i, "/standin/runs"));
 }
 
+void WireDeployment::RemoveEntryOfApplication(int i) const {
+  REQUIRE(Send("DELETE", Url(kStoreAddress, kStorePort,
+                             "/standin/operator?table=servers&key=" +
+                                 m_application_ids[i]))
+              .status == 200);
+}
+
 int WireDeployment::AddApplications(const std::string& version) {
   const int first = application_count();
   for (int domain = 0; domain < m_options.domains; ++domain) {
     m_applications.emplace_back();
+    m_application_ids.emplace_back();
     m_application_lines.push_back("version = " + version + "\n");
     StartApplication(application_count() - 1);
   }
--- a/tests/wire_deployment.h
+++ b/tests/wire_deployment.h
@@ -52,6 +52,9 @@
   /// Starts one more application in each failure domain.
   /// @returns the index of the first one.
   int AddApplications(const std::string& version);
+  /// Removes the application's entry from the store. The next heartbeat writes
+  /// it again.
+  void RemoveEntryOfApplication(int i) const;
   void WaitGatewayReady(int i) const;
   /// Waits until calls and streams through the gateway succeed.
   void WaitServing(int i) const;
@@ -146,6 +149,8 @@
   std::vector<std::unique_ptr<ChildProcess>> m_gateways;
   // Additional [server] lines of each application, by index.
   std::vector<std::string> m_application_lines;
+  // By index.
+  std::vector<std::string> m_application_ids;
   // Number of server starts so far. Each start gets a new server id.
   int m_server_starts = 0;
 };
