Carry the era of the store with every version

When the store is restored from an older copy, version numbers go back and are assigned again. Gateways took them for ever-growing: a row with a lower number than the known one was dropped as out of date, so a configuration that was acknowledged after the restore never came into force, and endpoints that reported draining kept getting requests.

A version is now the pair of era and number, ordered by era first, from the adapter through watches, relay caches and relay messages. A watch that gets an answer of another era reads the whole table again. A relay builds a new copy in a new era and replaces the old one when it is complete. Answers of relays of an older era are not used.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -326,7 +326,7 @@
   auto values = rows.decode_config(row.value);
   if (!values) {
     LogLine(LogEventId::kConfigRefused)
-        .Field("row_version", static_cast<long long>(row.version));
+        .Field("row_version", static_cast<long long>(row.version.number));
     return;
   }
   if (config && values->version <= config->version()) {
@@ -335,7 +335,7 @@
   config = std::make_shared<const GatewayConfig>(std::move(*values));
   LogLine(LogEventId::kConfigInForce)
       .Field("config", static_cast<long long>(config->version()))
-      .Field("row_version", static_cast<long long>(row.version))
+      .Field("row_version", static_cast<long long>(row.version.number))
       .Field("routes", static_cast<long long>(config->values().routes.size()));
   StartWaitingIfReady();
 }
@@ -357,7 +357,7 @@
   if (!row.deleted) {
     LogLine(LogEventId::kRolloutRefused)
         .Field("service", service)
-        .Field("row_version", static_cast<long long>(row.version));
+        .Field("row_version", static_cast<long long>(row.version.number));
   }
 }
 
@@ -366,7 +366,7 @@
     directory.Remove(row.key);
     LogLine(LogEventId::kEndpointGone)
         .Field("endpoint", row.key)
-        .Field("row_version", static_cast<long long>(row.version));
+        .Field("row_version", static_cast<long long>(row.version.number));
     return;
   }
   const auto entry = rows.decode_endpoint(row.key, row.value);
@@ -374,7 +374,7 @@
     directory.Remove(row.key);
     LogLine(LogEventId::kEntryUnreadable)
         .Field("endpoint", row.key)
-        .Field("row_version", static_cast<long long>(row.version));
+        .Field("row_version", static_cast<long long>(row.version.number));
     return;
   }
   const EndpointRecord* known = directory.Find(row.key);
@@ -389,7 +389,7 @@
         .Field("address", entry->address)
         .Field("service", entry->service)
         .Field("draining", entry->state == EndpointState::kDraining ? 1 : 0)
-        .Field("row_version", static_cast<long long>(row.version));
+        .Field("row_version", static_cast<long long>(row.version.number));
   }
 }
 
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -60,7 +60,7 @@
  private:
   struct Peer {
     GatewayMember member;
-    uint64_t version = 0;
+    StoreVersion version;
     // Consecutive heartbeat reads that found the row unchanged.
     int unchanged_reads = 0;
   };
--- a/src/metadata_store.h
+++ b/src/metadata_store.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "hooks.h"
+#include "store_version.h"
 
 namespace bramleybank {
 
@@ -29,7 +30,7 @@
 struct StoreRow {
   std::string key;
   std::string value;
-  uint64_t version = 0;
+  StoreVersion version;
   bool deleted = false;
 
   friend bool operator==(const StoreRow&, const StoreRow&) = default;
@@ -40,7 +41,7 @@
   StoreResult result = StoreResult::kUnavailable;
   std::vector<StoreRow> rows;
   /// Newest version of the store that the result includes.
-  uint64_t version = 0;
+  StoreVersion version;
   /// Monotonic clock of the store at the time of the answer.
   Duration now{0};
   /// Whether the table has more rows after the last one.
@@ -58,7 +59,7 @@
   std::string value;
   /// Version that the row must have; 0 if the row must not exist. If empty, the
   /// write is unconditional.
-  std::optional<uint64_t> expected_version;
+  std::optional<StoreVersion> expected_version;
 
   friend bool operator==(const StoreWrite&, const StoreWrite&) = default;
 };
@@ -80,7 +81,7 @@
   /// Waits until rows of the table change after `version`, for at most `wait`
   /// (long poll).
   virtual void WaitForChanges(const std::string& table,
-                              uint64_t version,
+                              const StoreVersion& version,
                               Duration wait,
                               RowsCallback callback) = 0;
   virtual void Write(const StoreWrite& write, WriteCallback callback) = 0;
--- a/src/relay_message.cc
+++ b/src/relay_message.cc
@@ -26,7 +26,7 @@
 void Pack(Packer& packer, const StoreRow& row) {
   packer.pack_array(4);
   Pack(packer, row.key);
-  packer.pack_uint64(row.version);
+  packer.pack_uint64(row.version.number);
   row.deleted ? packer.pack_true() : packer.pack_false();
   Pack(packer, row.value);
 }
@@ -37,7 +37,7 @@
 static bool ConvertField(const msgpack::object& item, StoreRow& row) {
   return ArrayReader(item)
       .Read(row.key)
-      .Read(row.version)
+      .Read(row.version.number)
       .Read(row.deleted)
       .ReadText(kMaxPeerBodyBytes, row.value)
       .ok();
@@ -60,16 +60,21 @@
   reader.Read(message.sender)
       .Read(message.table)
       .Read(message.wait_ms)
-      .Read(message.version)
-      .Read(message.after);
+      .Read(message.version.number)
+      .Read(message.after)
+      .Read(message.version.era);
 }
 
 static void ReadFields(ArrayReader& reader, RelayAnswer& message) {
   reader.Read(message.status)
       .Read(message.age_ms)
-      .Read(message.version)
+      .Read(message.version.number)
       .Read(message.has_more)
-      .Read(message.rows);
+      .Read(message.rows)
+      .Read(message.version.era);
+  for (StoreRow& row : message.rows) {
+    row.version.era = message.version.era;
+  }
 }
 
 static void ReadFields(ArrayReader& reader, RelayEvidence& message) {
@@ -113,25 +118,27 @@
 }
 
 std::string EncodeRelayMessage(const RelayQuery& message) {
-  return EncodeArray(message.format, 5, [&](Packer& packer) {
+  return EncodeArray(message.format, 6, [&](Packer& packer) {
     Pack(packer, message.sender);
     Pack(packer, message.table);
     packer.pack_uint32(message.wait_ms);
-    packer.pack_uint64(message.version);
+    packer.pack_uint64(message.version.number);
     Pack(packer, message.after);
+    packer.pack_uint64(message.version.era);
   });
 }
 
 std::string EncodeRelayMessage(const RelayAnswer& message) {
-  return EncodeArray(message.format, 5, [&](Packer& packer) {
+  return EncodeArray(message.format, 6, [&](Packer& packer) {
     packer.pack_uint8(static_cast<uint8_t>(message.status));
     packer.pack_uint32(message.age_ms);
-    packer.pack_uint64(message.version);
+    packer.pack_uint64(message.version.number);
     message.has_more ? packer.pack_true() : packer.pack_false();
     packer.pack_array(static_cast<uint32_t>(message.rows.size()));
     for (const StoreRow& row : message.rows) {
       Pack(packer, row);
     }
+    packer.pack_uint64(message.version.era);
   });
 }
 
--- a/src/relay_message.h
+++ b/src/relay_message.h
@@ -36,7 +36,7 @@
   /// Longest wait for changes, in milliseconds; 0 reads rows.
   uint32_t wait_ms = 0;
   /// For a wait: returns the changes after this version of the store.
-  uint64_t version = 0;
+  StoreVersion version = {};
   /// For a read: returns the rows whose keys are above this one.
   std::string after = {};
 
@@ -61,8 +61,8 @@
   RelayStatus status = RelayStatus::kStoreLost;
   /// Age of the store's answer that this one is based on, in milliseconds.
   uint32_t age_ms = 0;
-  /// Version of the store that the rows reflect.
-  uint64_t version = 0;
+  /// Version of the store that the rows reflect. All rows are of its era.
+  StoreVersion version = {};
   bool has_more = false;
   std::vector<StoreRow> rows = {};
 
--- a/src/relayed_store.cc
+++ b/src/relayed_store.cc
@@ -111,7 +111,7 @@
 }
 
 void RelayedStore::WaitForChanges(const std::string& table,
-                                  uint64_t version,
+                                  const StoreVersion& version,
                                   Duration wait,
                                   RowsCallback callback) {
   if (FindTable(table) == nullptr) {
@@ -225,9 +225,11 @@
     return;
   }
   const Duration age = answer ? milliseconds(answer->age_ms) : milliseconds(0);
-  // A read must not return to an older state than this gateway already has.
+  // A read must not return to an older state than this gateway already has, and
+  // a wait must not return to an older era.
   const bool is_older =
-      answer && !call->is_wait && answer->version < table->seen_version;
+      answer && (call->is_wait ? answer->version.era < table->seen_version.era
+                               : answer->version < table->seen_version);
   if (answer && answer->status == RelayStatus::kOk && !is_older &&
       age <= m_wait_limits.max_age()) {
     m_selector->OnSuccess(source);
@@ -263,9 +265,14 @@
   Table* table = FindTable(call->table);
   RecordSource(*call, table, source, age);
   if (rows.result == StoreResult::kOk) {
-    UpdateCache(*call, table, rows);
-    table->store_answered_at = m_hooks.age_clock() - age;
-    table->seen_version = std::max(table->seen_version, rows.version);
+    if (UpdateCache(*call, table, rows)) {
+      table->store_answered_at = m_hooks.age_clock() - age;
+    }
+    // The store itself is right whatever era it states.
+    const bool is_new_era =
+        source.is_store() && rows.version.era != table->seen_version.era;
+    table->seen_version =
+        is_new_era ? rows.version : std::max(table->seen_version, rows.version);
     AnswerWaiters(table);
   }
   call->callback(rows);
@@ -295,14 +302,11 @@
       .Field("reason", call.detail.empty() ? "members" : call.detail);
 }
 
-void RelayedStore::UpdateCache(const Call& call,
+bool RelayedStore::UpdateCache(const Call& call,
                                Table* table,
                                const StoreRows& rows) {
-  if (call.is_wait) {
-    table->cache.AddChanges(call.version, rows);
-  } else {
-    table->cache.AddPage(call.after.empty(), rows);
-  }
+  return call.is_wait ? table->cache.AddChanges(call.version, rows)
+                      : table->cache.AddPage(call.after.empty(), rows);
 }
 
 Duration RelayedStore::AgeOf(const Table& table) const {
@@ -362,7 +366,7 @@
 }
 
 RelayAnswer RelayedStore::AnswerChanges(const Table& table,
-                                        uint64_t version) const {
+                                        const StoreVersion& version) const {
   auto changes = table.cache.ChangesAfter(version);
   if (!changes) {
     return {.status = RelayStatus::kHistoryGone};
@@ -402,7 +406,7 @@
     RelayAnswer answer;
     std::string bytes;
   };
-  std::map<uint64_t, Encoded> by_version;
+  std::map<StoreVersion, Encoded> by_version;
   for (auto it = table->waiters.begin(); it != table->waiters.end();) {
     const auto [encoded, is_new] = by_version.try_emplace(it->version);
     Encoded& found = encoded->second;
--- a/src/relayed_store.h
+++ b/src/relayed_store.h
@@ -94,7 +94,7 @@
             const std::string& after,
             RowsCallback callback) override;
   void WaitForChanges(const std::string& table,
-                      uint64_t version,
+                      const StoreVersion& version,
                       Duration wait,
                       RowsCallback callback) override;
   void Write(const StoreWrite& write, WriteCallback callback) override;
@@ -112,7 +112,7 @@
   struct Call {
     std::string table;
     std::string after;
-    uint64_t version = 0;
+    StoreVersion version;
     bool is_wait = false;
     Duration wait{0};
     RowsCallback callback;
@@ -124,7 +124,7 @@
 
   /// A wait of another gateway that this gateway holds open.
   struct Waiter {
-    uint64_t version = 0;
+    StoreVersion version;
     TimerHandle timer;
     std::function<void(int status, std::string body)> reply;
   };
@@ -137,8 +137,9 @@
     bool is_read_from_store = false;
     // When the store gave the answer that the cached copy is based on.
     TimePoint store_answered_at;
-    // Newest store version whose rows this gateway has received.
-    uint64_t seen_version = 0;
+    // Newest store version whose rows this gateway has received. Answers of
+    // relays that are older, or of an older era, are not used.
+    StoreVersion seen_version;
     RowSource source;
     std::list<Waiter> waiters;
   };
@@ -156,7 +157,8 @@
                const RowSource& source,
                const StoreRows& rows,
                Duration age);
-  void UpdateCache(const Call& call, Table* table, const StoreRows& rows);
+  /// @returns whether the cached copy is now as new as the answer.
+  bool UpdateCache(const Call& call, Table* table, const StoreRows& rows);
   void RecordSource(const Call& call,
                     Table* table,
                     const RowSource& source,
@@ -167,7 +169,8 @@
   void ServeWait(Table* table,
                  const RelayQuery& query,
                  std::function<void(int status, std::string body)> reply);
-  RelayAnswer AnswerChanges(const Table& table, uint64_t version) const;
+  RelayAnswer AnswerChanges(const Table& table,
+                            const StoreVersion& version) const;
   void AnswerWaiters(Table* table);
   void RefuseWaiters(Table* table, RelayStatus status);
   Duration AgeOf(const Table& table) const;
--- a/src/rollout_controller.cc
+++ b/src/rollout_controller.cc
@@ -209,7 +209,7 @@
 }
 
 void RolloutController::ApplyDecision(Rollout* rollout, const StoreRow* row) {
-  const uint64_t version = row == nullptr ? 0 : row->version;
+  const StoreVersion version = row == nullptr ? StoreVersion() : row->version;
   rollout->unchanged_reads =
       version == rollout->row_version ? rollout->unchanged_reads + 1 : 0;
   rollout->row_version = version;
@@ -227,7 +227,7 @@
         .Field("version", rollout->splitter.order().version)
         .Field("phase", NameOf(phase))
         .Field("driver", rollout->decision->driver)
-        .Field("row_version", static_cast<long long>(version));
+        .Field("row_version", static_cast<long long>(version.number));
     AddTallies(TotalEvidence(*rollout), &line);
   }
   rollout->splitter.SetPhase(phase);
@@ -365,7 +365,7 @@
       {.table = m_rows->status_table,
        .key = key,
        .value = m_rows->encode_rollout_status(status),
-       .expected_version = row == nullptr ? 0 : row->version},
+       .expected_version = row == nullptr ? StoreVersion() : row->version},
       WhileAlive([this, service = order.service, id = order.id,
                   phase = decision.phase](const StoreResult& result) {
         if (result == StoreResult::kOk) {
--- a/src/rollout_controller.h
+++ b/src/rollout_controller.h
@@ -93,7 +93,7 @@
     RolloutSplitter splitter;
     // Decision as last read, and the version of its row (0 if there is no row).
     std::optional<RolloutDecision> decision;
-    uint64_t row_version = 0;
+    StoreVersion row_version;
     int unchanged_reads = 0;
     // Sum of the evidence in the other gateways' reports.
     RolloutEvidence other_evidence;
--- a/src/row_cache.cc
+++ b/src/row_cache.cc
@@ -8,7 +8,11 @@
 
 namespace bramleybank {
 
-void RowCache::AddPage(bool is_first, const StoreRows& page) {
+bool RowCache::AddPage(bool is_first, const StoreRows& page) {
+  if (page.version.era != m_version.era) {
+    return AddPageOfNextEra(is_first, page);
+  }
+  m_next.reset();
   if (is_first) {
     m_read_keys.clear();
     m_read_version = page.version;
@@ -20,6 +24,25 @@
   if (!page.has_more || page.rows.empty()) {
     FinishRead();
   }
+  return true;
+}
+
+bool RowCache::AddPageOfNextEra(bool is_first, const StoreRows& page) {
+  if (is_first) {
+    m_next = std::make_unique<RowCache>();
+    m_next->m_version.era = page.version.era;
+  }
+  if (!m_next || m_next->m_version.era != page.version.era) {
+    // A later page of a read that began in yet another era.
+    return false;
+  }
+  m_next->AddPage(is_first, page);
+  if (!m_next->is_complete()) {
+    return false;
+  }
+  const std::unique_ptr<RowCache> next = std::move(m_next);
+  *this = std::move(*next);
+  return true;
 }
 
 void RowCache::FinishRead() {
@@ -42,7 +65,10 @@
   m_read_keys.clear();
 }
 
-void RowCache::AddChanges(uint64_t after, const StoreRows& changes) {
+bool RowCache::AddChanges(const StoreVersion& after, const StoreRows& changes) {
+  if (changes.version.era != m_version.era) {
+    return false;
+  }
   if (after > m_version) {
     m_is_complete = false;
   }
@@ -50,6 +76,7 @@
     Put(row);
   }
   m_version = std::max(m_version, changes.version);
+  return true;
 }
 
 void RowCache::Put(const StoreRow& row) {
@@ -82,13 +109,16 @@
   --m_tombstones;
 }
 
-std::optional<StoreRows> RowCache::ChangesAfter(uint64_t version) const {
-  if (!m_is_complete || version < m_dropped_version) {
+std::optional<StoreRows> RowCache::ChangesAfter(
+    const StoreVersion& version) const {
+  if (!m_is_complete || version.era != m_version.era ||
+      version < m_dropped_version) {
     return std::nullopt;
   }
   StoreRows changes{.result = StoreResult::kOk, .version = m_version};
   size_t bytes = 0;
-  for (auto it = m_rows_by_version.lower_bound({version + 1, std::string()});
+  const StoreVersion first(version.number + 1, version.era);
+  for (auto it = m_rows_by_version.lower_bound({first, std::string()});
        it != m_rows_by_version.end(); ++it) {
     const StoreRow& row = m_rows.at(it->second);
     bytes += row.key.size() + row.value.size();
--- a/src/row_cache.h
+++ b/src/row_cache.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -15,29 +16,37 @@
 
 namespace bramleybank {
 
-/// Holds rows by key and by version. A row is never replaced by an older
-/// version of it, in whatever order answers arrive.
+/// Holds rows of one era of the store, by key and by version. Within the era, a
+/// row is never replaced by an older version of it, in whatever order answers
+/// arrive. A full read in another era builds a new copy, which replaces the old
+/// one when it is complete.
 class RowCache {
  public:
   /// Adds one page of a read of the whole table; the last page completes the
   /// copy. Rows that the read does not contain become tombstones.
-  void AddPage(bool is_first, const StoreRows& page);
+  /// @returns whether the copy, as far as it is complete, is as new as the
+  /// page.
+  bool AddPage(bool is_first, const StoreRows& page);
   /// Adds the answer to a wait for changes after version `after`. If `after` is
   /// newer than the copy, changes are missing and the copy becomes incomplete.
-  void AddChanges(uint64_t after, const StoreRows& changes);
+  /// Changes of another era are left out, because those between the eras are
+  /// not known.
+  /// @returns whether the changes were added.
+  bool AddChanges(const StoreVersion& after, const StoreRows& changes);
 
   /// @returns whether the copy holds the whole table.
   bool is_complete() const { return m_is_complete; }
   /// Version of the store that the copy reflects.
-  uint64_t version() const { return m_version; }
+  const StoreVersion& version() const { return m_version; }
 
   /// @returns the changes after `version`, in version order, or nothing when
-  /// they are no longer kept.
-  std::optional<StoreRows> ChangesAfter(uint64_t version) const;
+  /// they are no longer kept or `version` is of another era.
+  std::optional<StoreRows> ChangesAfter(const StoreVersion& version) const;
   /// @returns rows whose keys are above `after`, as many as fit in an answer.
   StoreRows PageAfter(const std::string& after) const;
 
  private:
+  bool AddPageOfNextEra(bool is_first, const StoreRows& page);
   void Put(const StoreRow& row);
   void FinishRead();
   void DropOldestTombstone();
@@ -46,15 +55,17 @@
   // still have the rows.
   std::map<std::string, StoreRow> m_rows;
   // Versions and keys of the rows in m_rows, in version order.
-  std::set<std::pair<uint64_t, std::string>> m_rows_by_version;
+  std::set<std::pair<StoreVersion, std::string>> m_rows_by_version;
   size_t m_tombstones = 0;
   // Changes at or before this version may have been dropped.
-  uint64_t m_dropped_version = 0;
+  StoreVersion m_dropped_version;
   bool m_is_complete = false;
-  uint64_t m_version = 0;
+  StoreVersion m_version;
   // Keys of the read in progress, and the version of its first page.
   std::set<std::string> m_read_keys;
-  uint64_t m_read_version = 0;
+  StoreVersion m_read_version;
+  // Copy of another era whose first read is in progress; null at other times.
+  std::unique_ptr<RowCache> m_next;
 };
 
 }  // namespace bramleybank
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -39,7 +39,7 @@
 void StoreWatch::Start() {
   m_seen_keys.clear();
   m_read_after.clear();
-  m_read_version = 0;
+  m_read_version = {};
   ReadNext();
 }
 
@@ -58,10 +58,15 @@
     return;
   }
   OnSuccess();
-  if (m_read_version == 0) {
+  if (m_read_version == StoreVersion()) {
     // Later pages may be newer. Waiting for changes after the version of the
     // first page misses none.
     m_read_version = rows.version;
+    OnEra(rows.version.era);
+  } else if (rows.version.era != m_read_version.era) {
+    // The store was restored between two pages.
+    Start();
+    return;
   }
   for (const StoreRow& row : rows.rows) {
     m_seen_keys.insert(row.key);
@@ -75,6 +80,14 @@
   FinishRead();
 }
 
+void StoreWatch::OnEra(uint64_t era) {
+  const bool is_restored = m_era && *m_era != era;
+  m_era = era;
+  if (is_restored && m_hooks.on_restored) {
+    m_hooks.on_restored();
+  }
+}
+
 void StoreWatch::FinishRead() {
   std::vector<std::string> gone;
   for (const auto& [key, version] : m_row_versions) {
@@ -93,7 +106,8 @@
 
 void StoreWatch::ApplyRow(const StoreRow& row) {
   const auto known = m_row_versions.find(row.key);
-  if (known != m_row_versions.end() && row.version < known->second) {
+  if (known != m_row_versions.end() && row.version.era == known->second.era &&
+      row.version < known->second) {
     return;
   }
   if (row.deleted) {
@@ -115,16 +129,18 @@
 }
 
 void StoreWatch::OnChanges(const StoreRows& rows) {
-  if (rows.result == StoreResult::kHistoryGone) {
-    OnSuccess();
-    Start();
-    return;
-  }
-  if (rows.result != StoreResult::kOk) {
+  const bool is_failure = rows.result != StoreResult::kOk &&
+                          rows.result != StoreResult::kHistoryGone;
+  if (is_failure) {
     OnFailure(rows.detail, &StoreWatch::Wait);
     return;
   }
   OnSuccess();
+  if (rows.result == StoreResult::kHistoryGone ||
+      rows.version.era != m_version.era) {
+    Start();
+    return;
+  }
   for (const StoreRow& row : rows.rows) {
     ApplyRow(row);
   }
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -22,6 +23,10 @@
 struct StoreWatchHooks {
   /// A row was read, has changed or was deleted.
   std::function<void(const StoreRow& row)> on_row;
+  /// The store has been restored from an older copy. The rows that follow, up
+  /// to the next on_complete, replace those of before: some are older, some are
+  /// missing until their writers write them again. May be empty.
+  std::function<void()> on_restored;
   /// A full read is complete: all rows of the table have been reported.
   std::function<void()> on_complete;
   /// The store has stopped answering (false) or answers again (true).
@@ -46,7 +51,8 @@
 Duration MaxStoreWait(Duration max_silence);
 
 /// Watch of one table. Failed calls are retried without limit, with exponential
-/// backoff and jitter.
+/// backoff and jitter. An answer of another era of the store than the last one
+/// starts a new full read, because changes of the time between are not known.
 class StoreWatch {
  public:
   StoreWatch(EventLoop* loop,
@@ -61,13 +67,14 @@
   void Start();
   void SetPause(Duration pause) { m_times.pause = pause; }
   /// Version of the store up to which all changes have been reported.
-  uint64_t version() const { return m_version; }
+  const StoreVersion& version() const { return m_version; }
 
  private:
   void ReadNext();
   void Wait();
   void OnRead(const StoreRows& rows);
   void OnChanges(const StoreRows& rows);
+  void OnEra(uint64_t era);
   void FinishRead();
   void ApplyRow(const StoreRow& row);
   void OnFailure(const std::string& detail, void (StoreWatch::*retry)());
@@ -80,15 +87,18 @@
   const StoreWatchHooks m_hooks;
   // Versions of the reported rows that have not been deleted, by key. After a
   // full read, those that it did not contain are reported as deleted. Changes
-  // with an older version than the known one are ignored, since a read of
-  // several pages may be ahead of the changes that are received after it.
-  std::map<std::string, uint64_t> m_row_versions;
+  // with an older version of the same era than the known one are ignored, since
+  // a read of several pages may be ahead of the changes that are received after
+  // it.
+  std::map<std::string, StoreVersion> m_row_versions;
   // State of the full read in progress: keys seen so far, the last key of the
   // previous page, and the version of the first page.
   std::set<std::string> m_seen_keys;
   std::string m_read_after;
-  uint64_t m_read_version = 0;
-  uint64_t m_version = 0;
+  StoreVersion m_read_version;
+  StoreVersion m_version;
+  // Era of the rows that were reported last; empty before the first ones.
+  std::optional<uint64_t> m_era;
   int m_failures = 0;
   TimerHandle m_timer;
   // Callbacks that outlive this object detect that it has expired.
--- a/src/suspect_tracker.cc
+++ b/src/suspect_tracker.cc
@@ -346,8 +346,9 @@
   }
   m_is_writing = true;
   m_write_base = m_row_version;
-  return Write{.value = list.Encode(),
-               .expected_version = m_row_exists ? m_row_version : 0};
+  return Write{
+      .value = list.Encode(),
+      .expected_version = m_row_exists ? m_row_version : StoreVersion()};
 }
 
 void SuspectTracker::OnWritten(StoreResult result, TimePoint now) {
--- a/src/suspect_tracker.h
+++ b/src/suspect_tracker.h
@@ -73,7 +73,7 @@
   /// The write that is due now. OnWritten() must follow with its result.
   struct Write {
     std::string value;
-    uint64_t expected_version = 0;
+    StoreVersion expected_version;
 
     friend bool operator==(const Write&, const Write&) = default;
   };
@@ -162,7 +162,7 @@
 
   const Hooks m_hooks;
   PromptSuspectList m_row;
-  uint64_t m_row_version = 0;
+  StoreVersion m_row_version;
   bool m_row_exists = false;
   // m_row with all changes that it does not contain yet.
   PromptSuspectList m_view;
@@ -179,7 +179,7 @@
   // Whether the last write had no answer and no row has arrived since.
   bool m_is_store_away = false;
   // Version of the row that the last write was based on.
-  uint64_t m_write_base = 0;
+  StoreVersion m_write_base;
   bool m_waits_for_row = false;
   int m_conflicts = 0;
   TimePoint m_next_write;
--- a/tests/gateway_fakes.h
+++ b/tests/gateway_fakes.h
@@ -23,7 +23,7 @@
   struct Call {
     std::string table;
     std::string after;
-    uint64_t version = 0;
+    StoreVersion version;
     bool is_wait = false;
     RowsCallback callback;
   };
@@ -33,12 +33,12 @@
             RowsCallback callback) override {
     calls.push_back({.table = table,
                      .after = after,
-                     .version = 0,
+                     .version = {},
                      .is_wait = false,
                      .callback = std::move(callback)});
   }
   void WaitForChanges(const std::string& table,
-                      uint64_t version,
+                      const StoreVersion& version,
                       Duration /*wait*/,
                       RowsCallback callback) override {
     calls.push_back({.table = table,
--- a/tests/unit_relay.cc
+++ b/tests/unit_relay.cc
@@ -211,14 +211,14 @@
 /// In-memory store of one table.
 class MemoryStore {
  public:
-  uint64_t Put(const std::string& key, const std::string& value) {
-    const uint64_t version = ++m_version;
+  StoreVersion Put(const std::string& key, const std::string& value) {
+    const StoreVersion version = NextVersion();
     m_rows[key] = {.key = key, .value = value, .version = version};
     Notify();
     return version;
   }
-  uint64_t Remove(const std::string& key) {
-    const uint64_t version = ++m_version;
+  StoreVersion Remove(const std::string& key) {
+    const StoreVersion version = NextVersion();
     m_rows[key] = {
         .key = key, .value = {}, .version = version, .deleted = true};
     Notify();
@@ -234,9 +234,9 @@
     }
     return rows;
   }
-  StoreRows ChangesAfter(uint64_t version) const {
+  StoreRows ChangesAfter(const StoreVersion& version) const {
     StoreRows rows{.result = StoreResult::kOk, .version = m_version};
-    std::map<uint64_t, StoreRow> changed;
+    std::map<StoreVersion, StoreRow> changed;
     for (const auto& [key, row] : m_rows) {
       if (row.version > version) {
         changed.emplace(row.version, row);
@@ -250,9 +250,13 @@
 
   /// Called after each change.
   std::vector<std::function<void()>> on_change;
-  uint64_t m_version = 10;
+  StoreVersion m_version = 10;
 
  private:
+  StoreVersion NextVersion() {
+    ++m_version.number;
+    return m_version;
+  }
   void Notify() {
     for (const auto& hook : on_change) {
       hook();
@@ -277,7 +281,7 @@
     Answer(std::move(callback), [this] { return m_store->Page(); });
   }
   void WaitForChanges(const std::string&,
-                      uint64_t version,
+                      const StoreVersion& version,
                       Duration wait,
                       RowsCallback callback) override {
     ++calls;
@@ -300,7 +304,7 @@
 
  private:
   struct Wait {
-    uint64_t version;
+    StoreVersion version;
     RowsCallback callback;
   };
 
@@ -350,7 +354,7 @@
   MetricRegistry metrics;
   RelaySelector selector;
   RelayedStore store;
-  std::map<std::string, uint64_t> rows;
+  std::map<std::string, StoreVersion> rows;
   bool has_regressed = false;
   StoreWatch watch;
   /// Requests of other gateways are not served, and this gateway's answers are
@@ -430,7 +434,7 @@
 
   /// Runs the loop until every gateway except those in `excluded` has the row.
   bool AllReceive(const std::string& key,
-                  uint64_t version,
+                  const StoreVersion& version,
                   const std::set<Node*>& excluded = {}) {
     const TimePoint end = loop.Now() + seconds(20);
     const auto is_known = [&] {
@@ -501,7 +505,7 @@
             {.wait = seconds(3), .pause = milliseconds(1)},
             {.on_row =
                  [this](const StoreRow& row) {
-                   uint64_t& known = rows[row.key];
+                   StoreVersion& known = rows[row.key];
                    has_regressed = has_regressed || row.version < known;
                    known = row.version;
                  },
@@ -518,7 +522,7 @@
   for (const auto& node : fleet.nodes) {
     before.push_back(node->link.calls);
   }
-  const uint64_t version = fleet.store.Put("new", "2");
+  const StoreVersion version = fleet.store.Put("new", "2");
   CHECK(fleet.AllReceive("new", version));
   for (size_t i = 0; i < fleet.nodes.size(); ++i) {
     if (!fleet.nodes[i]->selector.IsReader()) {
@@ -547,7 +551,7 @@
           relay->link.is_refusing = fault == "refused";
         }
       }
-      const uint64_t version = fleet.store.Put("new", "2");
+      const StoreVersion version = fleet.store.Put("new", "2");
       CHECK(fleet.AllReceive("new", version, faulty));
       // A relay that recovers catches up, and no gateway returns to older rows.
       for (Node* relay : faulty) {
@@ -556,7 +560,7 @@
         relay->link.is_cut = false;
         relay->link.is_refusing = false;
       }
-      const uint64_t removal = fleet.store.Remove("new");
+      const StoreVersion removal = fleet.store.Remove("new");
       CHECK(fleet.AllReceive("new", removal));
       CHECK_FALSE(fleet.HasRegressed());
     }
@@ -573,7 +577,7 @@
     for (const auto& node : fleet.nodes) {
       node->link.is_cut = node->self.failure_domain == "d0";
     }
-    const uint64_t version = fleet.store.Put("new", "2");
+    const StoreVersion version = fleet.store.Put("new", "2");
     CHECK(fleet.AllReceive("new", version));
     CHECK_FALSE(fleet.HasRegressed());
   }
@@ -692,7 +696,7 @@
     node->link.is_cut = node->self.failure_domain == "d0";
   }
   fleet.Run(seconds(2));
-  const uint64_t version = fleet.store.Put("new", "2");
+  const StoreVersion version = fleet.store.Put("new", "2");
   const TimePoint changed_at = fleet.loop.Now();
   CHECK(fleet.AllReceive("new", version));
   CHECK(fleet.loop.Now() - changed_at < seconds(2));
--- a/tests/unit_rollout.cc
+++ b/tests/unit_rollout.cc
@@ -201,7 +201,7 @@
     });
   }
   void WaitForChanges(const std::string&,
-                      uint64_t,
+                      const StoreVersion&,
                       Duration,
                       RowsCallback) override {}
   void Write(const StoreWrite& write, WriteCallback callback) override {
