--- a/tests/unit_store_watch.cc
+++ b/tests/unit_store_watch.cc
@@ -14,7 +14,7 @@
 namespace bramleybank {
 namespace {
 
-StoreRow MakeRow(const std::string& key, uint64_t version) {
+StoreRow MakeRow(const std::string& key, const StoreVersion& version) {
   return {.key = key, .value = "v", .version = version};
 }
 
@@ -28,6 +28,7 @@
                    [this](const StoreRow& row) {
                      seen.push_back((row.deleted ? "-" : "+") + row.key);
                    },
+               .on_restored = [this] { seen.emplace_back("restored"); },
                .on_complete = [this] { ++completed; },
                .on_reachable =
                    [this](bool reachable, const std::string&) {
@@ -83,6 +84,57 @@
   CHECK(fixture.NextCall().version == 9);
 }
 
+/// The answer of a store in era `era` whose only rows are `rows`.
+StoreRows MakeRows(uint64_t number, uint64_t era, std::vector<StoreRow> rows) {
+  return {.result = StoreResult::kOk,
+          .rows = std::move(rows),
+          .version = {number, era}};
+}
+
+TEST_CASE("rows of a restored store replace those with higher numbers") {
+  for (const bool is_history_gone : {true, false}) {
+    CAPTURE(is_history_gone);
+    Fixture fixture;
+    fixture.store.Answer("t",
+                         MakeRows(9, 0, {MakeRow("a", 8), MakeRow("lost", 9)}));
+    if (is_history_gone) {
+      fixture.store.Answer("t", {.result = StoreResult::kHistoryGone});
+    } else {
+      // The store has counted past the old version, so it has changes to tell.
+      fixture.store.Answer("t", MakeRows(10, 1, {MakeRow("b", {10, 1})}));
+    }
+    REQUIRE_FALSE(fixture.NextCall().is_wait);
+    fixture.store.Answer(
+        "t", MakeRows(10, 1, {MakeRow("a", {3, 1}), MakeRow("b", {10, 1})}));
+    CHECK(fixture.seen == std::vector<std::string>{"+a", "+lost", "restored",
+                                                   "+a", "+b", "-lost"});
+    CHECK(fixture.NextCall().version == StoreVersion(10, 1));
+    fixture.store.Answer("t", MakeRows(11, 1, {MakeRow("a", {11, 1})}));
+    CHECK(fixture.seen.back() == "+a");
+  }
+}
+
+TEST_CASE("a read that spans a restore starts again") {
+  Fixture fixture;
+  StoreRows page = MakeRows(9, 0, {MakeRow("a", 8)});
+  page.has_more = true;
+  fixture.store.Answer("t", page);
+  fixture.store.Answer("t", MakeRows(4, 1, {MakeRow("b", {4, 1})}));
+  CHECK(fixture.NextCall().after.empty());
+  CHECK(fixture.completed == 0);
+  fixture.store.Answer("t", MakeRows(4, 1, {MakeRow("b", {4, 1})}));
+  CHECK(fixture.seen == std::vector<std::string>{"+a", "restored", "+b", "-a"});
+}
+
+TEST_CASE("a store whose era goes back is read again") {
+  Fixture fixture;
+  fixture.store.Answer("t", MakeRows(9, 2, {MakeRow("a", {9, 2})}));
+  fixture.store.Answer("t", MakeRows(9, 1, {}));
+  fixture.store.Answer("t", MakeRows(7, 1, {MakeRow("a", {7, 1})}));
+  CHECK(fixture.seen == std::vector<std::string>{"+a", "restored", "+a"});
+  CHECK(fixture.NextCall().version == StoreVersion(7, 1));
+}
+
 // Guards against a watch that stops after the first failed call.
 TEST_CASE("a failed call is retried, and the return of the store is reported") {
   Fixture fixture;
