Log and count restores of the store and outdated configurations

Without them a log does not tell a store that went back from one that only had an outage, and a configuration that a gateway ignores leaves no trace.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -294,6 +294,11 @@
                                           const std::string& table) {
   return {
       .on_row = [this, on_row](const StoreRow& row) { (this->*on_row)(row); },
+      .on_restored =
+          [this, table] {
+            metrics.Count("bramleybank_store_restores_total", "table", table);
+            LogLine(LogEventId::kStoreRestored).Field("table", table);
+          },
       .on_complete =
           [this, is_endpoints = table == rows.endpoint_table] {
             if (is_endpoints && !std::exchange(endpoints_read, true)) {
@@ -330,12 +335,20 @@
     return;
   }
   if (config && values->version <= config->version()) {
+    if (values->version < config->version()) {
+      LogLine(LogEventId::kConfigOutdated)
+          .Field("config", static_cast<long long>(values->version))
+          .Field("in_force", static_cast<long long>(config->version()))
+          .Field("row_version", static_cast<long long>(row.version.number))
+          .Field("era", static_cast<long long>(row.version.era));
+    }
     return;
   }
   config = std::make_shared<const GatewayConfig>(std::move(*values));
   LogLine(LogEventId::kConfigInForce)
       .Field("config", static_cast<long long>(config->version()))
       .Field("row_version", static_cast<long long>(row.version.number))
+      .Field("era", static_cast<long long>(row.version.era))
       .Field("routes", static_cast<long long>(config->values().routes.size()));
   StartWaitingIfReady();
 }
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -65,6 +65,12 @@
      "The platform did not answer."},
     {kPlatformReachable, "platform_reachable", kInfo,
      "The platform answers again."},
+    {kStoreRestored, "store_restored", kWarning,
+     "The store has been restored from an older copy; its rows are read "
+     "again."},
+    {kConfigOutdated, "config_outdated", kInfo,
+     "The store shows an older configuration than the one in force, which "
+     "stays."},
     {kMemberAlive, "member_alive", kInfo,
      "A daemon is new, has restarted, or has refuted a suspicion."},
     {kMemberSuspect, "member_suspect", kInfo,
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -40,6 +40,8 @@
   kConfigRefused = 502,
   kPlatformUnreachable = 503,
   kPlatformReachable = 504,
+  kStoreRestored = 505,
+  kConfigOutdated = 506,
   kMemberAlive = 601,
   kMemberSuspect = 602,
   kMemberDead = 603,
