Keep endpoints that left out of service when the store is restored

A restored store shows entries from before: an endpoint that had reported draining is ready again, and one whose entry had been removed is listed until the entry expires. Both got new requests after a gateway knew that they leave. An endpoint that was draining now counts as leaving until it restarts, and an entry that returns with the copy is used only when it is still listed after the time in which an entry that nobody renews expires. Entries that the copy lacks count like entries that expired in an outage.

The new test fails without the change: a0 and b0 are usable after the restore.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -201,6 +201,9 @@
 /// this long after it recovers. Until then their endpoints are used only when
 /// there are no others.
 inline constexpr std::chrono::milliseconds kExpiredEntryGrace{2000};
+/// An entry of an endpoint that had left can return with an older copy of the
+/// store, and nobody renews it. It expires within this time.
+inline constexpr std::chrono::seconds kRestoredEntryExpiry{10};
 /// The measurements of an endpoint are deleted this long after its removal.
 inline constexpr std::chrono::seconds kRemovedEndpointRetention{30};
 /// The record of a removed endpoint with a rate limit is kept for this long: if
--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -77,6 +77,19 @@
   m_store_lost = lost;
 }
 
+void EndpointDirectory::OnStoreRestored() {
+  const TimePoint now = m_clock();
+  m_store_returned_at = now;
+  for (auto& [id, record] : m_records) {
+    if (record.entry.state == EndpointState::kDraining) {
+      record.is_leaving = true;
+    }
+    if (record.removed_at && !record.may_have_expired) {
+      record.unconfirmed_until = now + kRestoredEntryExpiry;
+    }
+  }
+}
+
 void EndpointDirectory::Remove(std::string_view id) {
   EndpointRecord* record = FindMutable(id);
   if (record != nullptr && !record->removed_at) {
@@ -293,6 +306,9 @@
       record.entry.state != EndpointState::kReady) {
     return false;
   }
+  if (record.unconfirmed_until && *record.unconfirmed_until > m_clock()) {
+    return false;
+  }
   if (record.is_adopted && !IsOutageRecent()) {
     return false;
   }
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -40,9 +40,13 @@
   int consecutive_losses = 0;
   /// The endpoint has refused a request and asked for no more until then.
   std::optional<TimePoint> paused_until;
-  /// The endpoint has announced in an answer that it is stopping, whatever the
-  /// state in its entry. Stays set until the endpoint restarts.
+  /// The endpoint has announced that it is stopping, in an answer or in an
+  /// entry that a restored store no longer has, whatever the state in its
+  /// entry. Stays set until the endpoint restarts.
   bool is_leaving = false;
+  /// The endpoint had left before the store was restored from an older copy.
+  /// Until then its entry may be one that the copy has brought back.
+  std::optional<TimePoint> unconfirmed_until;
   /// Requests per second that the endpoint takes from all gateways together;
   /// empty while its answers state no limit.
   std::optional<double> rate_limit;
@@ -83,6 +87,10 @@
   /// Sets whether the store does not answer, so that entries may be stale.
   void SetStoreLost(bool lost);
   bool is_store_lost() const { return m_store_lost; }
+  /// The store has been restored from an older copy: the next entries may be
+  /// older than the known ones, and some are missing until their endpoints
+  /// write them again.
+  void OnStoreRestored();
 
   void OnAttemptStarted(std::string_view id);
   void OnAttemptEnded(std::string_view id, EndpointOutcome outcome);
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -298,6 +298,9 @@
           [this, table] {
             metrics.Count("bramleybank_store_restores_total", "table", table);
             LogLine(LogEventId::kStoreRestored).Field("table", table);
+            if (table == rows.endpoint_table) {
+              directory.OnStoreRestored();
+            }
           },
       .on_complete =
           [this, is_endpoints = table == rows.endpoint_table] {
--- a/tests/unit_endpoint_directory.cc
+++ b/tests/unit_endpoint_directory.cc
@@ -69,6 +69,43 @@
   CHECK(fixture.Pick() == "new");
 }
 
+TEST_CASE("a restored entry does not return an endpoint that left to service") {
+  Fixture fixture(1);
+  EndpointDirectory& directory = fixture.directory;
+  EndpointEntry draining = MakeEntry("a0", "a", "a0:1");
+  draining.state = EndpointState::kDraining;
+  directory.Update(draining);
+  directory.Remove("b0");
+
+  directory.OnStoreRestored();
+  for (const std::string id : {"a", "b", "c"}) {
+    directory.Update(MakeEntry(id + "0", id, id + "0:1"));
+  }
+  CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+  CHECK_FALSE(directory.IsUsable(*directory.Find("b0")));
+  CHECK(directory.IsUsable(*directory.Find("c0")));
+
+  // Only an endpoint that renews its entry is still listed by then.
+  fixture.now += kRestoredEntryExpiry;
+  CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+  CHECK(directory.IsUsable(*directory.Find("b0")));
+
+  EndpointEntry restarted = MakeEntry("a0", "a", "a0:1");
+  restarted.start_time_ms = 5;
+  directory.Update(restarted);
+  CHECK(directory.IsUsable(*directory.Find("a0")));
+}
+
+TEST_CASE("an entry that a restored store lacks does not end the endpoint") {
+  Fixture fixture(1);
+  EndpointDirectory& directory = fixture.directory;
+  directory.OnStoreRestored();
+  directory.Remove("a0");
+  CHECK(directory.IsUsable(*directory.Find("a0")));
+  fixture.now += kExpiredEntryGrace;
+  CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+}
+
 TEST_CASE("an endpoint that starts again under its id is a new one") {
   Fixture fixture(1);
   fixture.directory.OnAttemptStarted("a0");
