--- a/tests/unit_store_client.cc
+++ b/tests/unit_store_client.cc
@@ -1,5 +1,5 @@
-// Guards against calls to the store that reuse a connection that has gone
-// silent, one after the other, until each of them has timed out.
+// The client of the store: connections that have gone silent, and the era that
+// the store states in its answers.
 #include "store_client.h"
 
 #include <doctest/doctest.h>
@@ -18,8 +18,10 @@
 namespace {
 
 constexpr Duration kTurn = std::chrono::milliseconds(10);
+constexpr char kStatusLine[] = "HTTP/1.1 200 OK\r\n";
 constexpr char kAnswer[] =
-    "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n{\"ver\":1,\"rows\":[]}";
+    "Content-Length: 49\r\n\r\n"
+    "{\"ver\":7,\"rows\":[{\"key\":\"k\",\"value\":\"\",\"ver\":5}]}";
 
 /// A store that answers each request, except on connections that have been
 /// silenced.
@@ -49,6 +51,9 @@
     return "http://127.0.0.1:" + std::to_string(m_port);
   }
   size_t connections() const { return m_connections.size(); }
+  size_t requests() const { return m_requests; }
+  /// Header line that further answers have, or nothing.
+  void SetEraLine(std::string line) { m_era_line = std::move(line); }
   void Silence() {
     for (auto& [fd, is_silent] : m_connections) {
       is_silent = true;
@@ -67,17 +72,23 @@
     if (recv(fd, bytes.data(), bytes.size(), 0) <= 0) {
       m_loop->Unwatch(fd);
     } else if (!m_connections[fd]) {
-      REQUIRE(send(fd, kAnswer, sizeof(kAnswer) - 1, MSG_NOSIGNAL) > 0);
+      ++m_requests;
+      const std::string answer = kStatusLine + m_era_line + kAnswer;
+      REQUIRE(send(fd, answer.data(), answer.size(), MSG_NOSIGNAL) > 0);
     }
   }
 
   EventLoop* m_loop;
   int m_listener;
   uint16_t m_port = 0;
+  size_t m_requests = 0;
+  std::string m_era_line;
   // By descriptor: whether it has been silenced.
   std::map<int, bool> m_connections;
 };
 
+// Guards against calls that reuse silent connections, one after the other,
+// until each of them has timed out.
 TEST_CASE("after a call has timed out, no connection from before it is used") {
   constexpr int kIdleConnections = 4;
   EventLoop loop;
@@ -111,5 +122,68 @@
   CHECK(next == StoreResult::kOk);
 }
 
+struct EraFixture {
+  StoreRows Read() {
+    std::optional<StoreRows> rows;
+    store.Read("t", "", [&](const StoreRows& answer) { rows = answer; });
+    while (!rows) {
+      loop.RunOnce(kTurn);
+    }
+    return *rows;
+  }
+  StoreResult Write(std::optional<StoreVersion> expected) {
+    std::optional<StoreResult> result;
+    store.Write({.table = "t", .key = "k", .expected_version = expected},
+                [&](StoreResult answer) { result = answer; });
+    while (!result) {
+      loop.RunOnce(kTurn);
+    }
+    return *result;
+  }
+
+  EventLoop loop;
+  FakeStoreServer server{&loop};
+  StoreClient store{&loop, server.Url()};
+};
+
+TEST_CASE("an answer without a usable era counts as one of the last era") {
+  EraFixture fixture;
+  struct Answer {
+    std::string line;
+    uint64_t era;
+  };
+  for (const auto& [line, era] : std::vector<Answer>{{"", 0},
+                                                     {"Store-Era: 2\r\n", 2},
+                                                     {"", 2},
+                                                     {"Store-Era: x\r\n", 2},
+                                                     {"Store-Era: -1\r\n", 2},
+                                                     {"Store-Era: 3 4\r\n", 2},
+                                                     {"store-era: 3\r\n", 3},
+                                                     {"Store-Era: 1\r\n", 1}}) {
+    CAPTURE(line);
+    fixture.server.SetEraLine(line);
+    const StoreRows rows = fixture.Read();
+    CHECK(rows.version == StoreVersion(7, era));
+    REQUIRE(rows.rows.size() == 1);
+    CHECK(rows.rows[0].version == StoreVersion(5, era));
+  }
+}
+
+// Guards against a write over a row of a new era that has got the expected
+// number by chance.
+TEST_CASE("a conditional write of an earlier era is a conflict") {
+  EraFixture fixture;
+  fixture.server.SetEraLine("Store-Era: 1\r\n");
+  fixture.Read();
+  CHECK(fixture.Write(StoreVersion(5, 0)) == StoreResult::kConflict);
+  CHECK(fixture.server.requests() == 1);
+  CHECK(fixture.Write(StoreVersion(5, 1)) == StoreResult::kOk);
+  CHECK(fixture.Write(StoreVersion()) == StoreResult::kOk);
+  CHECK(fixture.Write(std::nullopt) == StoreResult::kOk);
+  // The store is restored between the read and the write.
+  fixture.server.SetEraLine("Store-Era: 2\r\n");
+  CHECK(fixture.Write(StoreVersion(5, 1)) == StoreResult::kConflict);
+}
+
 }  // namespace
 }  // namespace bramleybank::platform
