Ask other gateways for a configuration that a restored store has lost

Between a restore and the operator's repeat the store shows an older configuration. Gateways that ran before keep the newer one, but one that starts in that gap, or that was cut off from the store in the lost seconds, knew only the older one: it took a key that had been dropped.

A gateway that reads its first configuration from a store which has been restored at some time, and each gateway that notices a restore, now asks three others, in three rounds, for the configuration that they have in force. A gateway that starts holds requests back for the first round, 0.5 s at most.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -482,6 +482,15 @@
 inline constexpr size_t kMaxRelayAnswerBytes = 512 * 1024;
 /// Open waits of followers that a relay accepts for each table.
 inline constexpr size_t kMaxRelayWaiters = 1024;
+/// After a restore of the store: how many gateways are asked for a newer
+/// configuration in one round, and the interval and number of the rounds. The
+/// rounds give a gateway that was asked the time to read a list with the one
+/// that asks.
+inline constexpr size_t kConfigCatchUpMembers = 3;
+inline constexpr std::chrono::milliseconds kConfigCatchUpInterval{1000};
+inline constexpr int kConfigCatchUpRounds = 3;
+/// A gateway that starts waits this long for the first round.
+inline constexpr std::chrono::milliseconds kMaxConfigCatchUpWait{500};
 /// Shortest time between two reads of the list of gateways that are caused by
 /// an unknown sender.
 inline constexpr std::chrono::seconds kUnknownSenderReadInterval{5};
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "bramleybank/limits.h"
+#include "config_catch_up.h"
 #include "endpoint_adopter.h"
 #include "endpoint_directory.h"
 #include "endpoint_limiter.h"
@@ -80,9 +81,14 @@
   void StartExchange(uint64_t number,
                      const std::shared_ptr<GatewayCaller>& caller,
                      GatewayRequest request);
-  bool IsReady() const { return config && endpoints_read; }
+  bool IsReady() const {
+    return config && endpoints_read && !catch_up.is_blocking();
+  }
   void StartWaitingIfReady();
   void OnOperatorRow(const StoreRow& row);
+  /// Puts a configuration in force if it is newer than the known one.
+  /// @param row the operator's row, or what another gateway has of it.
+  void OnConfig(const StoreRow& row);
   void OnRolloutRow(const StoreRow& row);
   void OnEndpointRow(const StoreRow& row);
   StoreWatchHooks WatchHooks(void (Impl::*on_row)(const StoreRow&),
@@ -152,6 +158,11 @@
            },
        .on_permit_query =
            [this](const PermitQuery& query) { return permits.Answer(query); },
+       .on_config_query =
+           [this](uint64_t known_version) {
+             return config && config->version() > known_version ? config_value
+                                                                : std::string();
+           },
        .random = random}};
   PermitClient permits{
       settings.name,
@@ -166,6 +177,26 @@
              relay.QueryPermits(issuer, query, std::move(callback));
            }}};
   std::shared_ptr<const GatewayConfig> config;
+  // `config` as the operator wrote it.
+  std::string config_value;
+  ConfigCatchUp catch_up{
+      loop,
+      {.random = random,
+       .find_members =
+           [this](size_t count, ConfigCatchUp::MembersCallback callback) {
+             peers.FindOthers(count, std::move(callback));
+           },
+       .ask =
+           [this](const GatewayMember& member,
+                  ConfigCatchUp::AnswerCallback callback) {
+             relay.QueryConfig(member, config ? config->version() : 0,
+                               std::move(callback));
+           },
+       .on_config =
+           [this](const std::string& value) {
+             OnConfig({.key = rows.config_key, .value = value});
+           },
+       .on_unblocked = [this] { StartWaitingIfReady(); }}};
   EndpointAdopter adopter{loop, &codec, &directory, [this] { return config; }};
   RolloutController rollouts{
       loop,
@@ -300,6 +331,8 @@
             LogLine(LogEventId::kStoreRestored).Field("table", table);
             if (table == rows.endpoint_table) {
               directory.OnStoreRestored();
+            } else {
+              catch_up.OnRestored();
             }
           },
       .on_complete =
@@ -331,6 +364,13 @@
   if (row.key != rows.config_key || row.deleted) {
     return;
   }
+  if (!config && row.version.era > 0) {
+    catch_up.OnFirstConfig();
+  }
+  OnConfig(row);
+}
+
+void Gateway::Impl::OnConfig(const StoreRow& row) {
   auto values = rows.decode_config(row.value);
   if (!values) {
     LogLine(LogEventId::kConfigRefused)
@@ -348,6 +388,7 @@
     return;
   }
   config = std::make_shared<const GatewayConfig>(std::move(*values));
+  config_value = row.value;
   LogLine(LogEventId::kConfigInForce)
       .Field("config", static_cast<long long>(config->version()))
       .Field("row_version", static_cast<long long>(row.version.number))
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -3,6 +3,7 @@
 #include "gateway_peers.h"
 
 #include <algorithm>
+#include <functional>
 #include <sstream>
 #include <utility>
 
@@ -151,4 +152,45 @@
   return m_has_list ? count() : kAssumedPeerCount;
 }
 
+std::vector<GatewayMember> GatewayPeers::OthersByVersion(
+    const StoreRows& rows) const {
+  std::vector<StoreRow> sorted = rows.rows;
+  std::ranges::sort(sorted, std::greater(), &StoreRow::version);
+  std::vector<GatewayMember> others;
+  for (const StoreRow& row : sorted) {
+    if (row.key != m_self.name) {
+      others.push_back(DecodeMember(row));
+    }
+  }
+  return others;
+}
+
+void GatewayPeers::FindOthers(
+    size_t count,
+    std::function<void(const std::vector<GatewayMember>&)> callback) {
+  const auto take = [count](std::vector<GatewayMember> members) {
+    std::erase_if(members, [](const GatewayMember& member) {
+      return member.peer_address.empty();
+    });
+    members.resize(std::min(members.size(), count));
+    return members;
+  };
+  if (m_has_list) {
+    std::vector<GatewayMember> others = members();
+    others.erase(others.begin());  // This gateway.
+    for (size_t i = others.size(); i > 1; --i) {
+      std::swap(others[i - 1], others[m_random() % i]);
+    }
+    callback(take(std::move(others)));
+    return;
+  }
+  m_store->Read(kTable, "",
+                [weak = std::weak_ptr(m_alive), take,
+                 callback = std::move(callback)](const StoreRows& rows) {
+                  if (const auto self = weak.lock()) {
+                    callback(take((*self)->OthersByVersion(rows)));
+                  }
+                });
+}
+
 }  // namespace bramleybank
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -44,6 +44,13 @@
   /// unless it was read within kUnknownSenderReadInterval.
   void OnUnknownSender();
 
+  /// Finds up to `count` other gateways with a peer address that are probably
+  /// alive. Before the first list it reads the rows and takes those that were
+  /// written last, since rows of gateways that are gone stay in the store.
+  void FindOthers(
+      size_t count,
+      std::function<void(const std::vector<GatewayMember>&)> callback);
+
   /// Called when the list may have changed.
   void SetChangeHandler(std::function<void()> handler);
 
@@ -70,6 +77,8 @@
   void ReadRows(bool is_heartbeat);
   void ScheduleHeartbeat();
   bool IsAlive(const Peer& peer) const;
+  /// @returns the other gateways of `rows`, the last written ones first.
+  std::vector<GatewayMember> OthersByVersion(const StoreRows& rows) const;
 
   EventLoop* m_loop;
   MetadataStore* m_store;
--- a/src/gateway_relay.cc
+++ b/src/gateway_relay.cc
@@ -126,6 +126,10 @@
     int status = kStatusOk;
     std::string answer = HandlePermitQuery(body, &status);
     reply(status, std::move(answer));
+  } else if (path == kPathRelayConfigQuery) {
+    int status = kStatusOk;
+    std::string answer = HandleConfigQuery(body, &status);
+    reply(status, std::move(answer));
   } else {
     m_metrics->Count(kRelayAnswersMetric, "result", "unknown_path");
     reply(kStatusNotFound, {});
@@ -201,6 +205,16 @@
       RelayPermitAnswer{.answer = m_hooks.on_permit_query(message->query)});
 }
 
+std::string GatewayRelay::HandleConfigQuery(std::string_view body,
+                                            int* status) {
+  const auto message = DecodeFromMember<RelayConfigQuery>(body, status);
+  if (!message) {
+    return {};
+  }
+  return EncodeRelayMessage(RelayConfigAnswer{
+      .value = m_hooks.on_config_query(message->known_version)});
+}
+
 template <typename Message>
 void GatewayRelay::SendToRelay(
     const char* path,
@@ -260,4 +274,24 @@
        });
 }
 
+void GatewayRelay::QueryConfig(
+    const GatewayMember& member,
+    uint64_t known_version,
+    std::function<void(const std::optional<std::string>&)> callback) {
+  const RelayConfigQuery message{.sender = m_self.name,
+                                 .known_version = known_version};
+  Call(member.peer_address, kPathRelayConfigQuery, EncodeRelayMessage(message),
+       kRelayTimeout,
+       [this, callback = std::move(callback)](const std::string* body) {
+         auto answer =
+             body ? DecodeRelayMessage<RelayConfigAnswer>(*body) : std::nullopt;
+         if (body && !answer) {
+           ReportMalformedMessage(m_metrics, body->size());
+         }
+         const bool has_value = answer && !answer->value.empty();
+         callback(has_value ? std::optional(std::move(answer->value))
+                            : std::nullopt);
+       });
+}
+
 }  // namespace bramleybank
--- a/src/gateway_relay.h
+++ b/src/gateway_relay.h
@@ -43,6 +43,9 @@
         on_prompt_query;
     /// Another gateway asks for permits of an endpoint.
     std::function<PermitAnswer(const PermitQuery& query)> on_permit_query;
+    /// Another gateway asks for a configuration that is newer than
+    /// `known_version`. @returns it as the operator wrote it, or empty.
+    std::function<std::string(uint64_t known_version)> on_config_query;
     RandomHook random;
   };
 
@@ -92,6 +95,14 @@
                     const PermitQuery& query,
                     std::function<void(std::optional<PermitAnswer>)> callback);
 
+  /// Asks another gateway for a configuration that is newer than
+  /// `known_version`.
+  /// @param callback gets nothing without an answer or when it has none.
+  void QueryConfig(
+      const GatewayMember& member,
+      uint64_t known_version,
+      std::function<void(const std::optional<std::string>&)> callback);
+
   const Reason& last_reason() const { return m_last_reason; }
 
  private:
@@ -109,6 +120,7 @@
       std::string_view body,
       const std::function<void(int status, std::string body)>& reply);
   std::string HandlePermitQuery(std::string_view body, int* status);
+  std::string HandleConfigQuery(std::string_view body, int* status);
   /// @returns the message if it can be decoded and its sender is a known
   /// gateway.
   /// @param status set to the HTTP status of the reply.
--- a/src/relay_message.cc
+++ b/src/relay_message.cc
@@ -117,6 +117,14 @@
   message.answer.retry_after = std::chrono::milliseconds(retry_after_ms);
 }
 
+static void ReadFields(ArrayReader& reader, RelayConfigQuery& message) {
+  reader.Read(message.sender).Read(message.known_version);
+}
+
+static void ReadFields(ArrayReader& reader, RelayConfigAnswer& message) {
+  reader.ReadText(kMaxPeerBodyBytes, message.value);
+}
+
 std::string EncodeRelayMessage(const RelayQuery& message) {
   return EncodeArray(message.format, 6, [&](Packer& packer) {
     Pack(packer, message.sender);
@@ -186,6 +194,18 @@
   });
 }
 
+std::string EncodeRelayMessage(const RelayConfigQuery& message) {
+  return EncodeArray(message.format, 2, [&](Packer& packer) {
+    Pack(packer, message.sender);
+    packer.pack_uint64(message.known_version);
+  });
+}
+
+std::string EncodeRelayMessage(const RelayConfigAnswer& message) {
+  return EncodeArray(message.format, 1,
+                     [&](Packer& packer) { Pack(packer, message.value); });
+}
+
 template <typename Message>
 std::optional<Message> DecodeRelayMessage(std::string_view bytes,
                                           Reason* error) {
@@ -207,5 +227,9 @@
                                                             Reason*);
 template std::optional<RelayPermitAnswer> DecodeRelayMessage(std::string_view,
                                                              Reason*);
+template std::optional<RelayConfigQuery> DecodeRelayMessage(std::string_view,
+                                                            Reason*);
+template std::optional<RelayConfigAnswer> DecodeRelayMessage(std::string_view,
+                                                             Reason*);
 
 }  // namespace bramleybank
--- a/src/relay_message.h
+++ b/src/relay_message.h
@@ -1,6 +1,7 @@
 // Messages with which a gateway reads tables of the metadata store from another
 // gateway, hands over its rollout evidence and the prompts of its streams, and
-// asks for permits of endpoints that limit the rate of their requests.
+// asks for permits of endpoints that limit the rate of their requests and for
+// the newest configuration.
 #ifndef BRAMLEYBANK_SRC_RELAY_MESSAGE_H_
 #define BRAMLEYBANK_SRC_RELAY_MESSAGE_H_
 
@@ -26,6 +27,7 @@
 inline constexpr char kPathRelayPrompts[] = "/relay/prompts";
 inline constexpr char kPathRelayPromptQuery[] = "/relay/prompt-query";
 inline constexpr char kPathRelayPermitQuery[] = "/relay/permit-query";
+inline constexpr char kPathRelayConfigQuery[] = "/relay/config-query";
 
 /// Reads the rows of a table, or waits for changes to them.
 struct RelayQuery {
@@ -123,6 +125,28 @@
                          const RelayPermitAnswer&) = default;
 };
 
+/// Asks for the configuration that a gateway has in force.
+struct RelayConfigQuery {
+  uint32_t format = kRelayFormatVersion;
+  std::string sender = {};
+  /// Operator's version of the configuration that the sender has.
+  uint64_t known_version = 0;
+
+  friend bool operator==(const RelayConfigQuery&,
+                         const RelayConfigQuery&) = default;
+};
+
+/// Answer to a RelayConfigQuery.
+struct RelayConfigAnswer {
+  uint32_t format = kRelayFormatVersion;
+  /// The configuration as the operator wrote it; empty when it is not newer
+  /// than the known one.
+  std::string value = {};
+
+  friend bool operator==(const RelayConfigAnswer&,
+                         const RelayConfigAnswer&) = default;
+};
+
 std::string EncodeRelayMessage(const RelayQuery& message);
 std::string EncodeRelayMessage(const RelayAnswer& message);
 std::string EncodeRelayMessage(const RelayEvidence& message);
@@ -130,6 +154,8 @@
 std::string EncodeRelayMessage(const RelayPromptQuery& message);
 std::string EncodeRelayMessage(const RelayPermitQuery& message);
 std::string EncodeRelayMessage(const RelayPermitAnswer& message);
+std::string EncodeRelayMessage(const RelayConfigQuery& message);
+std::string EncodeRelayMessage(const RelayConfigAnswer& message);
 
 /// Decodes bytes from another gateway. Never throws; memory is bounded by
 /// kMaxPeerBodyBytes and kMaxPeerMessageItems.
--- a/tests/unit_relay.cc
+++ b/tests/unit_relay.cc
@@ -278,6 +278,12 @@
   const RelayEvidence evidence{.sender = "g", .service = "s", .report = "r"};
   CHECK(DecodeRelayMessage<RelayEvidence>(EncodeRelayMessage(evidence)) ==
         evidence);
+  const RelayConfigQuery config_query{.sender = "g", .known_version = 12};
+  CHECK(DecodeRelayMessage<RelayConfigQuery>(
+            EncodeRelayMessage(config_query)) == config_query);
+  const RelayConfigAnswer config_answer{.value = std::string(1000, 'v')};
+  CHECK(DecodeRelayMessage<RelayConfigAnswer>(
+            EncodeRelayMessage(config_answer)) == config_answer);
   Reason error;
   CHECK_FALSE(DecodeRelayMessage<RelayAnswer>("x", &error).has_value());
   CHECK(error.code == ResultCode::kPeerBadMessage);
