Notice a restore of a store that states no era

Within an era versions only grow, so a full read with a lower version than the one known before means that the store went back. The watch now treats it like a new era, and the cached copy of a relay is replaced.

--- a/src/row_cache.cc
+++ b/src/row_cache.cc
@@ -9,13 +9,15 @@
 namespace bramleybank {
 
 bool RowCache::AddPage(bool is_first, const StoreRows& page) {
-  if (page.version.era != m_version.era) {
-    return AddPageOfNextEra(is_first, page);
-  }
-  m_next.reset();
   if (is_first) {
-    m_read_keys.clear();
-    m_read_version = page.version;
+    StartRead(page.version);
+  }
+  if (m_next) {
+    return AddPageOfNextCopy(is_first, page);
+  }
+  if (!m_is_reading || page.version.era != m_read_version.era) {
+    // A later page of a read whose first page is not known.
+    return false;
   }
   for (const StoreRow& row : page.rows) {
     m_read_keys.insert(row.key);
@@ -27,15 +29,20 @@
   return true;
 }
 
-bool RowCache::AddPageOfNextEra(bool is_first, const StoreRows& page) {
-  if (is_first) {
+void RowCache::StartRead(const StoreVersion& version) {
+  m_next.reset();
+  m_read_keys.clear();
+  m_read_version = version;
+  // Versions grow within an era. A lower one means a restore, also of a store
+  // that states no era.
+  m_is_reading = version.era == m_version.era && version >= m_version;
+  if (!m_is_reading) {
     m_next = std::make_unique<RowCache>();
-    m_next->m_version.era = page.version.era;
-  }
-  if (!m_next || m_next->m_version.era != page.version.era) {
-    // A later page of a read that began in yet another era.
-    return false;
+    m_next->m_version.era = version.era;
   }
+}
+
+bool RowCache::AddPageOfNextCopy(bool is_first, const StoreRows& page) {
   m_next->AddPage(is_first, page);
   if (!m_next->is_complete()) {
     return false;
@@ -63,10 +70,11 @@
   m_is_complete = true;
   m_version = std::max(m_version, m_read_version);
   m_read_keys.clear();
+  m_is_reading = false;
 }
 
 bool RowCache::AddChanges(const StoreVersion& after, const StoreRows& changes) {
-  if (changes.version.era != m_version.era) {
+  if (changes.version.era != m_version.era || after.era != m_version.era) {
     return false;
   }
   if (after > m_version) {
--- a/src/row_cache.h
+++ b/src/row_cache.h
@@ -18,14 +18,13 @@
 
 /// Holds rows of one era of the store, by key and by version. Within the era, a
 /// row is never replaced by an older version of it, in whatever order answers
-/// arrive. A full read in another era builds a new copy, which replaces the old
-/// one when it is complete.
+/// arrive. A full read after a restore of the store builds a new copy, which
+/// replaces the old one when it is complete.
 class RowCache {
  public:
   /// Adds one page of a read of the whole table; the last page completes the
   /// copy. Rows that the read does not contain become tombstones.
-  /// @returns whether the copy, as far as it is complete, is as new as the
-  /// page.
+  /// @returns whether the copy contains the page, so that it is as fresh.
   bool AddPage(bool is_first, const StoreRows& page);
   /// Adds the answer to a wait for changes after version `after`. If `after` is
   /// newer than the copy, changes are missing and the copy becomes incomplete.
@@ -46,7 +45,8 @@
   StoreRows PageAfter(const std::string& after) const;
 
  private:
-  bool AddPageOfNextEra(bool is_first, const StoreRows& page);
+  void StartRead(const StoreVersion& version);
+  bool AddPageOfNextCopy(bool is_first, const StoreRows& page);
   void Put(const StoreRow& row);
   void FinishRead();
   void DropOldestTombstone();
@@ -64,7 +64,9 @@
   // Keys of the read in progress, and the version of its first page.
   std::set<std::string> m_read_keys;
   StoreVersion m_read_version;
-  // Copy of another era whose first read is in progress; null at other times.
+  bool m_is_reading = false;
+  // Copy of a restored store whose first read is in progress; null at other
+  // times.
   std::unique_ptr<RowCache> m_next;
 };
 
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -62,7 +62,7 @@
     // Later pages may be newer. Waiting for changes after the version of the
     // first page misses none.
     m_read_version = rows.version;
-    OnEra(rows.version.era);
+    NoticeRestore();
   } else if (rows.version.era != m_read_version.era) {
     // The store was restored between two pages.
     Start();
@@ -80,10 +80,20 @@
   FinishRead();
 }
 
-void StoreWatch::OnEra(uint64_t era) {
-  const bool is_restored = m_era && *m_era != era;
-  m_era = era;
-  if (is_restored && m_hooks.on_restored) {
+void StoreWatch::NoticeRestore() {
+  // Versions grow within an era. A lower one means a restore, also of a store
+  // that states no era.
+  const bool is_restored = m_has_read && (m_read_version.era != m_version.era ||
+                                          m_read_version < m_version);
+  m_has_read = true;
+  m_version = m_read_version;
+  if (!is_restored) {
+    return;
+  }
+  for (auto& [key, version] : m_row_versions) {
+    version = {};
+  }
+  if (m_hooks.on_restored) {
     m_hooks.on_restored();
   }
 }
@@ -106,8 +116,7 @@
 
 void StoreWatch::ApplyRow(const StoreRow& row) {
   const auto known = m_row_versions.find(row.key);
-  if (known != m_row_versions.end() && row.version.era == known->second.era &&
-      row.version < known->second) {
+  if (known != m_row_versions.end() && row.version < known->second) {
     return;
   }
   if (row.deleted) {
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 
@@ -74,7 +73,8 @@
   void Wait();
   void OnRead(const StoreRows& rows);
   void OnChanges(const StoreRows& rows);
-  void OnEra(uint64_t era);
+  /// Called when the first page of a full read has arrived.
+  void NoticeRestore();
   void FinishRead();
   void ApplyRow(const StoreRow& row);
   void OnFailure(const std::string& detail, void (StoreWatch::*retry)());
@@ -87,9 +87,9 @@
   const StoreWatchHooks m_hooks;
   // Versions of the reported rows that have not been deleted, by key. After a
   // full read, those that it did not contain are reported as deleted. Changes
-  // with an older version of the same era than the known one are ignored, since
-  // a read of several pages may be ahead of the changes that are received after
-  // it.
+  // with an older version than the known one are ignored, since a read of
+  // several pages may be ahead of the changes that are received after it. After
+  // a restore of the store, the versions of before count as zero.
   std::map<std::string, StoreVersion> m_row_versions;
   // State of the full read in progress: keys seen so far, the last key of the
   // previous page, and the version of the first page.
@@ -97,8 +97,8 @@
   std::string m_read_after;
   StoreVersion m_read_version;
   StoreVersion m_version;
-  // Era of the rows that were reported last; empty before the first ones.
-  std::optional<uint64_t> m_era;
+  // Whether the first page of a read has arrived, so that m_version is set.
+  bool m_has_read = false;
   int m_failures = 0;
   TimerHandle m_timer;
   // Callbacks that outlive this object detect that it has expired.
--- a/tests/unit_store_watch.cc
+++ b/tests/unit_store_watch.cc
@@ -126,6 +126,16 @@
   CHECK(fixture.seen == std::vector<std::string>{"+a", "restored", "+b", "-a"});
 }
 
+// Guards against a store that states no era.
+TEST_CASE("a read of lower versions than before means a restore") {
+  Fixture fixture;
+  fixture.store.Answer("t", MakeRows(9, 0, {MakeRow("a", 9)}));
+  fixture.store.Answer("t", {.result = StoreResult::kHistoryGone});
+  fixture.store.Answer("t", MakeRows(7, 0, {MakeRow("a", 7)}));
+  CHECK(fixture.seen == std::vector<std::string>{"+a", "restored", "+a"});
+  CHECK(fixture.NextCall().version == 7);
+}
+
 TEST_CASE("a store whose era goes back is read again") {
   Fixture fixture;
   fixture.store.Answer("t", MakeRows(9, 2, {MakeRow("a", {9, 2})}));
