Relays: answer followers without an era, refuse those of a later one

A follower of an earlier release sends no era. A relay took it for era 0 and answered each of its waits with a loss of history, which the follower repeats without a pause (126,062 calls in 1 s by one follower in memory). Such a wait is now ordered by number. A relay of an earlier era than the follower's refuses, so that the follower leaves it out for a while, and a poll that gets rows of an earlier era tries the next source. The store of the fleet in memory compares by number only, as the real one does, and answers that history is gone.

--- a/src/metadata_store.h
+++ b/src/metadata_store.h
@@ -17,7 +17,9 @@
 /// How a call to the store ended.
 enum class StoreResult : uint8_t {
   kOk,
-  /// The row does not have the version that the write expects.
+  /// The row does not have the version that the write expects. If the store was
+  /// restored in the meantime, another row may have had it, and the write may
+  /// have been applied to that one: read again before the next write.
   kConflict,
   /// The store has discarded the requested changes; all rows must be read
   /// again.
--- a/src/relay_message.cc
+++ b/src/relay_message.cc
@@ -60,9 +60,9 @@
   reader.Read(message.sender)
       .Read(message.table)
       .Read(message.wait_ms)
-      .Read(message.version.number)
+      .Read(message.version)
       .Read(message.after)
-      .Read(message.version.era);
+      .Read(message.era);
 }
 
 static void ReadFields(ArrayReader& reader, RelayAnswer& message) {
@@ -130,9 +130,9 @@
     Pack(packer, message.sender);
     Pack(packer, message.table);
     packer.pack_uint32(message.wait_ms);
-    packer.pack_uint64(message.version.number);
+    packer.pack_uint64(message.version);
     Pack(packer, message.after);
-    packer.pack_uint64(message.version.era);
+    message.era ? packer.pack_uint64(*message.era) : packer.pack_nil();
   });
 }
 
--- a/src/relay_message.h
+++ b/src/relay_message.h
@@ -38,9 +38,11 @@
   /// Longest wait for changes, in milliseconds; 0 reads rows.
   uint32_t wait_ms = 0;
   /// For a wait: returns the changes after this version of the store.
-  StoreVersion version = {};
+  uint64_t version = 0;
   /// For a read: returns the rows whose keys are above this one.
   std::string after = {};
+  /// Era of `version`; empty when the sender does not know about eras.
+  std::optional<uint64_t> era = {};
 
   friend bool operator==(const RelayQuery&, const RelayQuery&) = default;
 };
--- a/src/relayed_store.cc
+++ b/src/relayed_store.cc
@@ -204,8 +204,9 @@
                          .table = call->table,
                          .wait_ms = static_cast<uint32_t>(
                              duration_cast<milliseconds>(wait).count()),
-                         .version = call->version,
-                         .after = call->after};
+                         .version = call->version.number,
+                         .after = call->after,
+                         .era = call->version.era};
   m_hooks.call(source.relay, kPathRelayRows, EncodeRelayMessage(query),
                wait + kRelayTimeout,
                WhileAlive([this, call, source](const std::string* body) {
@@ -228,8 +229,9 @@
   // A read must not return to an older state than this gateway already has, and
   // a wait must not return to an older era.
   const bool is_older =
-      answer && (call->is_wait ? answer->version.era < table->seen_version.era
-                               : answer->version < table->seen_version);
+      answer && answer->status == RelayStatus::kOk &&
+      (call->is_wait ? answer->version.era < table->seen_version.era
+                     : answer->version < table->seen_version);
   if (answer && answer->status == RelayStatus::kOk && !is_older &&
       age <= m_wait_limits.max_age()) {
     m_selector->OnSuccess(source);
@@ -244,7 +246,7 @@
   call->detail = !answer                              ? "relay did not answer"
                  : answer->status != RelayStatus::kOk ? NameOf(answer->status)
                                                       : "relay is out of date";
-  if (answer && table->read_mode == ReadMode::kPolled) {
+  if (answer && !is_older && table->read_mode == ReadMode::kPolled) {
     // The relay has not read this table yet, or not recently. It may still
     // serve the other tables, so this does not count as a failure.
     call->callback({.detail = call->detail});
@@ -268,11 +270,10 @@
     if (UpdateCache(*call, table, rows)) {
       table->store_answered_at = m_hooks.age_clock() - age;
     }
-    // The store itself is right whatever era it states.
-    const bool is_new_era =
-        source.is_store() && rows.version.era != table->seen_version.era;
+    // A read of the store itself is right whatever version it states.
+    const bool is_read = source.is_store() && !call->is_wait;
     table->seen_version =
-        is_new_era ? rows.version : std::max(table->seen_version, rows.version);
+        is_read ? rows.version : std::max(table->seen_version, rows.version);
     AnswerWaiters(table);
   }
   call->callback(rows);
@@ -337,7 +338,8 @@
                          RelayAnswer{.status = RelayStatus::kUnknownSender}));
     m_hooks.on_unknown_sender();
   } else if (table == nullptr || !table->is_read_from_store ||
-             !table->cache.is_complete()) {
+             !table->cache.is_complete() ||
+             query->era.value_or(0) > table->cache.version().era) {
     refuse(RelayStatus::kNotReader);
   } else if (query->wait_ms > 0) {
     ServeWait(table, *query, std::move(reply));
@@ -378,7 +380,10 @@
     Table* table,
     const RelayQuery& query,
     std::function<void(int status, std::string body)> reply) {
-  const RelayAnswer now = AnswerChanges(*table, query.version);
+  // Earlier releases do not send an era; they order versions by number.
+  const StoreVersion version(query.version,
+                             query.era.value_or(table->cache.version().era));
+  const RelayAnswer now = AnswerChanges(*table, version);
   const bool is_full = table->waiters.size() >= kMaxRelayWaiters;
   if (now.status != RelayStatus::kOk || !now.rows.empty() || is_full) {
     CountServed(now.status);
@@ -387,7 +392,7 @@
   }
   const auto waiter = table->waiters.insert(
       table->waiters.end(),
-      {.version = query.version, .timer = {}, .reply = std::move(reply)});
+      {.version = version, .timer = {}, .reply = std::move(reply)});
   const Duration wait =
       std::min<Duration>(milliseconds(query.wait_ms), kMaxRelayWait);
   waiter->timer = m_loop->Schedule(wait, [this, table, waiter] {
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -93,7 +93,7 @@
     StoreRows rows{.result = StoreResult::kOk, .version = m_version};
     std::map<StoreVersion, StoreRow> changed;
     for (const auto& [key, row] : m_rows) {
-      if (row.version > version) {
+      if (row.version.number > version.number) {
         changed.emplace(row.version, row);
       }
     }
@@ -185,7 +185,7 @@
     m_loop->Post([this] {
       std::vector<uint64_t> ready;
       for (const auto& [number, wait] : m_waits) {
-        if (m_store->m_version > wait.version && !is_cut) {
+        if (m_store->m_version.number != wait.version.number && !is_cut) {
           ready.push_back(number);
         }
       }
@@ -201,6 +201,10 @@
     }
     const Wait wait = std::move(it->second);
     m_waits.erase(it);
+    if (!is_cut && wait.version.number > m_store->m_version.number) {
+      wait.callback({.result = StoreResult::kHistoryGone});
+      return;
+    }
     wait.callback(is_cut ? StoreRows{} : m_store->ChangesAfter(wait.version));
   }
 
--- a/tests/unit_relay.cc
+++ b/tests/unit_relay.cc
@@ -262,11 +262,8 @@
 }
 
 TEST_CASE("messages of relays survive encoding and decoding") {
-  const RelayQuery query{.sender = "g",
-                         .table = "t",
-                         .wait_ms = 5,
-                         .version = {7, 2},
-                         .after = "k"};
+  const RelayQuery query{
+      .sender = "g", .table = "t", .wait_ms = 5, .version = 7, .after = "k"};
   CHECK(DecodeRelayMessage<RelayQuery>(EncodeRelayMessage(query)) == query);
   const RelayAnswer answer{
       .status = RelayStatus::kOk,
--- a/tests/unit_relay_restore.cc
+++ b/tests/unit_relay_restore.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "relay_fleet.h"
+#include "relay_message.h"
 
 namespace bramleybank {
 namespace {
@@ -71,5 +72,32 @@
   }
 }
 
+TEST_CASE("a relay answers followers of releases that send no era") {
+  RestoredFleet fleet;
+  fleet.store.Restore(fleet.copy, kCopyNumber);
+  const StoreVersion version = fleet.store.Put("new", "2");
+  REQUIRE(fleet.AllReceive("new", version));
+  REQUIRE(fleet.AllReceive("new", fleet.store.Put("new", "3")));
+  Node* relay = fleet.Readers("d0").front();
+  const auto serve = [&](RelayQuery query) {
+    query.sender = fleet.nodes.front()->self.name;
+    query.table = "t";
+    RelayStatus status = RelayStatus::kUnknownSender;
+    relay->store.Serve(EncodeRelayMessage(query),
+                       [&](int, const std::string& body) {
+                         status = DecodeRelayMessage<RelayAnswer>(body)->status;
+                       });
+    return status;
+  };
+  CHECK(serve({.wait_ms = 5, .version = version.number}) == RelayStatus::kOk);
+  CHECK(serve({.wait_ms = 5, .version = version.number, .era = 1}) ==
+        RelayStatus::kOk);
+  CHECK(serve({.wait_ms = 5, .version = version.number, .era = 0}) ==
+        RelayStatus::kHistoryGone);
+  // A relay that is behind is left out for a while.
+  CHECK(serve({.wait_ms = 5, .version = version.number, .era = 2}) ==
+        RelayStatus::kNotReader);
+}
+
 }  // namespace
 }  // namespace bramleybank
