Endpoints: order entries by the start of their endpoints

The directory took the entry that arrived last for the newest. A restored store shows older entries: one at the same address took the endpoint there out of service for good, and one of an earlier start under the same id erased what was known of the later one. An endpoint that had expired in an outage and was given up became usable again, and one that was held back was used after a second restore or while the store was away. Each has a case that failed before.

--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -21,6 +21,11 @@
   *until = until->has_value() ? std::max(**until, to) : to;
 }
 
+/// @returns whether the start of `entry` is known to be the earlier one.
+bool StartedBefore(const EndpointEntry& entry, const EndpointEntry& other) {
+  return entry.start_time_ms > 0 && entry.start_time_ms < other.start_time_ms;
+}
+
 }  // namespace
 
 EndpointDirectory::EndpointDirectory(ClockHook clock)
@@ -29,6 +34,11 @@
 void EndpointDirectory::Update(const EndpointEntry& entry) {
   EvictRemoved();
   auto it = m_records.find(entry.id);
+  if (it != m_records.end() && IsRestoreRecent() &&
+      StartedBefore(entry, it->second.entry)) {
+    // An earlier start of the endpoint, from the older copy of the store.
+    return;
+  }
   const bool is_new_incarnation =
       it != m_records.end() &&
       (it->second.entry.service != entry.service ||
@@ -54,13 +64,19 @@
   }
 }
 
-void EndpointDirectory::SupersedeOlderEntry(const EndpointRecord& record) {
+void EndpointDirectory::SupersedeOlderEntry(EndpointRecord& record) {
   std::string& newest = m_by_address[record.entry.address];
-  EndpointRecord* older = FindMutable(newest);
-  if (older != nullptr && older != &record &&
-      older->entry.address == record.entry.address) {
+  EndpointRecord* known = FindMutable(newest);
+  const bool has_other = known != nullptr && known != &record &&
+                         known->entry.address == record.entry.address;
+  if (has_other && StartedBefore(record.entry, known->entry)) {
+    // Entries need not arrive in the order in which their endpoints started.
+    record.is_misdirected = true;
+    return;
+  }
+  if (has_other) {
     // The older entry remains until it expires, but its endpoint is gone.
-    older->is_misdirected = true;
+    known->is_misdirected = true;
   }
   newest = record.entry.id;
 }
@@ -73,6 +89,10 @@
 void EndpointDirectory::SetStoreLost(bool lost) {
   if (m_store_lost && !lost) {
     m_store_returned_at = m_clock();
+    HoldBackUntil(m_clock() + kRestoredEntryExpiry);
+  } else if (lost) {
+    // Whether an entry has expired is not known while the store is away.
+    HoldBackUntil(TimePoint::max());
   }
   m_store_lost = lost;
 }
@@ -80,12 +100,17 @@
 void EndpointDirectory::OnStoreRestored() {
   const TimePoint now = m_clock();
   m_store_returned_at = now;
+  m_restored_at = now;
   for (auto& [id, record] : m_records) {
     if (record.entry.state == EndpointState::kDraining) {
       record.is_leaving = true;
     }
-    if (record.removed_at && !record.may_have_expired) {
-      record.unconfirmed_until = now + kRestoredEntryExpiry;
+    const bool has_left =
+        record.removed_at && (!record.may_have_expired ||
+                              now - *record.removed_at >= kExpiredEntryGrace);
+    if (has_left || IsHeldBack(record)) {
+      record.may_have_expired = false;
+      record.held_back_until = now + kRestoredEntryExpiry;
     }
   }
 }
@@ -95,9 +120,24 @@
   if (record != nullptr && !record->removed_at) {
     record->removed_at = m_clock();
     record->may_have_expired = IsOutageRecent();
+    ReinstateAt(record->entry.address);
+  }
+}
+
+void EndpointDirectory::ReinstateAt(const std::string& address) {
+  for (auto& [id, record] : m_records) {
+    if (record.entry.address == address && !record.removed_at &&
+        record.is_misdirected) {
+      record.is_misdirected = false;
+      m_by_address[address] = id;
+    }
   }
 }
 
+bool EndpointDirectory::IsRestoreRecent() const {
+  return m_restored_at && m_clock() - *m_restored_at < kRestoredEntryExpiry;
+}
+
 bool EndpointDirectory::IsOutageRecent() const {
   return m_store_lost ||
          (m_store_returned_at &&
@@ -297,6 +337,18 @@
          !IsDomainSuspect(record.entry.service, record.entry.failure_domain);
 }
 
+bool EndpointDirectory::IsHeldBack(const EndpointRecord& record) const {
+  return record.held_back_until && *record.held_back_until > m_clock();
+}
+
+void EndpointDirectory::HoldBackUntil(TimePoint until) {
+  for (auto& [id, record] : m_records) {
+    if (IsHeldBack(record)) {
+      record.held_back_until = until;
+    }
+  }
+}
+
 bool EndpointDirectory::IsUsable(const EndpointRecord& record) const {
   return IsInService(record) && !IsPaused(record);
 }
@@ -306,7 +358,7 @@
       record.entry.state != EndpointState::kReady) {
     return false;
   }
-  if (record.unconfirmed_until && *record.unconfirmed_until > m_clock()) {
+  if (IsHeldBack(record)) {
     return false;
   }
   if (record.is_adopted && !IsOutageRecent()) {
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -44,9 +44,9 @@
   /// entry that a restored store no longer has, whatever the state in its
   /// entry. Stays set until the endpoint restarts.
   bool is_leaving = false;
-  /// The endpoint had left before the store was restored from an older copy.
-  /// Until then its entry may be one that the copy has brought back.
-  std::optional<TimePoint> unconfirmed_until;
+  /// The endpoint had left before the store was restored from an older copy,
+  /// which may have brought its entry back. It is not used until then.
+  std::optional<TimePoint> held_back_until;
   /// Requests per second that the endpoint takes from all gateways together;
   /// empty while its answers state no limit.
   std::optional<double> rate_limit;
@@ -151,8 +151,15 @@
   };
 
   EndpointRecord* FindMutable(std::string_view id);
-  /// Marks an older record at the same address as misdirected.
-  void SupersedeOlderEntry(const EndpointRecord& record);
+  bool IsHeldBack(const EndpointRecord& record) const;
+  /// Sets the end of the time for all records that are held back now.
+  void HoldBackUntil(TimePoint until);
+  /// Marks the older one of two records at the same address as misdirected.
+  void SupersedeOlderEntry(EndpointRecord& record);
+  /// The entry of another endpoint at the address has disappeared: what
+  /// remains there may be the one that answers.
+  void ReinstateAt(const std::string& address);
+  bool IsRestoreRecent() const;
   void RecordLoss(EndpointRecord* record);
   /// Erases records some time after their entries were removed.
   void EvictRemoved();
@@ -164,6 +171,8 @@
   bool m_store_lost = false;
   // End of the last outage of the store; empty before the first one ended.
   std::optional<TimePoint> m_store_returned_at;
+  // When the store was last found to be restored from an older copy.
+  std::optional<TimePoint> m_restored_at;
   TimePoint m_last_sweep;
   // Id of the newest entry at each address.
   std::map<std::string, std::string, std::less<>> m_by_address;
--- a/tests/unit_endpoint_directory.cc
+++ b/tests/unit_endpoint_directory.cc
@@ -96,6 +96,63 @@
   CHECK(directory.IsUsable(*directory.Find("a0")));
 }
 
+TEST_CASE("an earlier start in a restored entry does not replace a later one") {
+  Fixture fixture(1);
+  EndpointDirectory& directory = fixture.directory;
+  EndpointEntry later = MakeEntry("a0", "a", "a0:1");
+  later.start_time_ms = 2;
+  later.state = EndpointState::kDraining;
+  directory.Update(later);
+  directory.OnStoreRestored();
+  EndpointEntry earlier = MakeEntry("a0", "a", "a0:1");
+  earlier.start_time_ms = 1;
+  directory.Update(earlier);
+  CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+}
+
+TEST_CASE("an older entry at an address does not end the endpoint there") {
+  Fixture fixture(1);
+  EndpointDirectory& directory = fixture.directory;
+  EndpointEntry current = MakeEntry("current", "a", "shared:1");
+  EndpointEntry older = MakeEntry("older", "a", "shared:1");
+  for (const int64_t start_time_ms : {5, 0}) {
+    CAPTURE(start_time_ms);
+    current.start_time_ms = start_time_ms;
+    older.start_time_ms = start_time_ms == 0 ? 0 : 1;
+    directory.Update(current);
+    directory.Update(older);
+    // Without times of the starts, the last entry counts until it is gone.
+    CHECK(directory.IsUsable(*directory.Find("current")) ==
+          (start_time_ms > 0));
+    directory.Remove("older");
+    CHECK(directory.IsUsable(*directory.Find("current")));
+  }
+}
+
+TEST_CASE("an endpoint that left stays out of service through more failures") {
+  Fixture fixture(1);
+  EndpointDirectory& directory = fixture.directory;
+  // It expired in an outage, and was not registered again in time.
+  directory.SetStoreLost(true);
+  directory.Remove("a0");
+  directory.SetStoreLost(false);
+  fixture.now += kExpiredEntryGrace;
+  for (int restores = 0; restores < 2; ++restores) {
+    CAPTURE(restores);
+    directory.OnStoreRestored();
+    CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+    directory.Update(MakeEntry("a0", "a", "a0:1"));
+    CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+    fixture.now += kRestoredEntryExpiry / 2;
+  }
+  directory.SetStoreLost(true);
+  fixture.now += kRestoredEntryExpiry;
+  CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+  directory.SetStoreLost(false);
+  fixture.now += kRestoredEntryExpiry;
+  CHECK(directory.IsUsable(*directory.Find("a0")));
+}
+
 TEST_CASE("an entry that a restored store lacks does not end the endpoint") {
   Fixture fixture(1);
   EndpointDirectory& directory = fixture.directory;
