Ask again when a gateway refuses to tell its configuration

A gateway that starts is often not in the lists of those that it asks yet. Their refusals counted as answers, so it used the older configuration until the next round. It now asks again every 0.2 s while it holds requests back.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -488,8 +488,9 @@
 /// that asks.
 inline constexpr size_t kConfigCatchUpMembers = 3;
 inline constexpr std::chrono::milliseconds kConfigCatchUpInterval{1000};
-inline constexpr int kConfigCatchUpRounds = 3;
-/// A gateway that starts waits this long for the first round.
+inline constexpr int kConfigCatchUpRounds = 4;
+/// A gateway that starts asks at this interval and waits this long at most.
+inline constexpr std::chrono::milliseconds kBlockedCatchUpInterval{200};
 inline constexpr std::chrono::milliseconds kMaxConfigCatchUpWait{500};
 /// Shortest time between two reads of the list of gateways that are caused by
 /// an unknown sender.
--- a/src/config_catch_up.cc
+++ b/src/config_catch_up.cc
@@ -38,9 +38,10 @@
 void ConfigCatchUp::RunRound() {
   m_round_timer = TimerHandle();
   if (--m_rounds_left > 0) {
-    m_round_timer =
-        m_loop->Schedule(EqualJitter(kConfigCatchUpInterval, m_hooks.random),
-                         [this] { RunRound(); });
+    const Duration interval =
+        m_is_blocking ? kBlockedCatchUpInterval : kConfigCatchUpInterval;
+    m_round_timer = m_loop->Schedule(EqualJitter(interval, m_hooks.random),
+                                     [this] { RunRound(); });
   }
   m_hooks.find_members(kConfigCatchUpMembers,
                        [weak = std::weak_ptr(m_alive)](
@@ -68,7 +69,10 @@
 }
 
 void ConfigCatchUp::OnAnswer(const std::optional<std::string>& value) {
-  if (value) {
+  if (!value) {
+    return;
+  }
+  if (!value->empty()) {
     m_hooks.on_config(*value);
   }
   // An answer of an earlier round may arrive after all those of the last one.
--- a/src/config_catch_up.h
+++ b/src/config_catch_up.h
@@ -28,8 +28,8 @@
  public:
   using MembersCallback =
       std::function<void(const std::vector<GatewayMember>& members)>;
-  /// Gets the encoded configuration; nothing without an answer or when the
-  /// other gateway knows none that is newer.
+  /// Gets the encoded configuration, empty when the other gateway knows none
+  /// that is newer; nothing without an answer or when it refuses to answer.
   using AnswerCallback =
       std::function<void(const std::optional<std::string>& value)>;
 
@@ -70,7 +70,7 @@
   EventLoop* m_loop;
   const Hooks m_hooks;
   int m_rounds_left = 0;
-  // Answers of the current round that are still missing.
+  // Gateways of the current round that have not answered or refused.
   size_t m_open_answers = 0;
   bool m_is_blocking = false;
   TimerHandle m_round_timer;
--- a/src/gateway_relay.cc
+++ b/src/gateway_relay.cc
@@ -288,9 +288,8 @@
          if (body && !answer) {
            ReportMalformedMessage(m_metrics, body->size());
          }
-         const bool has_value = answer && !answer->value.empty();
-         callback(has_value ? std::optional(std::move(answer->value))
-                            : std::nullopt);
+         callback(answer ? std::optional(std::move(answer->value))
+                         : std::nullopt);
        });
 }
 
--- a/src/gateway_relay.h
+++ b/src/gateway_relay.h
@@ -97,7 +97,8 @@
 
   /// Asks another gateway for a configuration that is newer than
   /// `known_version`.
-  /// @param callback gets nothing without an answer or when it has none.
+  /// @param callback gets an empty text when it has none; nothing without an
+  /// answer or when it does not know this gateway.
   void QueryConfig(
       const GatewayMember& member,
       uint64_t known_version,
--- a/tests/unit_config_catch_up.cc
+++ b/tests/unit_config_catch_up.cc
@@ -47,9 +47,14 @@
   Fixture fixture;
   fixture.catch_up.OnFirstConfig();
   fixture.RunUntil([&] { return fixture.open.size() == 2; });
-  fixture.open[0](std::nullopt);
+  fixture.open[0]("");
+  // It does not know the gateway that asks yet, and is asked again.
+  fixture.open[1](std::nullopt);
   CHECK(fixture.catch_up.is_blocking());
-  fixture.open[1]("newer");
+  fixture.RunUntil([&] { return fixture.open.size() == 4; });
+  fixture.open[2]("");
+  CHECK(fixture.catch_up.is_blocking());
+  fixture.open[3]("newer");
   CHECK(fixture.configs == std::vector<std::string>{"newer"});
   CHECK_FALSE(fixture.catch_up.is_blocking());
   CHECK(fixture.unblocked == 1);
