--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -201,6 +201,9 @@
 /// this long after it recovers. Until then their endpoints are used only when
 /// there are no others.
 inline constexpr std::chrono::milliseconds kExpiredEntryGrace{2000};
+/// An entry of an endpoint that had left can return with an older copy of the
+/// store, and nobody renews it. It expires within this time.
+inline constexpr std::chrono::seconds kRestoredEntryExpiry{10};
 /// The measurements of an endpoint are deleted this long after its removal.
 inline constexpr std::chrono::seconds kRemovedEndpointRetention{30};
 /// The record of a removed endpoint with a rate limit is kept for this long: if
@@ -496,6 +499,16 @@
 inline constexpr size_t kMaxRelayAnswerBytes = 512 * 1024;
 /// Open waits of followers that a relay accepts for each table.
 inline constexpr size_t kMaxRelayWaiters = 1024;
+/// After a restore of the store: how many gateways are asked for a newer
+/// configuration in one round, and the interval and number of the rounds. The
+/// rounds give a gateway that was asked the time to read a list with the one
+/// that asks.
+inline constexpr size_t kConfigCatchUpMembers = 3;
+inline constexpr std::chrono::milliseconds kConfigCatchUpInterval{1000};
+inline constexpr int kConfigCatchUpRounds = 4;
+/// A gateway that starts asks at this interval and waits this long at most.
+inline constexpr std::chrono::milliseconds kBlockedCatchUpInterval{200};
+inline constexpr std::chrono::milliseconds kMaxConfigCatchUpWait{500};
 /// Shortest time between two reads of the list of gateways that are caused by
 /// an unknown sender.
 inline constexpr std::chrono::seconds kUnknownSenderReadInterval{5};
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -40,9 +40,13 @@
   int consecutive_losses = 0;
   /// The endpoint has refused a request and asked for no more until then.
   std::optional<TimePoint> paused_until;
-  /// The endpoint has announced in an answer that it is stopping, whatever the
-  /// state in its entry. Stays set until the endpoint restarts.
+  /// The endpoint has announced that it is stopping, in an answer or in an
+  /// entry that a restored store no longer has, whatever the state in its
+  /// entry. Stays set until the endpoint restarts.
   bool is_leaving = false;
+  /// The endpoint had left before the store was restored from an older copy,
+  /// which may have brought its entry back. It is not used until then.
+  std::optional<TimePoint> held_back_until;
   /// Requests per second that the endpoint takes from all gateways together;
   /// empty while its answers state no limit.
   std::optional<double> rate_limit;
@@ -83,6 +87,10 @@
   /// Sets whether the store does not answer, so that entries may be stale.
   void SetStoreLost(bool lost);
   bool is_store_lost() const { return m_store_lost; }
+  /// The store has been restored from an older copy: the next entries may be
+  /// older than the known ones, and some are missing until their endpoints
+  /// write them again.
+  void OnStoreRestored();
 
   void OnAttemptStarted(std::string_view id);
   void OnAttemptEnded(std::string_view id, EndpointOutcome outcome);
@@ -143,8 +151,15 @@
   };
 
   EndpointRecord* FindMutable(std::string_view id);
-  /// Marks an older record at the same address as misdirected.
-  void SupersedeOlderEntry(const EndpointRecord& record);
+  bool IsHeldBack(const EndpointRecord& record) const;
+  /// Sets the end of the time for all records that are held back now.
+  void HoldBackUntil(TimePoint until);
+  /// Marks the older one of two records at the same address as misdirected.
+  void SupersedeOlderEntry(EndpointRecord& record);
+  /// The entry of another endpoint at the address has disappeared: what
+  /// remains there may be the one that answers.
+  void ReinstateAt(const std::string& address);
+  bool IsRestoreRecent() const;
   void RecordLoss(EndpointRecord* record);
   /// Erases records some time after their entries were removed.
   void EvictRemoved();
@@ -156,6 +171,8 @@
   bool m_store_lost = false;
   // End of the last outage of the store; empty before the first one ended.
   std::optional<TimePoint> m_store_returned_at;
+  // When the store was last found to be restored from an older copy.
+  std::optional<TimePoint> m_restored_at;
   TimePoint m_last_sweep;
   // Id of the newest entry at each address.
   std::map<std::string, std::string, std::less<>> m_by_address;
--- a/src/relay_message.cc
+++ b/src/relay_message.cc
@@ -26,7 +26,7 @@
 void Pack(Packer& packer, const StoreRow& row) {
   packer.pack_array(4);
   Pack(packer, row.key);
-  packer.pack_uint64(row.version);
+  packer.pack_uint64(row.version.number);
   row.deleted ? packer.pack_true() : packer.pack_false();
   Pack(packer, row.value);
 }
@@ -37,7 +37,7 @@
 static bool ConvertField(const msgpack::object& item, StoreRow& row) {
   return ArrayReader(item)
       .Read(row.key)
-      .Read(row.version)
+      .Read(row.version.number)
       .Read(row.deleted)
       .ReadText(kMaxPeerBodyBytes, row.value)
       .ok();
@@ -61,15 +61,20 @@
       .Read(message.table)
       .Read(message.wait_ms)
       .Read(message.version)
-      .Read(message.after);
+      .Read(message.after)
+      .Read(message.era);
 }
 
 static void ReadFields(ArrayReader& reader, RelayAnswer& message) {
   reader.Read(message.status)
       .Read(message.age_ms)
-      .Read(message.version)
+      .Read(message.version.number)
       .Read(message.has_more)
-      .Read(message.rows);
+      .Read(message.rows)
+      .Read(message.version.era);
+  for (StoreRow& row : message.rows) {
+    row.version.era = message.version.era;
+  }
 }
 
 static void ReadFields(ArrayReader& reader, RelayEvidence& message) {
@@ -112,26 +117,36 @@
   message.answer.retry_after = std::chrono::milliseconds(retry_after_ms);
 }
 
+static void ReadFields(ArrayReader& reader, RelayConfigQuery& message) {
+  reader.Read(message.sender).Read(message.known_version);
+}
+
+static void ReadFields(ArrayReader& reader, RelayConfigAnswer& message) {
+  reader.ReadText(kMaxPeerBodyBytes, message.value);
+}
+
 std::string EncodeRelayMessage(const RelayQuery& message) {
-  return EncodeArray(message.format, 5, [&](Packer& packer) {
+  return EncodeArray(message.format, 6, [&](Packer& packer) {
     Pack(packer, message.sender);
     Pack(packer, message.table);
     packer.pack_uint32(message.wait_ms);
     packer.pack_uint64(message.version);
     Pack(packer, message.after);
+    message.era ? packer.pack_uint64(*message.era) : packer.pack_nil();
   });
 }
 
 std::string EncodeRelayMessage(const RelayAnswer& message) {
-  return EncodeArray(message.format, 5, [&](Packer& packer) {
+  return EncodeArray(message.format, 6, [&](Packer& packer) {
     packer.pack_uint8(static_cast<uint8_t>(message.status));
     packer.pack_uint32(message.age_ms);
-    packer.pack_uint64(message.version);
+    packer.pack_uint64(message.version.number);
     message.has_more ? packer.pack_true() : packer.pack_false();
     packer.pack_array(static_cast<uint32_t>(message.rows.size()));
     for (const StoreRow& row : message.rows) {
       Pack(packer, row);
     }
+    packer.pack_uint64(message.version.era);
   });
 }
 
@@ -179,6 +194,18 @@
   });
 }
 
+std::string EncodeRelayMessage(const RelayConfigQuery& message) {
+  return EncodeArray(message.format, 2, [&](Packer& packer) {
+    Pack(packer, message.sender);
+    packer.pack_uint64(message.known_version);
+  });
+}
+
+std::string EncodeRelayMessage(const RelayConfigAnswer& message) {
+  return EncodeArray(message.format, 1,
+                     [&](Packer& packer) { Pack(packer, message.value); });
+}
+
 template <typename Message>
 std::optional<Message> DecodeRelayMessage(std::string_view bytes,
                                           Reason* error) {
@@ -200,5 +227,9 @@
                                                             Reason*);
 template std::optional<RelayPermitAnswer> DecodeRelayMessage(std::string_view,
                                                              Reason*);
+template std::optional<RelayConfigQuery> DecodeRelayMessage(std::string_view,
+                                                            Reason*);
+template std::optional<RelayConfigAnswer> DecodeRelayMessage(std::string_view,
+                                                             Reason*);
 
 }  // namespace bramleybank
--- a/src/relayed_store.cc
+++ b/src/relayed_store.cc
@@ -111,7 +111,7 @@
 }
 
 void RelayedStore::WaitForChanges(const std::string& table,
-                                  uint64_t version,
+                                  const StoreVersion& version,
                                   Duration wait,
                                   RowsCallback callback) {
   if (FindTable(table) == nullptr) {
@@ -204,8 +204,9 @@
                          .table = call->table,
                          .wait_ms = static_cast<uint32_t>(
                              duration_cast<milliseconds>(wait).count()),
-                         .version = call->version,
-                         .after = call->after};
+                         .version = call->version.number,
+                         .after = call->after,
+                         .era = call->version.era};
   m_hooks.call(source.relay, kPathRelayRows, EncodeRelayMessage(query),
                wait + kRelayTimeout,
                WhileAlive([this, call, source](const std::string* body) {
@@ -225,9 +226,12 @@
     return;
   }
   const Duration age = answer ? milliseconds(answer->age_ms) : milliseconds(0);
-  // A read must not return to an older state than this gateway already has.
+  // A read must not return to an older state than this gateway already has, and
+  // a wait must not return to an older era.
   const bool is_older =
-      answer && !call->is_wait && answer->version < table->seen_version;
+      answer && answer->status == RelayStatus::kOk &&
+      (call->is_wait ? answer->version.era < table->seen_version.era
+                     : answer->version < table->seen_version);
   if (answer && answer->status == RelayStatus::kOk && !is_older &&
       age <= m_wait_limits.max_age()) {
     m_selector->OnSuccess(source);
@@ -242,7 +246,7 @@
   call->detail = !answer                              ? "relay did not answer"
                  : answer->status != RelayStatus::kOk ? NameOf(answer->status)
                                                       : "relay is out of date";
-  if (answer && table->read_mode == ReadMode::kPolled) {
+  if (answer && !is_older && table->read_mode == ReadMode::kPolled) {
     // The relay has not read this table yet, or not recently. It may still
     // serve the other tables, so this does not count as a failure.
     call->callback({.detail = call->detail});
@@ -263,9 +267,13 @@
   Table* table = FindTable(call->table);
   RecordSource(*call, table, source, age);
   if (rows.result == StoreResult::kOk) {
-    UpdateCache(*call, table, rows);
-    table->store_answered_at = m_hooks.age_clock() - age;
-    table->seen_version = std::max(table->seen_version, rows.version);
+    if (UpdateCache(*call, table, rows)) {
+      table->store_answered_at = m_hooks.age_clock() - age;
+    }
+    // A read of the store itself is right whatever version it states.
+    const bool is_read = source.is_store() && !call->is_wait;
+    table->seen_version =
+        is_read ? rows.version : std::max(table->seen_version, rows.version);
     AnswerWaiters(table);
   }
   call->callback(rows);
@@ -295,14 +303,11 @@
       .Field("reason", call.detail.empty() ? "members" : call.detail);
 }
 
-void RelayedStore::UpdateCache(const Call& call,
+bool RelayedStore::UpdateCache(const Call& call,
                                Table* table,
                                const StoreRows& rows) {
-  if (call.is_wait) {
-    table->cache.AddChanges(call.version, rows);
-  } else {
-    table->cache.AddPage(call.after.empty(), rows);
-  }
+  return call.is_wait ? table->cache.AddChanges(call.version, rows)
+                      : table->cache.AddPage(call.after.empty(), rows);
 }
 
 Duration RelayedStore::AgeOf(const Table& table) const {
@@ -333,7 +338,8 @@
                          RelayAnswer{.status = RelayStatus::kUnknownSender}));
     m_hooks.on_unknown_sender();
   } else if (table == nullptr || !table->is_read_from_store ||
-             !table->cache.is_complete()) {
+             !table->cache.is_complete() ||
+             query->era.value_or(0) > table->cache.version().era) {
     refuse(RelayStatus::kNotReader);
   } else if (query->wait_ms > 0) {
     ServeWait(table, *query, std::move(reply));
@@ -362,7 +368,7 @@
 }
 
 RelayAnswer RelayedStore::AnswerChanges(const Table& table,
-                                        uint64_t version) const {
+                                        const StoreVersion& version) const {
   auto changes = table.cache.ChangesAfter(version);
   if (!changes) {
     return {.status = RelayStatus::kHistoryGone};
@@ -374,7 +380,10 @@
     Table* table,
     const RelayQuery& query,
     std::function<void(int status, std::string body)> reply) {
-  const RelayAnswer now = AnswerChanges(*table, query.version);
+  // Earlier releases do not send an era; they order versions by number.
+  const StoreVersion version(query.version,
+                             query.era.value_or(table->cache.version().era));
+  const RelayAnswer now = AnswerChanges(*table, version);
   const bool is_full = table->waiters.size() >= kMaxRelayWaiters;
   if (now.status != RelayStatus::kOk || !now.rows.empty() || is_full) {
     CountServed(now.status);
@@ -383,7 +392,7 @@
   }
   const auto waiter = table->waiters.insert(
       table->waiters.end(),
-      {.version = query.version, .timer = {}, .reply = std::move(reply)});
+      {.version = version, .timer = {}, .reply = std::move(reply)});
   const Duration wait =
       std::min<Duration>(milliseconds(query.wait_ms), kMaxRelayWait);
   waiter->timer = m_loop->Schedule(wait, [this, table, waiter] {
@@ -402,7 +411,7 @@
     RelayAnswer answer;
     std::string bytes;
   };
-  std::map<uint64_t, Encoded> by_version;
+  std::map<StoreVersion, Encoded> by_version;
   for (auto it = table->waiters.begin(); it != table->waiters.end();) {
     const auto [encoded, is_new] = by_version.try_emplace(it->version);
     Encoded& found = encoded->second;
--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -39,7 +39,7 @@
 void StoreWatch::Start() {
   m_seen_keys.clear();
   m_read_after.clear();
-  m_read_version = 0;
+  m_read_version = {};
   ReadNext();
 }
 
@@ -58,10 +58,15 @@
     return;
   }
   OnSuccess();
-  if (m_read_version == 0) {
+  if (m_read_version == StoreVersion()) {
     // Later pages may be newer. Waiting for changes after the version of the
     // first page misses none.
     m_read_version = rows.version;
+    NoticeRestore();
+  } else if (rows.version.era != m_read_version.era) {
+    // The store was restored between two pages.
+    Start();
+    return;
   }
   for (const StoreRow& row : rows.rows) {
     m_seen_keys.insert(row.key);
@@ -75,6 +80,24 @@
   FinishRead();
 }
 
+void StoreWatch::NoticeRestore() {
+  // Versions grow within an era. A lower one means a restore, also of a store
+  // that states no era.
+  const bool is_restored = m_has_read && (m_read_version.era != m_version.era ||
+                                          m_read_version < m_version);
+  m_has_read = true;
+  m_version = m_read_version;
+  if (!is_restored) {
+    return;
+  }
+  for (auto& [key, version] : m_row_versions) {
+    version = {};
+  }
+  if (m_hooks.on_restored) {
+    m_hooks.on_restored();
+  }
+}
+
 void StoreWatch::FinishRead() {
   std::vector<std::string> gone;
   for (const auto& [key, version] : m_row_versions) {
@@ -115,16 +138,18 @@
 }
 
 void StoreWatch::OnChanges(const StoreRows& rows) {
-  if (rows.result == StoreResult::kHistoryGone) {
-    OnSuccess();
-    Start();
-    return;
-  }
-  if (rows.result != StoreResult::kOk) {
+  const bool is_failure = rows.result != StoreResult::kOk &&
+                          rows.result != StoreResult::kHistoryGone;
+  if (is_failure) {
     OnFailure(rows.detail, &StoreWatch::Wait);
     return;
   }
   OnSuccess();
+  if (rows.result == StoreResult::kHistoryGone ||
+      rows.version.era != m_version.era) {
+    Start();
+    return;
+  }
   for (const StoreRow& row : rows.rows) {
     ApplyRow(row);
   }
--- a/tests/unit_endpoint_directory.cc
+++ b/tests/unit_endpoint_directory.cc
@@ -69,6 +69,100 @@
   CHECK(fixture.Pick() == "new");
 }
 
+TEST_CASE("a restored entry does not return an endpoint that left to service") {
+  Fixture fixture(1);
+  EndpointDirectory& directory = fixture.directory;
+  EndpointEntry draining = MakeEntry("a0", "a", "a0:1");
+  draining.state = EndpointState::kDraining;
+  directory.Update(draining);
+  directory.Remove("b0");
+
+  directory.OnStoreRestored();
+  for (const std::string id : {"a", "b", "c"}) {
+    directory.Update(MakeEntry(id + "0", id, id + "0:1"));
+  }
+  CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+  CHECK_FALSE(directory.IsUsable(*directory.Find("b0")));
+  CHECK(directory.IsUsable(*directory.Find("c0")));
+
+  // Only an endpoint that renews its entry is still listed by then.
+  fixture.now += kRestoredEntryExpiry;
+  CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+  CHECK(directory.IsUsable(*directory.Find("b0")));
+
+  EndpointEntry restarted = MakeEntry("a0", "a", "a0:1");
+  restarted.start_time_ms = 5;
+  directory.Update(restarted);
+  CHECK(directory.IsUsable(*directory.Find("a0")));
+}
+
+TEST_CASE("an earlier start in a restored entry does not replace a later one") {
+  Fixture fixture(1);
+  EndpointDirectory& directory = fixture.directory;
+  EndpointEntry later = MakeEntry("a0", "a", "a0:1");
+  later.start_time_ms = 2;
+  later.state = EndpointState::kDraining;
+  directory.Update(later);
+  directory.OnStoreRestored();
+  EndpointEntry earlier = MakeEntry("a0", "a", "a0:1");
+  earlier.start_time_ms = 1;
+  directory.Update(earlier);
+  CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+}
+
+TEST_CASE("an older entry at an address does not end the endpoint there") {
+  Fixture fixture(1);
+  EndpointDirectory& directory = fixture.directory;
+  EndpointEntry current = MakeEntry("current", "a", "shared:1");
+  EndpointEntry older = MakeEntry("older", "a", "shared:1");
+  for (const int64_t start_time_ms : {5, 0}) {
+    CAPTURE(start_time_ms);
+    current.start_time_ms = start_time_ms;
+    older.start_time_ms = start_time_ms == 0 ? 0 : 1;
+    directory.Update(current);
+    directory.Update(older);
+    // Without times of the starts, the last entry counts until it is gone.
+    CHECK(directory.IsUsable(*directory.Find("current")) ==
+          (start_time_ms > 0));
+    directory.Remove("older");
+    CHECK(directory.IsUsable(*directory.Find("current")));
+  }
+}
+
+TEST_CASE("an endpoint that left stays out of service through more failures") {
+  Fixture fixture(1);
+  EndpointDirectory& directory = fixture.directory;
+  // It expired in an outage, and was not registered again in time.
+  directory.SetStoreLost(true);
+  directory.Remove("a0");
+  directory.SetStoreLost(false);
+  fixture.now += kExpiredEntryGrace;
+  for (int restores = 0; restores < 2; ++restores) {
+    CAPTURE(restores);
+    directory.OnStoreRestored();
+    CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+    directory.Update(MakeEntry("a0", "a", "a0:1"));
+    CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+    fixture.now += kRestoredEntryExpiry / 2;
+  }
+  directory.SetStoreLost(true);
+  fixture.now += kRestoredEntryExpiry;
+  CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+  directory.SetStoreLost(false);
+  fixture.now += kRestoredEntryExpiry;
+  CHECK(directory.IsUsable(*directory.Find("a0")));
+}
+
+TEST_CASE("an entry that a restored store lacks does not end the endpoint") {
+  Fixture fixture(1);
+  EndpointDirectory& directory = fixture.directory;
+  directory.OnStoreRestored();
+  directory.Remove("a0");
+  CHECK(directory.IsUsable(*directory.Find("a0")));
+  fixture.now += kExpiredEntryGrace;
+  CHECK_FALSE(directory.IsUsable(*directory.Find("a0")));
+}
+
 TEST_CASE("an endpoint that starts again under its id is a new one") {
   Fixture fixture(1);
   fixture.directory.OnAttemptStarted("a0");
