--- a/tests/unit_rollout.cc
+++ b/tests/unit_rollout.cc
@@ -3,19 +3,15 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <functional>
-#include <memory>
 #include <random>
 #include <vector>
 
 #include "bramleybank/limits.h"
 #include "endpoint_directory.h"
 #include "endpoint_picker.h"
-#include "event_loop.h"
-#include "rollout_controller.h"
+#include "rollout_fleet.h"
 #include "rollout_judge.h"
 #include "rollout_records.h"
-#include "store_rows.h"
 
 namespace bramleybank {
 namespace {
@@ -177,159 +173,6 @@
   CHECK(splitter.Evidence().at("r").new_version == VersionTally{1, 1});
 }
 
-/// Row store that several gateways share. Calls are answered in the next
-/// iteration of the loop.
-class SharedStore : public MetadataStore {
- public:
-  explicit SharedStore(EventLoop* loop) : m_loop(loop) {}
-
-  void Read(const std::string& table,
-            const std::string& after,
-            RowsCallback callback) override {
-    m_loop->Post([this, table, after, callback = std::move(callback)] {
-      StoreRows rows;
-      if (!is_down) {
-        rows.result = StoreResult::kOk;
-        rows.now = now;
-        for (const auto& [name, row] : m_rows) {
-          if (name.first == table && row.key > after) {
-            rows.rows.push_back(row);
-          }
-        }
-      }
-      callback(rows);
-    });
-  }
-  void WaitForChanges(const std::string&,
-                      const StoreVersion&,
-                      Duration,
-                      RowsCallback) override {}
-  void Write(const StoreWrite& write, WriteCallback callback) override {
-    if (should_hold && should_hold(write)) {
-      held.push_back(write);
-      return;
-    }
-    m_loop->Post([this, write, callback = std::move(callback)] {
-      callback(is_down ? StoreResult::kUnavailable : Apply(write));
-    });
-  }
-
-  StoreResult Apply(const StoreWrite& write) {
-    StoreRow& row = m_rows[{write.table, write.key}];
-    if (write.expected_version && *write.expected_version != row.version) {
-      return StoreResult::kConflict;
-    }
-    row = {.key = write.key, .value = write.value, .version = ++m_version};
-    history.push_back(write);
-    return StoreResult::kOk;
-  }
-
-  /// Phases written to the operator's status, in order, without repeats.
-  std::vector<RolloutPhase> Statuses() const {
-    std::vector<RolloutPhase> phases;
-    for (const StoreWrite& write : history) {
-      if (write.table == "status") {
-        phases.push_back(platform::DecodeRolloutStatus(write.value)->phase);
-      }
-    }
-    phases.erase(std::unique(phases.begin(), phases.end()), phases.end());
-    return phases;
-  }
-
-  bool is_down = false;
-  Duration now{0};
-  std::vector<StoreWrite> history;
-  /// Writes for which it returns true are kept in `held` without an answer.
-  std::function<bool(const StoreWrite&)> should_hold;
-  std::vector<StoreWrite> held;
-
- private:
-  EventLoop* m_loop;
-  uint64_t m_version = 100;
-  std::map<std::pair<std::string, std::string>, StoreRow> m_rows;
-};
-
-/// Gateways that serve requests of one route and follow one order.
-struct Fleet {
-  explicit Fleet(Duration duration = seconds(4), bool relayed = false)
-      : has_relay(relayed) {
-    order.duration = duration;
-    for (int i = 0; i < 3; ++i) {
-      Start(i);
-    }
-  }
-
-  void Start(int i) {
-    controllers.resize(3);
-    controllers[i] = std::make_unique<RolloutController>(
-        &loop, &store, &rows, "g" + std::to_string(i),
-        RolloutController::Hooks{
-            .random = [this] { return random(); },
-            .gateways = [] { return 3; },
-            .poll_interval = [] { return milliseconds(1); },
-            .share = {},
-            .is_reader = [this, i] { return IsReader(i); },
-            .hand_over =
-                [this, i](const std::string& service, const std::string& report,
-                          const std::function<void(bool)>& callback) {
-                  callback(i != 0 && controllers[0] &&
-                           controllers[0]->OnEvidence(service, report));
-                }});
-    controllers[i]->OnOrder(order);
-  }
-
-  /// Sends one request at each gateway. The version that serves it fails with
-  /// its failure rate.
-  void Serve() {
-    for (const auto& controller : controllers) {
-      if (!controller) {
-        continue;
-      }
-      const RolloutRule rule = controller->RuleForRequest("s", "r");
-      const bool is_new = rule.kind == RolloutRule::Kind::kPreferred;
-      ++requests;
-      new_requests += is_new ? 1 : 0;
-      std::bernoulli_distribution fails(is_new ? new_rate : 0.02);
-      controller->Observe("s", "r", is_new ? "v2" : "v1", fails(random),
-                          milliseconds(30));
-    }
-  }
-
-  /// Runs for `time` of the store's clock, with one request per gateway every
-  /// 10 ms.
-  void Run(Duration time) {
-    for (Duration end = store.now + time; store.now < end;
-         store.now += milliseconds(10)) {
-      Serve();
-      loop.RunOnce(milliseconds(0));
-      loop.RunOnce(milliseconds(2));
-    }
-  }
-
-  bool IsReader(int i) const { return !has_relay || i == 0; }
-
-  bool AllIn(RolloutPhase phase) const {
-    return std::ranges::all_of(controllers, [phase](const auto& controller) {
-      return !controller || controller->PhaseOf("s") == phase;
-    });
-  }
-
-  EventLoop loop;
-  SharedStore store{&loop};
-  GatewayRows rows = platform::MakeGatewayRows();
-  RolloutOrder order{.service = "s",
-                     .version = "v2",
-                     .duration = seconds(0),
-                     .id = 50};
-  std::mt19937 random{3};
-  double new_rate = 0.02;
-  /// The first gateway reads the store for the others.
-  bool has_relay;
-  int requests = 0;
-  int new_requests = 0;
-  std::vector<std::unique_ptr<RolloutController>> controllers;
-};
-
 TEST_CASE("a good version is completed in time") {
   Fleet fleet;
   fleet.Run(seconds(2));
