Rollouts go on where they were after the store was restored

When the store comes back from an older copy, operators repeat orders that were lost, and rows of rollouts are missing or older. An order was known by the number of its row alone. The repeated order has another number, so a completed or rolled back rollout started again: the bad version got requests again, and the operator's status was written anew as running. A decision row that came back in an earlier phase was followed backwards by all gateways. A row with a number that was assigned again was taken for one of another order.

An order that a later era has with the same content is now the same order, with its phase, start, evidence and stop; written again within one era it stays a new order. Decisions and reports carry era and content beside the number, which earlier releases still find in its place. Decisions list the order's ids of earlier eras, so that a gateway that starts later does not count rows of a former order. Phases only advance, the earlier start counts, and of two reports of a gateway the larger one. A reader that knows more than the decision row writes it again under its condition, and then checks the operator's status; reads are spread over one interval, so that the first writer spares the others. Reports are written again if their row has lost answers. For two reads after a restore no phase advances unless the version is bad.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -504,6 +504,11 @@
 inline constexpr std::chrono::milliseconds kRolloutDeadlineMargin{2500};
 /// A driver whose row is unchanged for this many reads is considered lost.
 inline constexpr int kMaxUnchangedRolloutReads = 3;
+/// Reads of the rows of rollouts after a restore of the store, before a phase
+/// that was read from them may advance: gateways that know more write it first.
+inline constexpr int kRolloutReadsAfterRestore = 2;
+/// Earlier orders of a service that are remembered.
+inline constexpr size_t kMaxFormerRolloutOrders = 8;
 
 // Gateway: peers.
 /// Each heartbeat costs one write and one read of the store. The interval grows
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -122,6 +122,13 @@
     {kPromptTrial, "prompt_trial", kInfo,
      "A request with a quarantined prompt part is sent to one endpoint as a "
      "trial."},
+    {kRolloutContinued, "rollout_continued", kInfo,
+     "The order of a rollout is in the store again after a restore from an "
+     "older copy; the rollout goes on where it was."},
+    {kRolloutRewritten, "rollout_rewritten", kInfo,
+     "This gateway has written the decision on a rollout again, because its "
+     "row "
+     "was missing or older."},
 };
 
 /// Limit of the buffer for lines that the reader of standard output has not
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -66,6 +66,8 @@
   kPromptQuarantined = 717,
   kPromptCleared = 718,
   kPromptTrial = 719,
+  kRolloutContinued = 730,
+  kRolloutRewritten = 733,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
--- a/src/rollout_controller.cc
+++ b/src/rollout_controller.cc
@@ -10,19 +10,11 @@
 #include "log_event.h"
 #include "rollout_judge.h"
 #include "rollout_records.h"
+#include "rollout_tallies.h"
 
 namespace bramleybank {
 namespace {
 
-/// Adds the answer counts of both versions, summed over all routes.
-void AddTallies(const RolloutEvidence& evidence, LogLine* line) {
-  const RouteTally total = TotalOf(evidence);
-  line->Field("old_good", static_cast<long long>(total.old_version.good))
-      .Field("old_bad", static_cast<long long>(total.old_version.bad))
-      .Field("new_good", static_cast<long long>(total.new_version.good))
-      .Field("new_bad", static_cast<long long>(total.new_version.bad));
-}
-
 const StoreRow* FindRow(const StoreRows& rows, std::string_view key) {
   const auto it = std::ranges::find(rows.rows, key, &StoreRow::key);
   return it == rows.rows.end() ? nullptr : &*it;
@@ -46,25 +38,68 @@
 }
 
 void RolloutController::OnOrder(const RolloutOrder& order) {
-  if (FindRollout(order.service, order.id) != nullptr) {
+  const auto it = m_rollouts.find(order.service);
+  if (it == m_rollouts.end()) {
+    StartRollout(order);
     return;
   }
+  using enum RolloutOrderHistory::Relation;
+  switch (it->second.history.RelationOf(order)) {
+    case kKnown:
+      return;
+    case kRepeated:
+      ContinueRollout(&it->second, order.id);
+      return;
+    case kNew:
+      StartRollout(order);
+  }
+}
+
+void RolloutController::StartRollout(const RolloutOrder& order) {
   LogLine(LogEventId::kRolloutOrdered)
       .Field("service", order.service)
       .Field("version", order.version)
-      .Field("order", static_cast<long long>(order.id))
+      .Field("order", static_cast<long long>(order.id.number))
       .Field(
           "duration_ms",
           std::chrono::duration_cast<std::chrono::milliseconds>(order.duration)
               .count());
-  m_rollouts.erase(order.service);
+  RolloutOrderHistory history(order);
+  const auto it = m_rollouts.find(order.service);
+  if (it != m_rollouts.end()) {
+    history = it->second.history;
+    history.ReplaceBy(order);
+    EraseRollout(order.service);
+  }
   m_rollouts.emplace(std::piecewise_construct,
                      std::forward_as_tuple(order.service),
-                     std::forward_as_tuple(order, m_hooks));
+                     std::forward_as_tuple(std::move(history), m_next_serial++,
+                                           m_hooks.share, m_hooks.random));
   SchedulePoll(Duration{0});
 }
 
+void RolloutController::ContinueRollout(RolloutState* rollout,
+                                        const StoreVersion& id) {
+  const RolloutOrder& order = rollout->history.order();
+  LogLine(LogEventId::kRolloutContinued)
+      .Field("service", order.service)
+      .Field("version", order.version)
+      .Field("order", static_cast<long long>(id.number))
+      .Field("era", static_cast<long long>(id.era))
+      .Field("earlier_order", static_cast<long long>(order.id.number))
+      .Field("stopped", rollout->splitter.is_stopped() ? 1 : 0);
+  rollout->ContinueAs(id);
+  // Spread out, so that the first reader's writes spare the others theirs.
+  SchedulePoll(Duration(static_cast<int64_t>(
+      UniformFraction(m_hooks.random) *
+      static_cast<double>(m_hooks.poll_interval().count()))));
+}
+
 void RolloutController::OnOrderRemoved(std::string_view service) {
+  EraseRollout(service);
+}
+
+void RolloutController::EraseRollout(std::string_view service) {
   const auto it = m_rollouts.find(service);
   if (it != m_rollouts.end()) {
     m_rollouts.erase(it);
@@ -104,28 +139,16 @@
   StopIfBad(&it->second);
 }
 
-RolloutEvidence RolloutController::OwnEvidence(const Rollout& rollout) const {
-  RolloutEvidence own_evidence = rollout.splitter.Evidence();
-  SubtractEvidence(rollout.handed_over_evidence, &own_evidence);
-  return own_evidence;
-}
-
-RolloutEvidence RolloutController::TotalEvidence(const Rollout& rollout) const {
-  RolloutEvidence total_evidence = OwnEvidence(rollout);
-  AddEvidence(rollout.other_evidence, &total_evidence);
-  return total_evidence;
-}
-
-void RolloutController::StopIfBad(Rollout* rollout) {
+void RolloutController::StopIfBad(RolloutState* rollout) {
   if (rollout->splitter.is_stopped() || rollout->is_finished ||
-      JudgeRollout(TotalEvidence(*rollout)) != RolloutVerdict::kBad) {
+      JudgeRollout(rollout->TotalEvidence()) != RolloutVerdict::kBad) {
     return;
   }
   rollout->splitter.Stop();
   LogLine line(LogEventId::kRolloutStopped);
-  line.Field("service", rollout->splitter.order().service)
-      .Field("version", rollout->splitter.order().version);
-  AddTallies(TotalEvidence(*rollout), &line);
+  line.Field("service", rollout->history.order().service)
+      .Field("version", rollout->history.order().version);
+  AddTallies(rollout->TotalEvidence(), &line);
   // Writes this evidence immediately, so that the other gateways stop too.
   SchedulePoll(Duration{0});
 }
@@ -162,6 +185,14 @@
     m_is_reading = false;
     return;
   }
+  if (m_pages.result != StoreResult::kOk) {
+    m_pages.result = page.result;
+    m_pages.version = page.version;
+  } else if (page.version.era != m_pages.version.era) {
+    // The store was restored between two pages.
+    m_is_reading = false;
+    return;
+  }
   m_pages.rows.insert(m_pages.rows.end(), page.rows.begin(), page.rows.end());
   m_pages.now = page.now;
   if (page.has_more && !page.rows.empty()) {
@@ -174,68 +205,20 @@
 
 void RolloutController::OnAllRows(const StoreRows& rows) {
   for (auto& [service, rollout] : m_rollouts) {
-    if (rollout.is_finished) {
+    if (rollout.is_finished || !rollout.IsCurrent(rows)) {
       continue;
     }
-    ApplyRows(&rollout, rows);
+    rollout.ApplyRows(rows, m_name);
     StopIfBad(&rollout);
-    if (!rollout.is_finished && MayDrive(rollout)) {
+    if (!rollout.is_finished && m_hooks.is_reader() &&
+        rollout.MayDrive(rows, m_name)) {
       WriteDecision(&rollout, rows.now);
     }
   }
 }
 
-void RolloutController::ApplyRows(Rollout* rollout, const StoreRows& rows) {
-  const RolloutOrder& order = rollout->splitter.order();
-  const std::string own_key = order.service + "/" + m_name;
-  rollout->other_evidence.clear();
-  for (const StoreRow& row : rows.rows) {
-    if (!row.key.starts_with(order.service + "/")) {
-      continue;
-    }
-    const auto report = DecodeReport(row.value);
-    if (!report || report->order_id != order.id) {
-      continue;
-    }
-    if (row.key != own_key) {
-      AddEvidence(report->evidence, &rollout->other_evidence);
-    } else if (!rollout->has_read_rows) {
-      rollout->splitter.RestoreEvidence(report->evidence);
-      rollout->written_evidence = report->evidence;
-    }
-  }
-  rollout->has_read_rows = true;
-  ApplyDecision(rollout, FindRow(rows, order.service));
-}
-
-void RolloutController::ApplyDecision(Rollout* rollout, const StoreRow* row) {
-  const StoreVersion version = row == nullptr ? StoreVersion() : row->version;
-  rollout->unchanged_reads =
-      version == rollout->row_version ? rollout->unchanged_reads + 1 : 0;
-  rollout->row_version = version;
-  rollout->decision =
-      row == nullptr ? std::nullopt : DecodeDecision(row->value);
-  if (!rollout->decision ||
-      rollout->decision->order_id != rollout->splitter.order().id) {
-    rollout->decision.reset();
-    return;
-  }
-  const RolloutPhase phase = rollout->decision->phase;
-  if (rollout->splitter.phase() != phase) {
-    LogLine line(LogEventId::kRolloutPhase);
-    line.Field("service", rollout->splitter.order().service)
-        .Field("version", rollout->splitter.order().version)
-        .Field("phase", NameOf(phase))
-        .Field("driver", rollout->decision->driver)
-        .Field("row_version", static_cast<long long>(version.number));
-    AddTallies(TotalEvidence(*rollout), &line);
-  }
-  rollout->splitter.SetPhase(phase);
-  rollout->is_finished = IsFinal(phase) && rollout->decision->published;
-}
-
-void RolloutController::WriteReport(Rollout* rollout) {
-  const RolloutEvidence evidence = OwnEvidence(*rollout);
+void RolloutController::WriteReport(RolloutState* rollout) {
+  const RolloutEvidence evidence = rollout->OwnEvidence();
   if (!rollout->has_read_rows || rollout->is_finished ||
       evidence == rollout->written_evidence) {
     return;
@@ -245,46 +228,51 @@
     return;
   }
   rollout->written_evidence = evidence;
-  const RolloutOrder& order = rollout->splitter.order();
+  const RolloutOrder& order = rollout->history.order();
   // A lost report is not retried, because the next one includes its evidence.
   m_store->Write(
       {.table = kRolloutTable,
        .key = order.service + "/" + m_name,
-       .value = EncodeReport({.order_id = order.id, .evidence = evidence}),
+       .value = EncodeReport({.order = RefOf(order), .evidence = evidence}),
        .expected_version = std::nullopt},
       [](StoreResult) {});
 }
 
-void RolloutController::HandOver(Rollout* rollout) {
+void RolloutController::HandOver(RolloutState* rollout) {
   // Evidence in this gateway's own row is already counted there.
-  RolloutEvidence evidence = OwnEvidence(*rollout);
+  RolloutEvidence evidence = rollout->OwnEvidence();
   SubtractEvidence(rollout->written_evidence, &evidence);
   if (rollout->is_handing_over || TotalOf(evidence) == RouteTally{}) {
     return;
   }
   rollout->is_handing_over = true;
-  const RolloutOrder& order = rollout->splitter.order();
-  m_hooks.hand_over(order.service,
-                    EncodeReport({.order_id = order.id, .evidence = evidence}),
-                    WhileAlive([this, service = order.service, id = order.id,
-                                evidence](const bool& accepted) {
-                      Rollout* found = FindRollout(service, id);
-                      if (found == nullptr) {
-                        return;
-                      }
-                      found->is_handing_over = false;
-                      if (accepted) {
-                        AddEvidence(evidence, &found->handed_over_evidence);
-                      }
-                    }));
+  const RolloutOrder& order = rollout->history.order();
+  m_hooks.hand_over(
+      order.service,
+      EncodeReport({.order = RefOf(order), .evidence = evidence}),
+      WhileAlive([this, service = order.service, serial = rollout->serial,
+                  evidence](const bool& accepted) {
+        const auto it = m_rollouts.find(service);
+        if (it == m_rollouts.end() || it->second.serial != serial) {
+          return;
+        }
+        it->second.is_handing_over = false;
+        if (accepted) {
+          AddEvidence(evidence, &it->second.handed_over_evidence);
+        }
+      }));
 }
 
 bool RolloutController::OnEvidence(std::string_view service,
                                    const std::string& text) {
   const auto report = DecodeReport(text);
-  Rollout* rollout = report ? FindRollout(service, report->order_id) : nullptr;
-  if (rollout == nullptr || !rollout->has_read_rows || rollout->is_finished ||
-      !m_hooks.is_reader()) {
+  const auto it = m_rollouts.find(service);
+  if (!report || it == m_rollouts.end() || !m_hooks.is_reader()) {
+    return false;
+  }
+  RolloutState* rollout = &it->second;
+  if (!rollout->history.Owns(report->order) || !rollout->has_read_rows ||
+      rollout->is_finished) {
     return false;
   }
   rollout->splitter.MergeEvidence(report->evidence);
@@ -292,28 +280,15 @@
   return true;
 }
 
-bool RolloutController::MayDrive(const Rollout& rollout) const {
-  if (!m_hooks.is_reader()) {
-    return false;
-  }
-  return !rollout.decision || rollout.decision->driver == m_name ||
-         rollout.unchanged_reads >= kMaxUnchangedRolloutReads;
-}
-
-void RolloutController::WriteDecision(Rollout* rollout, Duration now) {
-  const RolloutOrder& order = rollout->splitter.order();
-  RolloutDecision next = rollout->decision.value_or(
-      RolloutDecision{.order_id = order.id, .started = now});
-  next.driver = m_name;
-  next.phase = NextPhase(next.phase, TotalEvidence(*rollout),
-                         now - next.started, order.duration);
+void RolloutController::WriteDecision(RolloutState* rollout, Duration now) {
+  RolloutDecision next = rollout->NextDecision(m_name, now);
   next.published = IsFinal(next.phase) && rollout->published_phase &&
                    IsFinal(*rollout->published_phase);
   m_store->Write({.table = kRolloutTable,
-                  .key = order.service,
+                  .key = rollout->history.order().service,
                   .value = EncodeDecision(next),
                   .expected_version = rollout->row_version},
-                 WhileAlive([this, service = order.service,
+                 WhileAlive([this, service = rollout->history.order().service,
                              next](const StoreResult& result) {
                    OnDecisionWritten(service, next, result);
                  }));
@@ -322,15 +297,23 @@
 void RolloutController::OnDecisionWritten(const std::string& service,
                                           const RolloutDecision& decision,
                                           StoreResult result) {
-  Rollout* rollout = FindRollout(service, decision.order_id);
+  RolloutState* rollout = FindRollout(service, decision.order.id);
   if (rollout == nullptr || result != StoreResult::kOk) {
     return;
   }
+  if (rollout->is_row_behind) {
+    LogLine(LogEventId::kRolloutRewritten)
+        .Field("service", service)
+        .Field("version", decision.order.version)
+        .Field("phase", NameOf(decision.phase))
+        .Field("order", static_cast<long long>(decision.order.id.number))
+        .Field("era", static_cast<long long>(decision.order.id.era));
+  }
   const bool is_published =
       rollout->published_phase &&
       IsFinal(*rollout->published_phase) == IsFinal(decision.phase);
   if (!is_published) {
-    PublishStatus(decision, rollout->splitter.order());
+    PublishStatus(decision, rollout->history.order());
   }
 }
 
@@ -345,7 +328,8 @@
 void RolloutController::OnStatusRows(const RolloutDecision& decision,
                                      const RolloutOrder& order,
                                      const StoreRows& rows) {
-  if (rows.result != StoreResult::kOk) {
+  // The order's number can be compared with rows of its own era only.
+  if (rows.result != StoreResult::kOk || rows.version.era != order.id.era) {
     return;
   }
   const std::string key = m_rows->rollout_key_prefix + order.service;
@@ -375,27 +359,25 @@
 }
 
 void RolloutController::ConfirmStatus(const std::string& service,
-                                      uint64_t order_id,
+                                      const StoreVersion& id,
                                       RolloutPhase phase) {
-  Rollout* rollout = FindRollout(service, order_id);
+  RolloutState* rollout = FindRollout(service, id);
   if (rollout == nullptr) {
     return;
   }
-  rollout->published_phase = phase;
   LogLine(LogEventId::kRolloutPublished)
       .Field("service", service)
-      .Field("version", rollout->splitter.order().version)
+      .Field("version", rollout->history.order().version)
       .Field("phase", NameOf(phase));
   // The phase that was published to the operator applies to this gateway
   // immediately.
-  rollout->splitter.SetPhase(phase);
+  rollout->ApplyPublished(phase);
 }
 
-RolloutController::Rollout* RolloutController::FindRollout(
-    std::string_view service,
-    uint64_t order_id) {
+RolloutState* RolloutController::FindRollout(std::string_view service,
+                                             const StoreVersion& id) {
   const auto it = m_rollouts.find(service);
-  return it == m_rollouts.end() || it->second.splitter.order().id != order_id
+  return it == m_rollouts.end() || it->second.history.order().id != id
              ? nullptr
              : &it->second;
 }
--- a/src/rollout_controller.h
+++ b/src/rollout_controller.h
@@ -15,7 +15,7 @@
 #include "gateway_rows.h"
 #include "hooks.h"
 #include "metadata_store.h"
-#include "rollout_splitter.h"
+#include "rollout_state.h"
 
 namespace bramleybank {
 
@@ -31,6 +31,10 @@
 /// with a conditional write on its row. A driver whose row no longer changes is
 /// replaced by another reader. While no rollout runs, nothing is read or
 /// written.
+///
+/// After the store was restored from an older copy, rollouts go on where they
+/// were: gateways read the rows again, spread over an interval, and a reader
+/// that knows more than the rows writes them again.
 class RolloutController {
  public:
   struct Hooks {
@@ -61,7 +65,8 @@
   RolloutController(const RolloutController&) = delete;
   RolloutController& operator=(const RolloutController&) = delete;
 
-  /// Starts the rollout of an operator's order. A known order changes nothing.
+  /// Starts the rollout of an operator's order. A known order changes nothing,
+  /// and one that is repeated after a restore of the store continues.
   void OnOrder(const RolloutOrder& order);
   /// Takes over evidence from another gateway.
   /// @returns whether it was accepted.
@@ -85,42 +90,18 @@
   std::optional<RolloutPhase> PhaseOf(std::string_view service) const;
 
  private:
-  /// One service's rollout.
-  struct Rollout {
-    Rollout(const RolloutOrder& order, const Hooks& hooks)
-        : splitter(order, hooks.share, hooks.random) {}
-
-    RolloutSplitter splitter;
-    // Decision as last read, and the version of its row (0 if there is no row).
-    std::optional<RolloutDecision> decision;
-    StoreVersion row_version;
-    int unchanged_reads = 0;
-    // Sum of the evidence in the other gateways' reports.
-    RolloutEvidence other_evidence;
-    // Set after the first read of the rows, which restores the report that this
-    // gateway wrote before a restart.
-    bool has_read_rows = false;
-    RolloutEvidence written_evidence;
-    // Part of this gateway's evidence that another gateway has accepted.
-    RolloutEvidence handed_over_evidence;
-    bool is_handing_over = false;
-    // Phase in the operator's status, as last confirmed by this gateway.
-    std::optional<RolloutPhase> published_phase;
-    bool is_finished = false;
-  };
-
+  void StartRollout(const RolloutOrder& order);
+  void ContinueRollout(RolloutState* rollout, const StoreVersion& id);
+  void EraseRollout(std::string_view service);
   void SchedulePoll(Duration delay);
   void Poll();
   void ReadPage(const std::string& after);
   void OnPage(const StoreRows& page);
   void OnAllRows(const StoreRows& rows);
-  void ApplyRows(Rollout* rollout, const StoreRows& rows);
-  void ApplyDecision(Rollout* rollout, const StoreRow* row);
-  void StopIfBad(Rollout* rollout);
-  void WriteReport(Rollout* rollout);
-  void HandOver(Rollout* rollout);
-  bool MayDrive(const Rollout& rollout) const;
-  void WriteDecision(Rollout* rollout, Duration now);
+  void StopIfBad(RolloutState* rollout);
+  void WriteReport(RolloutState* rollout);
+  void HandOver(RolloutState* rollout);
+  void WriteDecision(RolloutState* rollout, Duration now);
   void OnDecisionWritten(const std::string& service,
                          const RolloutDecision& decision,
                          StoreResult result);
@@ -130,12 +111,10 @@
                     const RolloutOrder& order,
                     const StoreRows& rows);
   void ConfirmStatus(const std::string& service,
-                     uint64_t order_id,
+                     const StoreVersion& id,
                      RolloutPhase phase);
 
-  Rollout* FindRollout(std::string_view service, uint64_t order_id);
-  RolloutEvidence OwnEvidence(const Rollout& rollout) const;
-  RolloutEvidence TotalEvidence(const Rollout& rollout) const;
+  RolloutState* FindRollout(std::string_view service, const StoreVersion& id);
 
   /// Wraps `function` so that it is not called after this object is destroyed.
   template <typename Function>
@@ -154,9 +133,10 @@
   const std::string m_name;
   const Hooks m_hooks;
   // By service.
-  std::map<std::string, Rollout, std::less<>> m_rollouts;
+  std::map<std::string, RolloutState, std::less<>> m_rollouts;
   // Rows of the pages that the current read has returned so far.
   StoreRows m_pages;
+  uint64_t m_next_serial = 1;
   TimerHandle m_timer;
   bool m_is_reading = false;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/src/rollout_order.cc
+++ b/src/rollout_order.cc
@@ -19,6 +19,10 @@
 
 }  // namespace
 
+RolloutOrderRef RefOf(const RolloutOrder& order) {
+  return {.id = order.id, .version = order.version, .duration = order.duration};
+}
+
 std::string_view NameOf(RolloutPhase phase) {
   return std::ranges::find(kPhaseNames, phase, &PhaseName::phase)->name;
 }
--- a/src/rollout_order.h
+++ b/src/rollout_order.h
@@ -7,8 +7,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "hooks.h"
+#include "store_version.h"
 
 namespace bramleybank {
 
@@ -19,12 +21,27 @@
   std::string version;
   /// Time within which the rollout must be completed or rolled back.
   Duration duration{0};
-  /// Version of the order's row, which identifies the order.
-  uint64_t id = 0;
+  /// Version of the order's row, which identifies the order within one era.
+  StoreVersion id;
 
   friend bool operator==(const RolloutOrder&, const RolloutOrder&) = default;
 };
 
+/// The order to which a decision or a report belongs, as written in its row.
+struct RolloutOrderRef {
+  StoreVersion id;
+  /// Content of the order; empty in rows of releases that write the number
+  /// only.
+  std::string version;
+  Duration duration{0};
+
+  friend bool operator==(const RolloutOrderRef&,
+                         const RolloutOrderRef&) = default;
+};
+RolloutOrderRef RefOf(const RolloutOrder& order);
+
+/// In the order in which they follow each other. If gateways that missed each
+/// other's rows know two final phases, all of them apply the last one.
 enum class RolloutPhase : uint8_t {
   /// A small share of the requests goes to the new version.
   kProbing,
@@ -47,7 +64,9 @@
 /// The decision on a rollout that all gateways follow. One gateway at a time,
 /// the driver, writes it, with a conditional write on its row.
 struct RolloutDecision {
-  uint64_t order_id = 0;
+  RolloutOrderRef order;
+  /// Ids that the order had in earlier eras of the store.
+  std::vector<StoreVersion> earlier_ids = {};
   RolloutPhase phase = RolloutPhase::kProbing;
   /// Name of the driver.
   std::string driver;
--- a/src/rollout_records.h
+++ b/src/rollout_records.h
@@ -2,7 +2,6 @@
 #ifndef BRAMLEYBANK_SRC_ROLLOUT_RECORDS_H_
 #define BRAMLEYBANK_SRC_ROLLOUT_RECORDS_H_
 
-#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -15,7 +14,7 @@
 
 /// One gateway's evidence for one order.
 struct RolloutReport {
-  uint64_t order_id = 0;
+  RolloutOrderRef order;
   RolloutEvidence evidence;
 
   friend bool operator==(const RolloutReport&, const RolloutReport&) = default;
--- a/src/rollout_splitter.cc
+++ b/src/rollout_splitter.cc
@@ -17,17 +17,19 @@
 
 }  // namespace
 
-RolloutSplitter::RolloutSplitter(RolloutOrder order,
+RolloutSplitter::RolloutSplitter(std::string version,
                                  RolloutShare share,
                                  RandomHook random)
-    : m_order(std::move(order)), m_share(share), m_random(std::move(random)) {}
+    : m_version(std::move(version)),
+      m_share(share),
+      m_random(std::move(random)) {}
 
 RolloutRule RolloutSplitter::RuleForRequest(std::string_view route,
                                             size_t gateway_count) {
   if (m_phase == RolloutPhase::kProbing && !m_is_stopped &&
       TakeProbeCredit(route, gateway_count)) {
     return {.kind = RolloutRule::Kind::kPreferred,
-            .version = m_order.version,
+            .version = m_version,
             .endpoint_share = m_share.share};
   }
   return RuleForRetry();
@@ -58,7 +60,7 @@
                         m_phase == RolloutPhase::kCompleted);
   return {.kind = is_new_preferred ? RolloutRule::Kind::kPreferred
                                    : RolloutRule::Kind::kAllBut,
-          .version = m_order.version,
+          .version = m_version,
           .endpoint_share = 1};
 }
 
@@ -78,7 +80,7 @@
   if (m_phase && IsFinal(*m_phase)) {
     return;
   }
-  const bool is_new = version == m_order.version;
+  const bool is_new = version == m_version;
   const bool is_bad = failed || IsSlow(route, time);
   RouteTally& tally = m_own_evidence[std::string(route)];
   VersionTally& side = is_new ? tally.new_version : tally.old_version;
@@ -105,7 +107,7 @@
 }
 
 void RolloutSplitter::SetPhase(RolloutPhase phase) {
-  if (m_phase && IsFinal(*m_phase)) {
+  if (m_phase && phase <= *m_phase) {
     return;
   }
   m_phase = phase;
--- a/src/rollout_splitter.h
+++ b/src/rollout_splitter.h
@@ -21,7 +21,8 @@
 /// its own requests.
 class RolloutSplitter {
  public:
-  RolloutSplitter(RolloutOrder order, RolloutShare share, RandomHook random);
+  /// @param version new version of the service.
+  RolloutSplitter(std::string version, RolloutShare share, RandomHook random);
 
   /// Counts a new request. @returns the rule for its first attempt.
   RolloutRule RuleForRequest(std::string_view route, size_t gateway_count);
@@ -44,13 +45,13 @@
   /// Adds evidence that another gateway has handed over.
   void MergeEvidence(const RolloutEvidence& evidence);
 
-  /// Applies the phase of the shared decision. A final phase does not change.
+  /// Applies the phase of the shared decision. An earlier phase than the known
+  /// one changes nothing.
   void SetPhase(RolloutPhase phase);
   /// Stops sending requests to the new version, unless the rollout is completed
   /// later.
   void Stop() { m_is_stopped = true; }
 
-  const RolloutOrder& order() const { return m_order; }
   std::optional<RolloutPhase> phase() const { return m_phase; }
   bool is_stopped() const { return m_is_stopped; }
 
@@ -65,7 +66,7 @@
   bool TakeProbeCredit(std::string_view route, size_t gateway_count);
   bool IsSlow(std::string_view route, Duration time) const;
 
-  const RolloutOrder m_order;
+  const std::string m_version;
   const RolloutShare m_share;
   const RandomHook m_random;
   // Empty until the decision has been read; until then the old version serves.
--- a/tests/rollout_fleet.h
+++ b/tests/rollout_fleet.h
@@ -160,6 +160,18 @@
     controllers[i]->OnOrder(order);
   }
 
+  /// Reports the order's row with this number, in the store's present era, to
+  /// all gateways.
+  void ReportOrder(uint64_t number) {
+    order.id = StoreVersion(number, store.era());
+    for (const auto& controller : controllers) {
+      if (controller) {
+        controller->OnOrder(order);
+      }
+    }
+  }
+  /// The operator writes the order again.
+  void RepeatOrder() { ReportOrder(store.AssignNumber()); }
   /// Sends one request at each gateway. The version that serves it fails with
   /// its failure rate.
   void Serve() {
--- a/tests/unit_rollout.cc
+++ b/tests/unit_rollout.cc
@@ -109,14 +109,16 @@
 }
 
 TEST_CASE("decisions and reports survive encoding and decoding") {
-  const RolloutDecision decision{.order_id = 9,
-                                 .phase = RolloutPhase::kShifting,
-                                 .driver = "g1",
-                                 .started = seconds(3),
-                                 .published = true};
+  const RolloutDecision decision{
+      .order = {.id = {9, 2}, .version = "v2", .duration = seconds(8)},
+      .earlier_ids = {{7, 0}, {8, 1}},
+      .phase = RolloutPhase::kShifting,
+      .driver = "g1",
+      .started = seconds(3),
+      .published = true};
   CHECK(DecodeDecision(EncodeDecision(decision)) == decision);
   const RolloutReport report{
-      .order_id = 9,
+      .order = {.id = {9, 2}, .version = "v2", .duration = seconds(8)},
       .evidence = {{"r", {.old_version = {1, 2}, .new_version = {3, 4}}}}};
   CHECK(DecodeReport(EncodeReport(report)) == report);
   CHECK_FALSE(DecodeDecision("{}").has_value());
@@ -139,8 +141,7 @@
 // Guards against a bad version that gets more than its share, and against a
 // version that gets requests before the shared decision is known.
 TEST_CASE("a gateway enforces the share of the new version by itself") {
-  RolloutSplitter splitter({.service = "s", .version = "v2"}, {},
-                           [] { return 0; });
+  RolloutSplitter splitter("v2", {}, [] { return 0; });
   using Kind = RolloutRule::Kind;
   CHECK(splitter.RuleForRequest("r", 8).kind == Kind::kAllBut);
   splitter.SetPhase(RolloutPhase::kProbing);
@@ -162,8 +163,7 @@
 
 // Guards against a version that is slow and never fails.
 TEST_CASE("answers several times slower than usual count as bad") {
-  RolloutSplitter splitter({.service = "s", .version = "v2"}, {},
-                           [] { return 0; });
+  RolloutSplitter splitter("v2", {}, [] { return 0; });
   splitter.SetPhase(RolloutPhase::kProbing);
   for (int i = 0; i < 20; ++i) {
     splitter.Observe("r", "v1", false, milliseconds(30));
