Keep a rollout whose order is missing in a restored store

The copy that the store comes back from may lack the order of a rollout, or hold an earlier order in its place, until the operator repeats it.

A removal, or a known earlier order, in a later era than the order's now leaves the rollout as it is for 30 s (kRolloutRepeatTime); no decision is written meanwhile. Then the rollout ends, or the earlier order is taken. A removal within the order's era takes effect at once, and an order with other content is new at once. Log events 731 and 732 tell operators that an order is missing and that it was not repeated.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -507,6 +507,9 @@
 /// Reads of the rows of rollouts after a restore of the store, before a phase
 /// that was read from them may advance: gateways that know more write it first.
 inline constexpr int kRolloutReadsAfterRestore = 2;
+/// Time for which a rollout is kept whose order is missing in a restored store.
+/// Operators repeat lost orders within seconds.
+inline constexpr std::chrono::seconds kRolloutRepeatTime{30};
 /// Earlier orders of a service that are remembered.
 inline constexpr size_t kMaxFormerRolloutOrders = 8;
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -353,7 +353,7 @@
     rollouts.OnOrder(*order);
     return;
   }
-  rollouts.OnOrderRemoved(service);
+  rollouts.OnOrderRemoved(service, row.version);
   if (!row.deleted) {
     LogLine(LogEventId::kRolloutRefused)
         .Field("service", service)
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -125,6 +125,12 @@
     {kRolloutContinued, "rollout_continued", kInfo,
      "The order of a rollout is in the store again after a restore from an "
      "older copy; the rollout goes on where it was."},
+    {kRolloutOrderMissing, "rollout_order_missing", kWarning,
+     "The store was restored without the order of a rollout; the rollout is "
+     "kept for a while."},
+    {kRolloutNotRepeated, "rollout_not_repeated", kWarning,
+     "The operator has not repeated a lost order in time; its rollout ends at "
+     "this gateway."},
     {kRolloutRewritten, "rollout_rewritten", kInfo,
      "This gateway has written the decision on a rollout again, because its "
      "row "
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -67,6 +67,8 @@
   kPromptCleared = 718,
   kPromptTrial = 719,
   kRolloutContinued = 730,
+  kRolloutOrderMissing = 731,
+  kRolloutNotRepeated = 732,
   kRolloutRewritten = 733,
 };
 
--- a/src/rollout_controller.cc
+++ b/src/rollout_controller.cc
@@ -35,6 +35,9 @@
 
 RolloutController::~RolloutController() {
   m_loop->Cancel(m_timer);
+  for (auto& [service, rollout] : m_rollouts) {
+    m_loop->Cancel(rollout.repeat_timer);
+  }
 }
 
 void RolloutController::OnOrder(const RolloutOrder& order) {
@@ -50,6 +53,10 @@
     case kRepeated:
       ContinueRollout(&it->second, order.id);
       return;
+    case kFormer:
+      it->second.former_order = order;
+      KeepUntilRepeated(&it->second, order.id);
+      return;
     case kNew:
       StartRollout(order);
   }
@@ -88,6 +95,7 @@
       .Field("era", static_cast<long long>(id.era))
       .Field("earlier_order", static_cast<long long>(order.id.number))
       .Field("stopped", rollout->splitter.is_stopped() ? 1 : 0);
+  m_loop->Cancel(rollout->repeat_timer);
   rollout->ContinueAs(id);
   // Spread out, so that the first reader's writes spare the others theirs.
   SchedulePoll(Duration(static_cast<int64_t>(
@@ -95,13 +103,53 @@
       static_cast<double>(m_hooks.poll_interval().count()))));
 }
 
-void RolloutController::OnOrderRemoved(std::string_view service) {
+void RolloutController::KeepUntilRepeated(RolloutState* rollout,
+                                          const StoreVersion& version) {
+  const RolloutOrder& order = rollout->history.order();
+  LogLine(LogEventId::kRolloutOrderMissing)
+      .Field("service", order.service)
+      .Field("version", order.version)
+      .Field("order", static_cast<long long>(order.id.number))
+      .Field("era", static_cast<long long>(version.era));
+  m_loop->Cancel(rollout->repeat_timer);
+  rollout->repeat_timer = m_loop->Schedule(
+      m_hooks.repeat_time,
+      [this, service = order.service] { OnNotRepeated(service); });
+}
+
+void RolloutController::OnNotRepeated(const std::string& service) {
+  const auto it = m_rollouts.find(service);
+  if (it == m_rollouts.end()) {
+    return;
+  }
+  LogLine(LogEventId::kRolloutNotRepeated)
+      .Field("service", service)
+      .Field("version", it->second.history.order().version);
+  const auto former_order = it->second.former_order;
+  EraseRollout(service);
+  if (former_order) {
+    StartRollout(*former_order);
+  }
+}
+
+void RolloutController::OnOrderRemoved(std::string_view service,
+                                       const StoreVersion& version) {
+  const auto it = m_rollouts.find(service);
+  if (it == m_rollouts.end()) {
+    return;
+  }
+  if (version.era > it->second.history.order().id.era) {
+    it->second.former_order.reset();
+    KeepUntilRepeated(&it->second, version);
+    return;
+  }
   EraseRollout(service);
 }
 
 void RolloutController::EraseRollout(std::string_view service) {
   const auto it = m_rollouts.find(service);
   if (it != m_rollouts.end()) {
+    m_loop->Cancel(it->second.repeat_timer);
     m_rollouts.erase(it);
   }
 }
--- a/src/rollout_controller.h
+++ b/src/rollout_controller.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "bramleybank/handle.h"
+#include "bramleybank/limits.h"
 #include "gateway_rows.h"
 #include "hooks.h"
 #include "metadata_store.h"
@@ -53,6 +54,9 @@
                        const std::string& report,
                        std::function<void(bool accepted)> callback)>
         hand_over;
+    /// Longest time for which a rollout is kept whose order is missing in a
+    /// restored store.
+    Duration repeat_time = kRolloutRepeatTime;
   };
 
   /// @param name unique name of this gateway.
@@ -71,8 +75,10 @@
   /// Takes over evidence from another gateway.
   /// @returns whether it was accepted.
   bool OnEvidence(std::string_view service, const std::string& report);
-  /// Drops the rollout of a service whose order has been removed.
-  void OnOrderRemoved(std::string_view service);
+  /// Drops the rollout of a service whose order has been removed. If the order
+  /// is only missing in a restored store, its rollout is kept for a while.
+  /// @param version of the removal.
+  void OnOrderRemoved(std::string_view service, const StoreVersion& version);
 
   /// @returns the rule for the first attempt of a request.
   RolloutRule RuleForRequest(std::string_view service, std::string_view route);
@@ -92,6 +98,8 @@
  private:
   void StartRollout(const RolloutOrder& order);
   void ContinueRollout(RolloutState* rollout, const StoreVersion& id);
+  void KeepUntilRepeated(RolloutState* rollout, const StoreVersion& version);
+  void OnNotRepeated(const std::string& service);
   void EraseRollout(std::string_view service);
   void SchedulePoll(Duration delay);
   void Poll();
--- a/src/rollout_order_history.cc
+++ b/src/rollout_order_history.cc
@@ -37,6 +37,16 @@
     return Relation::kNew;
   }
   const bool is_same = HasSameContent(row, m_order);
+  // An order of the same content as a former one is either that one or its
+  // repeat, unless it may be a repeat of the present order.
+  const bool is_former =
+      std::ranges::any_of(m_former, [&](const RolloutOrder& former) {
+        return HasSameContent(row, former) &&
+               (!is_same || row.id.number == former.id.number);
+      });
+  if (is_former) {
+    return Relation::kFormer;
+  }
   return is_same ? Relation::kRepeated : Relation::kNew;
 }
 
--- a/src/rollout_order_history.h
+++ b/src/rollout_order_history.h
@@ -23,6 +23,9 @@
     kKnown,
     /// The order is in a restored store: it was repeated, or was never lost.
     kRepeated,
+    /// A restored store has an earlier order of the service instead, whose
+    /// successor was lost.
+    kFormer,
     kNew,
   };
 
--- a/src/rollout_state.cc
+++ b/src/rollout_state.cc
@@ -146,6 +146,7 @@
   history.ContinueAs(id);
   is_finished = false;
   published_phase.reset();
+  former_order.reset();
   m_reads_after_restore = 0;
 }
 
--- a/src/rollout_state.h
+++ b/src/rollout_state.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "bramleybank/handle.h"
 #include "hooks.h"
 #include "metadata_store.h"
 #include "rollout_order_history.h"
@@ -64,6 +65,10 @@
   /// Phase in the operator's status, as last confirmed by this gateway.
   std::optional<RolloutPhase> published_phase;
   bool is_finished = false;
+  /// Ends the rollout if its order, which is missing in a restored store, is
+  /// not repeated; `former_order` is in the store in its place.
+  TimerHandle repeat_timer;
+  std::optional<RolloutOrder> former_order;
 
  private:
   void ApplyReports(const StoreRows& rows, const std::string& own_name);
--- a/tests/rollout_fleet.h
+++ b/tests/rollout_fleet.h
@@ -156,7 +156,8 @@
                           const std::function<void(bool)>& callback) {
                   callback(i != 0 && controllers[0] &&
                            controllers[0]->OnEvidence(service, report));
-                }});
+                },
+            .repeat_time = repeat_time});
     controllers[i]->OnOrder(order);
   }
 
@@ -172,6 +173,14 @@
   }
   /// The operator writes the order again.
   void RepeatOrder() { ReportOrder(store.AssignNumber()); }
+  /// Reports to all gateways that the order has no row.
+  void ReportNoOrder() {
+    for (const auto& controller : controllers) {
+      controller->OnOrderRemoved(
+          "s", StoreVersion(store.AssignNumber(), store.era()));
+    }
+  }
+
   /// Sends one request at each gateway. The version that serves it fails with
   /// its failure rate.
   void Serve() {
@@ -215,6 +224,8 @@
                      .version = "v2",
                      .duration = std::chrono::seconds(0),
                      .id = 50};
+  /// Longest time for which a missing order is kept after a restore.
+  Duration repeat_time = std::chrono::seconds(60);
   std::mt19937 random{3};
   double new_rate = 0.02;
   /// The first gateway reads the store for the others.
--- a/tests/unit_rollout_restore.cc
+++ b/tests/unit_rollout_restore.cc
@@ -209,6 +209,48 @@
   CHECK(fleet.store.history.size() <= 3 + 3);
 }
 
+TEST_CASE("a rollout goes on while its order is missing after a restore") {
+  Fleet fleet;
+  fleet.new_rate = kBadRate;
+  fleet.store.TakeCopy();
+  fleet.Run(seconds(4));
+  const int before = fleet.new_requests;
+  fleet.store.Restore();
+  fleet.ReportNoOrder();
+  fleet.Run(milliseconds(300));
+  for (const auto& controller : fleet.controllers) {
+    CHECK(controller->RuleForRetry("s").kind == Kind::kAllBut);
+  }
+  CHECK(fleet.store.history.empty());
+  fleet.RepeatOrder();
+  fleet.Run(seconds(1));
+  CHECK(fleet.new_requests == before);
+  CHECK(Status(fleet) == RolloutPhase::kRolledBack);
+}
+
+TEST_CASE("a missing order that is not repeated ends its rollout") {
+  Fleet fleet;
+  fleet.repeat_time = milliseconds(20);
+  for (int i = 0; i < 3; ++i) {
+    fleet.Start(i);
+  }
+  fleet.store.TakeCopy();
+  fleet.Run(seconds(1));
+  fleet.store.Restore();
+  fleet.ReportNoOrder();
+  fleet.Run(seconds(1));
+  for (const auto& controller : fleet.controllers) {
+    CHECK(controller->RuleForRetry("s").kind == Kind::kAnyVersion);
+  }
+}
+
+TEST_CASE("an order that is removed without a restore ends its rollout") {
+  Fleet fleet;
+  fleet.Run(milliseconds(100));
+  fleet.ReportNoOrder();
+  CHECK(fleet.controllers[0]->RuleForRetry("s").kind == Kind::kAnyVersion);
+}
+
 TEST_CASE("an order with other content after a restore is a new order") {
   Fleet fleet;
   fleet.new_rate = kBadRate;
@@ -283,6 +325,49 @@
   CHECK(is_probed());
 }
 
+TEST_CASE("an older order that is back after a restore does not end a newer") {
+  Fleet fleet;
+  fleet.new_rate = kBadRate;
+  fleet.Run(seconds(4));
+  fleet.store.TakeCopy();
+  const RolloutOrder first = fleet.order;
+  fleet.order.version = "v3";
+  fleet.RepeatOrder();
+  const RolloutOrder second = fleet.order;
+  fleet.Run(seconds(4));
+  REQUIRE(fleet.AllIn(RolloutPhase::kRolledBack));
+  fleet.store.Restore();
+  fleet.order = first;
+  fleet.ReportOrder(first.id.number);
+  fleet.Run(milliseconds(100));
+  CHECK(fleet.controllers[0]->RuleForRetry("s").version == "v3");
+  const int before = fleet.new_requests;
+  fleet.order = second;
+  fleet.RepeatOrder();
+  fleet.Run(seconds(1));
+  CHECK(fleet.new_requests == before);
+  CHECK(fleet.AllIn(RolloutPhase::kRolledBack));
+}
+
+TEST_CASE("an older order that stays after a restore is taken in the end") {
+  Fleet fleet;
+  fleet.repeat_time = milliseconds(20);
+  for (int i = 0; i < 3; ++i) {
+    fleet.Start(i);
+  }
+  fleet.store.TakeCopy();
+  const RolloutOrder first = fleet.order;
+  fleet.order.version = "v3";
+  fleet.RepeatOrder();
+  fleet.Run(milliseconds(100));
+  fleet.store.Restore();
+  fleet.order = first;
+  fleet.ReportOrder(first.id.number);
+  fleet.Run(seconds(1));
+  CHECK(fleet.controllers[0]->RuleForRetry("s").version == "v2");
+  CHECK(fleet.AllIn(RolloutPhase::kProbing));
+}
+
 TEST_CASE(
     "a late report of another order with the same number is not counted") {
   Fleet fleet;
