Tests: evidence of followers after a restore, and rows of earlier releases

The first one checks that a relay whose row was lost writes all evidence again, under the order's new id, and that followers write nothing. The second one checks that rows which hold only the order's number are still matched by it.

--- a/tests/unit_rollout_restore.cc
+++ b/tests/unit_rollout_restore.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "rollout_fleet.h"
+#include "rollout_order_history.h"
 #include "rollout_records.h"
 
 namespace bramleybank {
@@ -209,6 +210,41 @@
   CHECK(fleet.store.history.size() <= 3 + 3);
 }
 
+TEST_CASE("evidence of followers is not lost with the row of their relay") {
+  Fleet fleet(seconds(4), /*relayed=*/true);
+  fleet.new_rate = kBadRate;
+  fleet.Run(milliseconds(20));
+  fleet.store.TakeCopy();
+  fleet.store.should_hold = [](const StoreWrite& write) {
+    return write.key == "s";
+  };
+  fleet.Run(milliseconds(1500));
+  fleet.store.Restore();
+  fleet.RepeatOrder();
+  fleet.Run(milliseconds(100));
+  const auto report =
+      DecodeReport(fleet.store.Value(kRolloutTable, "s/g0").value_or(""));
+  REQUIRE(report.has_value());
+  CHECK(report->order.id == fleet.order.id);
+  CHECK(TotalOf(report->evidence).new_version.total() == fleet.new_requests);
+  CHECK(std::ranges::none_of(fleet.store.history, [](const StoreWrite& write) {
+    return write.key != "s/g0";
+  }));
+}
+
+TEST_CASE("rows of a release that writes the order's number only are counted") {
+  const RolloutOrderHistory history(
+      {.service = "s", .version = "v2", .duration = seconds(8), .id = 9});
+  const auto decision = DecodeDecision(
+      R"({"order":9,"phase":"shifting","driver":"g","started_us":1,)"
+      R"("published":false})");
+  REQUIRE(decision.has_value());
+  CHECK(history.Owns(decision->order));
+  const auto report = DecodeReport(R"({"order":8,"routes":{}})");
+  REQUIRE(report.has_value());
+  CHECK_FALSE(history.Owns(report->order));
+}
+
 TEST_CASE("a rollout goes on while its order is missing after a restore") {
   Fleet fleet;
   fleet.new_rate = kBadRate;
