--- a/src/log_event.h
+++ b/src/log_event.h
@@ -69,6 +69,10 @@
   kPromptQuarantined = 717,
   kPromptCleared = 718,
   kPromptTrial = 719,
+  kRolloutContinued = 730,
+  kRolloutOrderMissing = 731,
+  kRolloutNotRepeated = 732,
+  kRolloutRewritten = 733,
 };
 
 enum class LogSeverity { kInfo, kWarning, kError };
