Quarantine: keep and write again what a restored store has lost

Callers saw parts that crash servers sent on again, and trials granted twice, after the store had come back from an older copy: each gateway took the older row, or its absence, for news and dropped what it knew from the lost one.

Cause: SuspectTracker treats the row as the whole truth, and within one era it is. A row of another era is an older state of the same history. Beside it, a write that was accepted and then lost left its gateway waiting for its row without end, and rows of a lower era were dropped as out of date.

Change: at a change of era the tracker keeps the last list of the era before (SuspectMemory) and merges it into the row until the row contains it. Of a part in both, the entry with more crashes is newer and a clear after as many crashes holds; trials and known marks are not taken back; a quarantine that was removed from the row in the lost seconds stays removed. Readers of the store write the merged row at random moments within 2 s, the others within the 6 s after that, nobody if the row contains it by then. Changes that were sent or accepted before are applied again, the answer to a write of an earlier era is not trusted, a claim for a trial without an answer is refused. A full read without the row of a service counts as its loss, so the wait ends.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -393,6 +393,13 @@
 /// Longest wait for the newer row after a conflict.
 inline constexpr std::chrono::milliseconds kSuspectRowWait{1000};
 inline constexpr std::chrono::milliseconds kSuspectRetryDelay{500};
+/// Gateways that read the store write again what a restore took out of a row of
+/// suspects, at random moments within this time. Even if 304 of them did so and
+/// each saw the others' writes 0.5 s late, this would be 76 writes in 0.5 s, a
+/// quarter of the 400 writes a second that the store takes at least. The other
+/// gateways follow within three times this time if the row lacks it by then.
+inline constexpr std::chrono::milliseconds kSuspectRestoreSpread{2000};
+inline constexpr int kSuspectFollowerSpreads = 3;
 inline constexpr std::chrono::milliseconds kSuspectCheckInterval{50};
 /// Longest time for which a request waits to become the trial.
 inline constexpr std::chrono::milliseconds kMaxTrialWait{1000};
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -205,7 +205,9 @@
       &metrics,
       {.wait = MaxStoreWait(settings.max_store_silence),
        .pause = kConfigReadPause},
-      {.random = random, .on_quarantined = [this] { OnPromptQuarantined(); }}};
+      {.random = random,
+       .is_reader = [this] { return relay.IsReader(); },
+       .on_quarantined = [this] { OnPromptQuarantined(); }}};
   size_t buffered_bytes = 0;
   ExchangeContext exchange_context;
   GatewayCallerHooks caller_hooks;
--- a/src/hooks.h
+++ b/src/hooks.h
@@ -42,6 +42,12 @@
   return bound / 2 + Duration(static_cast<int64_t>(random() % (half + 1)));
 }
 
+/// @returns a random time below `bound`, so that many callers are spread out.
+inline Duration Spread(Duration bound, const RandomHook& random) {
+  return Duration(
+      static_cast<int64_t>(random() % static_cast<uint64_t>(bound.count())));
+}
+
 }  // namespace bramleybank
 
 #endif  // BRAMLEYBANK_SRC_HOOKS_H_
--- a/src/prompt_quarantine.cc
+++ b/src/prompt_quarantine.cc
@@ -25,7 +25,8 @@
               kSuspectTable,
               times,
               {.on_row = [this](const StoreRow& row) { OnRow(row); },
-               .on_complete = [] {},
+               .on_restored = nullptr,
+               .on_complete = [this] { OnAllRows(); },
                .on_reachable =
                    [](bool reachable, const std::string& detail) {
                      LogLine(reachable ? LogEventId::kPlatformReachable
@@ -50,6 +51,7 @@
   }
   SuspectTracker::Hooks hooks = {
       .random = m_hooks.random,
+      .is_reader = m_hooks.is_reader,
       .on_verdict =
           [this, service](CrashVerdict verdict, const CrashReport& report) {
             OnVerdict(service, verdict, report);
@@ -61,8 +63,16 @@
       .on_cleared =
           [this, service](const PromptSuspect& suspect) {
             OnCleared(service, suspect);
+          },
+      .on_row_outdated =
+          [this] {
+            m_metrics->Count("bramleybank_suspect_rows_outdated_total");
           }};
-  return &m_trackers.try_emplace(service, std::move(hooks)).first->second;
+  SuspectTracker* tracker =
+      &m_trackers.try_emplace(service, std::move(hooks)).first->second;
+  // The rows read so far contain none of this service.
+  tracker->OnAllRows(service, m_watch.version(), m_loop->Now());
+  return tracker;
 }
 
 const SuspectTracker* PromptQuarantine::FindTracker(
@@ -78,6 +88,13 @@
   }
 }
 
+void PromptQuarantine::OnAllRows() {
+  for (auto& [service, tracker] : m_trackers) {
+    tracker.OnAllRows(service, m_watch.version(), m_loop->Now());
+  }
+  ArmTick();
+}
+
 void PromptQuarantine::OnLost(const std::string& service,
                               std::string_view endpoint) {
   if (SuspectTracker* tracker = TrackerOf(service)) {
--- a/src/prompt_quarantine.h
+++ b/src/prompt_quarantine.h
@@ -32,6 +32,8 @@
  public:
   struct Hooks {
     RandomHook random;
+    /// Whether this gateway reads the store itself.
+    std::function<bool()> is_reader;
     /// A part was quarantined: requests that have it must be stopped.
     std::function<void()> on_quarantined;
   };
@@ -82,6 +84,7 @@
   SuspectTracker* TrackerOf(const std::string& service);
   const SuspectTracker* FindTracker(const std::string& service) const;
   void OnRow(const StoreRow& row);
+  void OnAllRows();
   void Tick();
   void ArmTick();
   void WriteRow(const std::string& service, SuspectTracker* tracker);
--- a/src/prompt_suspects.cc
+++ b/src/prompt_suspects.cc
@@ -148,6 +148,50 @@
   });
 }
 
+void PromptSuspectList::Remove(PromptPartHash part, int crashes) {
+  std::erase_if(m_suspects, [part, crashes](const PromptSuspect& suspect) {
+    return suspect.part == part && suspect.crashes <= crashes;
+  });
+}
+
+void PromptSuspectList::Merge(const PromptSuspectList& other) {
+  for (const PromptSuspect& suspect : other.m_suspects) {
+    MergeSuspect(suspect);
+  }
+}
+
+void PromptSuspectList::MergeSuspect(const PromptSuspect& suspect) {
+  PromptSuspect* known = FindMutable(suspect.part);
+  if (known == nullptr) {
+    if (m_suspects.size() < kMaxPromptSuspects) {
+      m_suspects.push_back(suspect);
+    } else if (suspect.IsQuarantined() &&
+               !std::ranges::all_of(m_suspects,
+                                    &PromptSuspect::IsQuarantined)) {
+      EvictWeakest();
+      m_suspects.push_back(suspect);
+    }
+    return;
+  }
+  const bool is_known = known->is_known || suspect.is_known;
+  const int trials = std::max(known->trials, suspect.trials);
+  // Crashes before the last answer tell which entry knows of a later one.
+  const bool is_same_time = known->crashes - known->open_crashes ==
+                            suspect.crashes - suspect.open_crashes;
+  const bool is_stronger =
+      !known->IsCleared() &&
+      (suspect.IsCleared() || known->weight < suspect.weight);
+  if (known->crashes < suspect.crashes ||
+      (known->crashes == suspect.crashes && is_stronger)) {
+    *known = suspect;
+  }
+  known->is_known = is_known;
+  if (is_same_time && !known->IsCleared()) {
+    // A trial that only one of them contains has been sent.
+    known->trials = trials;
+  }
+}
+
 bool PromptSuspectList::IsBlocking(
     const PromptSuspect& suspect,
     std::span<const PromptPartHash> parts) const {
--- a/src/prompt_suspects.h
+++ b/src/prompt_suspects.h
@@ -86,6 +86,13 @@
   bool ClaimTrial(PromptPartHash part, int trials);
   /// Removes a suspect that is not quarantined.
   void Forget(PromptPartHash part);
+  /// Removes a suspect, quarantined or not, with no more crashes than these.
+  void Remove(PromptPartHash part, int crashes);
+  /// Adds what another list of the same service knows, after one of them has
+  /// lost changes. Of a part that is in both, the entry with more crashes is
+  /// newer; of two with the same crashes, the cleared one or else the heavier
+  /// one. Quarantined parts displace others when the list is full.
+  void Merge(const PromptSuspectList& other);
 
   const PromptSuspect* Find(PromptPartHash part) const;
   /// @returns the quarantined parts because of which a request must not be
@@ -105,6 +112,7 @@
 
  private:
   PromptSuspect* FindMutable(PromptPartHash part);
+  void MergeSuspect(const PromptSuspect& suspect);
   void Charge(const CrashReport& report,
               const ChargedPart& charged,
               const std::vector<PromptPartHash>& others);
--- a/src/suspect_tracker.cc
+++ b/src/suspect_tracker.cc
@@ -7,16 +7,6 @@
 #include "bramleybank/limits.h"
 
 namespace bramleybank {
-namespace {
-
-/// @returns a random time below `bound`.
-Duration Spread(Duration bound, const RandomHook& random) {
-  return Duration(
-      static_cast<int64_t>(random() % static_cast<uint64_t>(bound.count())));
-}
-
-}  // namespace
-
 const char* NameOf(CrashVerdict verdict) {
   switch (verdict) {
     case CrashVerdict::kCharged:
@@ -217,7 +207,7 @@
   while (m_changes.size() > kMaxSuspectChanges + m_sent) {
     DropChanges();
   }
-  const PromptSuspectList before = std::exchange(m_view, m_row);
+  const PromptSuspectList before = std::exchange(m_view, MergedRow());
   for (const Change& change : m_changes) {
     Apply(change, &m_view);
   }
@@ -264,39 +254,6 @@
   }
 }
 
-void SuspectTracker::OnRow(const StoreRow& row, TimePoint now) {
-  if (row.version <= m_row_version) {
-    return;
-  }
-  m_row =
-      row.deleted ? PromptSuspectList() : PromptSuspectList::Decode(row.value);
-  m_row_exists = !row.deleted;
-  m_row_version = row.version;
-  m_is_store_away = false;
-  if (m_waits_for_row && row.version > m_write_base) {
-    m_waits_for_row = false;
-    RemoveWritten();
-  }
-  // Before the view changes, because a new quarantine cancels attempts.
-  const std::vector<PromptSuspect> suspects = m_row.suspects();
-  for (const PromptSuspect& suspect : suspects) {
-    const PromptSuspect* viewed = m_view.Find(suspect.part);
-    if (suspect.IsQuarantined() && !suspect.is_known &&
-        m_begun.Contains(suspect.part) &&
-        (viewed == nullptr || !viewed->is_known)) {
-      AddChange(KnownPart{suspect.part}, /*is_urgent=*/false, now);
-    }
-  }
-  UpdateView(now);
-  const bool has_news = std::ranges::any_of(
-      m_row.suspects(), [this](const PromptSuspect& suspect) {
-        return !suspect.is_known && m_begun.Contains(suspect.part);
-      });
-  if (has_news && !m_mark_at) {
-    m_mark_at = now + Spread(kSuspectMarkSpread, m_hooks.random);
-  }
-}
-
 void SuspectTracker::MarkKnownParts(TimePoint now) {
   m_mark_at.reset();
   const std::vector<PromptSuspect> suspects = m_view.suspects();
@@ -319,18 +276,19 @@
 }
 
 bool SuspectTracker::IsBusy() const {
-  return !m_held.empty() || !m_changes.empty() || m_mark_at;
+  return !m_held.empty() || !m_changes.empty() || m_mark_at ||
+         m_memory.is_pending();
 }
 
 std::optional<SuspectTracker::Write> SuspectTracker::NextWrite(TimePoint now) {
-  if (m_is_writing || m_waits_for_row || m_changes.empty() ||
-      now < m_next_write) {
+  const bool is_due = !m_changes.empty() || m_memory.IsDue(now);
+  if (m_is_writing || m_waits_for_row || !is_due || now < m_next_write) {
     return std::nullopt;
   }
-  if (m_row_version <= m_write_base && now < m_row_expected_until) {
+  if (!HasNewerRow() && now < m_row_expected_until) {
     return std::nullopt;
   }
-  PromptSuspectList list = m_row;
+  PromptSuspectList list = MergedRow();
   for (Change& change : m_changes) {
     const bool is_possible = Apply(change, &list);
     if (auto* claim = std::get_if<TrialClaim>(&change)) {
@@ -341,6 +299,7 @@
   if (list == m_row) {
     EndClaims(/*written=*/false);
     RemoveWritten();
+    m_memory.OnContained();
     UpdateView(now);
     return std::nullopt;
   }
@@ -353,11 +312,15 @@
 
 void SuspectTracker::OnWritten(StoreResult result, TimePoint now) {
   m_is_writing = false;
+  if (std::exchange(m_is_write_outdated, false)) {
+    // Whatever the answer, the row of this era tells what has been written.
+    return;
+  }
   m_is_store_away = result == StoreResult::kUnavailable;
   EndClaims(result == StoreResult::kOk);
   if (result == StoreResult::kOk) {
     m_conflicts = 0;
-    m_waits_for_row = m_row_version <= m_write_base;
+    m_waits_for_row = !HasNewerRow();
     if (!m_waits_for_row) {
       RemoveWritten();
     }
@@ -369,6 +332,7 @@
     m_next_write = now + EqualJitter(kSuspectRetryDelay, m_hooks.random);
   } else if (++m_conflicts > kMaxSuspectConflicts) {
     m_conflicts = 0;
+    m_next_write = now + EqualJitter(kSuspectRetryDelay, m_hooks.random);
     while (!m_changes.empty()) {
       DropChanges();
     }
--- a/src/suspect_tracker.h
+++ b/src/suspect_tracker.h
@@ -20,6 +20,7 @@
 #include "hooks.h"
 #include "metadata_store.h"
 #include "prompt_suspects.h"
+#include "suspect_memory.h"
 
 namespace bramleybank {
 
@@ -45,11 +46,16 @@
  public:
   struct Hooks {
     RandomHook random;
+    /// Whether this gateway reads the store itself, and so sees the writes of
+    /// others early.
+    std::function<bool()> is_reader;
     std::function<void(CrashVerdict verdict, const CrashReport& report)>
         on_verdict;
     /// A part was quarantined, or is no longer suspected.
     std::function<void(const PromptSuspect& suspect)> on_quarantined;
     std::function<void(const PromptSuspect& suspect)> on_cleared;
+    /// The row of a restored store lacks what this gateway knows.
+    std::function<void()> on_row_outdated;
   };
   using TrialCallback = std::function<void(bool granted)>;
 
@@ -66,7 +72,15 @@
   /// The first event of an answer to these parts has arrived.
   void OnBegun(std::span<const PromptPartHash> parts, TimePoint now);
 
+  /// A row of another era than the last one replaces it. What the last one knew
+  /// in addition stays in force and is written again.
   void OnRow(const StoreRow& row, TimePoint now);
+  /// All rows of the store have been read.
+  /// @param version of the store. If the last row has another era, there is no
+  /// row any more.
+  void OnAllRows(const std::string& key,
+                 const StoreVersion& version,
+                 TimePoint now);
   void Advance(TimePoint now);
   bool IsBusy() const;
 
@@ -151,6 +165,11 @@
   size_t EndpointsLostAround(TimePoint at) const;
   /// @param is_urgent whether the write must not wait for a random moment.
   void AddChange(Change change, bool is_urgent, TimePoint now);
+  void OnRestored(TimePoint now);
+  /// @returns the row with what a restore took out of it.
+  PromptSuspectList MergedRow() const;
+  /// @returns whether the row has changed since the last write was made.
+  bool HasNewerRow() const;
   void MarkKnownParts(TimePoint now);
   void ForgetOld(TimePoint now);
   void UpdateView(TimePoint now);
@@ -164,7 +183,8 @@
   PromptSuspectList m_row;
   StoreVersion m_row_version;
   bool m_row_exists = false;
-  // m_row with all changes that it does not contain yet.
+  SuspectMemory m_memory;
+  // m_row with m_memory and all changes that it does not contain yet.
   PromptSuspectList m_view;
   std::unordered_map<PromptPartHash, Knowledge> m_knowledge;
   BegunParts m_begun;
@@ -176,6 +196,9 @@
   std::deque<Change> m_changes;
   size_t m_sent = 0;
   bool m_is_writing = false;
+  // Whether the write under way was made in an earlier era, so that the row may
+  // lack it even if it was accepted.
+  bool m_is_write_outdated = false;
   // Whether the last write had no answer and no row has arrived since.
   bool m_is_store_away = false;
   // Version of the row that the last write was based on.
--- a/tests/suspect_fleet.h
+++ b/tests/suspect_fleet.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <random>
@@ -157,6 +158,13 @@
   const SuspectTracker& tracker(int gateway) const {
     return m_gateways[gateway]->tracker;
   }
+  /// Replaces the last gateways by new ones that know nothing.
+  void RestartLastGateways(size_t count) {
+    m_gateways.resize(m_gateways.size() - count);
+    for (size_t i = 0; i < count; ++i) {
+      AddGateway();
+    }
+  }
   void RestartGateways() {
     const size_t count = m_gateways.size();
     m_gateways.clear();
@@ -168,6 +176,8 @@
 
   TimePoint now{std::chrono::seconds(1000)};
   FleetStore store;
+  // The first gateways read the store themselves.
+  size_t readers = std::numeric_limits<size_t>::max();
   std::optional<PromptPartHash> bad_part;
   int crashes = 0;
   TimePoint fifth_crash_at;
@@ -192,12 +202,14 @@
     const size_t index = m_gateways.size();
     m_gateways.push_back(std::make_unique<Gateway>(SuspectTracker::Hooks{
         .random = [this] { return m_random(); },
+        .is_reader = [this, index] { return index < readers; },
         .on_verdict = [](CrashVerdict, const CrashReport&) {},
         .on_quarantined =
             [this, index](const PromptSuspect&) {
               m_gateways[index]->must_cancel = true;
             },
-        .on_cleared = [](const PromptSuspect&) {}}));
+        .on_cleared = [](const PromptSuspect&) {},
+        .on_row_outdated = [] {}}));
   }
 
   std::vector<Request> Take(
