Peers: do not take another era of the store for a heartbeat

After a restore of the store every gateway that had ever written a row counted as alive for three more reads, up to six minutes at 304 gateways: budgets were divided by too many, and relays and permit issuers were chosen among the dead. A gateway that had started in the lost seconds was dropped at once and refused as an unknown sender until its next heartbeat.

Cause: rows are never deleted, and a row counts as changed if its version differs, which a new era alone achieves.

Change: across eras only a number above the highest one known is a heartbeat, and the first read of an era counts none as missed, because a live gateway may not have written again yet. A gateway whose row is lost is kept for the usual three reads. Each gateway writes its row again at a random moment within 4 s after its watch of endpoints reports a restore, or its own read lacks the row: the usual interval is 122 s at 304 gateways, too late for gateways that start meanwhile. That is 76 writes a second at most, of 400.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -519,6 +519,10 @@
 inline constexpr std::chrono::milliseconds kMinPeerHeartbeatInterval{10000};
 inline constexpr std::chrono::milliseconds kPeerHeartbeatIntervalPerPeer{400};
 inline constexpr std::chrono::microseconds kPeerHeartbeatJitter{2000000};
+/// After a restore of the store each gateway writes its row again at a random
+/// moment within this time, long before its next heartbeat when there are many:
+/// 76 writes a second for 304 of them, a fifth of the 400 that the store takes.
+inline constexpr std::chrono::milliseconds kPeerRestoreSpread{4000};
 inline constexpr std::chrono::milliseconds kFirstPeerReadDelay{1500};
 /// Number of gateways that is assumed until their list is known.
 inline constexpr size_t kAssumedPeerCount = 100;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -296,6 +296,12 @@
                                           const std::string& table) {
   return {
       .on_row = [this, on_row](const StoreRow& row) { (this->*on_row)(row); },
+      .on_restored =
+          [this, is_endpoints = table == rows.endpoint_table] {
+            if (is_endpoints) {
+              peers.OnStoreRestored();
+            }
+          },
       .on_complete =
           [this, is_endpoints = table == rows.endpoint_table] {
             if (is_endpoints && !std::exchange(endpoints_read, true)) {
--- a/src/gateway_peers.cc
+++ b/src/gateway_peers.cc
@@ -48,6 +48,7 @@
 
 GatewayPeers::~GatewayPeers() {
   m_loop->Cancel(m_timer);
+  m_loop->Cancel(m_restore_timer);
 }
 
 void GatewayPeers::SetChangeHandler(std::function<void()> handler) {
@@ -58,12 +59,32 @@
   SendHeartbeat();
 }
 
-void GatewayPeers::SendHeartbeat() {
+void GatewayPeers::WriteRow(MetadataStore::WriteCallback callback) {
   m_store->Write({.table = kTable,
                   .key = m_self.name,
                   .value = EncodeMember(m_self),
                   .expected_version = std::nullopt},
-                 [](StoreResult) {});
+                 std::move(callback));
+}
+
+void GatewayPeers::OnStoreRestored() {
+  if (m_restore_timer.is_valid()) {
+    return;
+  }
+  m_restore_timer =
+      m_loop->Schedule(Spread(kPeerRestoreSpread, m_random), [this] {
+        m_restore_timer = TimerHandle();
+        WriteRow([weak = std::weak_ptr(m_alive)](StoreResult result) {
+          const auto self = weak.lock();
+          if (self && result != StoreResult::kOk) {
+            (*self)->OnStoreRestored();
+          }
+        });
+      });
+}
+
+void GatewayPeers::SendHeartbeat() {
+  WriteRow([](StoreResult) {});
   // The first read is delayed so that gateways that start at the same time have
   // written their rows.
   const Duration delay = m_has_list ? Duration{0} : kFirstPeerReadDelay;
@@ -107,23 +128,72 @@
   if (rows.result != StoreResult::kOk) {
     return;
   }
+  const bool is_restored = m_has_list && rows.version.era != m_era;
+  m_era = rows.version.era;
   std::map<std::string, Peer> peers;
   for (const StoreRow& row : rows.rows) {
-    Peer peer{.member = DecodeMember(row), .version = row.version};
     const auto known = m_peers.find(row.key);
-    if (known != m_peers.end() && known->second.version == row.version) {
-      peer.unchanged_reads =
-          known->second.unchanged_reads + (is_heartbeat ? 1 : 0);
-    }
-    peers.emplace(row.key, peer);
+    peers.emplace(row.key, known == m_peers.end()
+                               ? Peer{.member = DecodeMember(row),
+                                      .version = row.version,
+                                      .highest_number = row.version.number}
+                               : UpdatePeer(known->second, row,
+                                            is_heartbeat && !is_restored));
   }
+  KeepLostPeers(is_restored, is_heartbeat, &peers);
   m_peers = std::move(peers);
   m_has_list = true;
+  if (is_restored && IsOwnRowLost(rows)) {
+    OnStoreRestored();
+  }
   if (m_on_change) {
     m_on_change();
   }
 }
 
+bool GatewayPeers::IsOwnRowLost(const StoreRows& rows) const {
+  return !rows.has_more && std::ranges::find(rows.rows, m_self.name,
+                                             &StoreRow::key) == rows.rows.end();
+}
+
+bool GatewayPeers::IsHeartbeat(const Peer& known, const StoreRow& row) {
+  if (known.is_row_lost) {
+    return true;
+  }
+  return row.version.era == known.version.era
+             ? row.version != known.version
+             : row.version.number > known.highest_number;
+}
+
+GatewayPeers::Peer GatewayPeers::UpdatePeer(const Peer& known,
+                                            const StoreRow& row,
+                                            bool is_counted) const {
+  Peer peer{
+      .member = DecodeMember(row),
+      .version = row.version,
+      .highest_number = std::max(known.highest_number, row.version.number)};
+  if (!IsHeartbeat(known, row)) {
+    peer.unchanged_reads = known.unchanged_reads + (is_counted ? 1 : 0);
+  }
+  return peer;
+}
+
+void GatewayPeers::KeepLostPeers(bool is_restored,
+                                 bool is_heartbeat,
+                                 std::map<std::string, Peer>* peers) const {
+  for (const auto& [name, known] : m_peers) {
+    if (!is_restored && !known.is_row_lost) {
+      continue;
+    }
+    Peer peer = known;
+    peer.is_row_lost = true;
+    peer.unchanged_reads += is_heartbeat && !is_restored ? 1 : 0;
+    if (IsAlive(peer)) {
+      peers->try_emplace(name, peer);
+    }
+  }
+}
+
 size_t GatewayPeers::count() const {
   return members().size();
 }
--- a/src/gateway_peers.h
+++ b/src/gateway_peers.h
@@ -43,6 +43,9 @@
   /// A gateway that is not listed has sent a message. Reads the list again,
   /// unless it was read within kUnknownSenderReadInterval.
   void OnUnknownSender();
+  /// The store has been restored from an older copy, which may lack the row of
+  /// this gateway. Writes it again within kPeerRestoreSpread.
+  void OnStoreRestored();
 
   /// Called when the list may have changed.
   void SetChangeHandler(std::function<void()> handler);
@@ -61,11 +64,28 @@
   struct Peer {
     GatewayMember member;
     StoreVersion version;
+    // Highest number of the row in any era.
+    uint64_t highest_number = 0;
     // Consecutive heartbeat reads that found the row unchanged.
     int unchanged_reads = 0;
+    // The store was restored from a copy that lacks the row.
+    bool is_row_lost = false;
   };
 
   void SendHeartbeat();
+  void WriteRow(MetadataStore::WriteCallback callback);
+  bool IsOwnRowLost(const StoreRows& rows) const;
+  /// @returns whether the row shows that its gateway was alive after the last
+  /// read. After a restore, an unchanged or older row shows nothing.
+  static bool IsHeartbeat(const Peer& known, const StoreRow& row);
+  Peer UpdatePeer(const Peer& known,
+                  const StoreRow& row,
+                  bool is_counted) const;
+  /// Keeps the gateways whose rows a restore has taken away, until they have
+  /// missed as many heartbeats as others.
+  void KeepLostPeers(bool is_restored,
+                     bool is_heartbeat,
+                     std::map<std::string, Peer>* peers) const;
   Duration HeartbeatInterval() const;
   void ReadRows(bool is_heartbeat);
   void ScheduleHeartbeat();
@@ -78,8 +98,11 @@
   std::function<void()> m_on_change;
   std::map<std::string, Peer> m_peers;
   bool m_has_list = false;
+  // Era of the last read.
+  uint64_t m_era = 0;
   TimePoint m_last_read;
   TimerHandle m_timer;
+  TimerHandle m_restore_timer;
   std::shared_ptr<GatewayPeers*> m_alive;
 };
 
