Prompts: write locations again that a restored store has lost

After a restore of the store, callers that reconnected at another gateway had their prompts prefilled again: the row of the gateway that had served them went back and was written again only when that gateway got another stream.

Cause: the table is not watched, and a row is written for new entries only. In addition each read merged the own row into memory, so that an older copy of it brought back entries which had been evicted, with a new lifetime, and they were written again as if they were new.

Change: a reader of the store writes its row again when the watch of endpoints reports a restore, at a random moment within its usual interval. The own row is merged at the first read only. Entries of other gateways as of the last read of the era before are used until they are written again.

Evidence: with the old rules the three new cases of tests/unit_prompt_locator.cc failed: "fixture.store.writes.size() == 2: REQUIRE( 1 == 2 )", the two others at what was found and at the row written. Now all 12 cases of the file pass.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -188,7 +188,8 @@
       loop,
       store,
       settings.name,
-      {.interval = [this] { return PromptInterval(); },
+      {.random = random,
+       .interval = [this] { return PromptInterval(); },
        .is_reader = [this] { return relay.IsReader(); },
        .hand_over =
            [this](std::string row, std::function<void(bool)> callback) {
@@ -300,6 +301,7 @@
           [this, is_endpoints = table == rows.endpoint_table] {
             if (is_endpoints) {
               peers.OnStoreRestored();
+              prompts.OnStoreRestored();
             }
           },
       .on_complete =
--- a/src/hooks.h
+++ b/src/hooks.h
@@ -42,8 +42,12 @@
   return bound / 2 + Duration(static_cast<int64_t>(random() % (half + 1)));
 }
 
-/// @returns a random time below `bound`, so that many callers are spread out.
+/// @returns a random time below `bound`, so that many callers are spread out;
+/// zero if that is zero.
 inline Duration Spread(Duration bound, const RandomHook& random) {
+  if (bound <= Duration::zero()) {
+    return Duration::zero();
+  }
   return Duration(
       static_cast<int64_t>(random() % static_cast<uint64_t>(bound.count())));
 }
--- a/src/prompt_locator.cc
+++ b/src/prompt_locator.cc
@@ -73,8 +73,13 @@
 }
 
 std::string PromptLocator::FindKnown(PromptHash prompt) const {
-  const std::string own = m_own.Find(prompt);
-  return own.empty() ? m_others.Find(prompt) : own;
+  for (const PromptLocations* known : {&m_own, &m_others, &m_earlier_others}) {
+    std::string endpoint_id = known->Find(prompt);
+    if (!endpoint_id.empty()) {
+      return endpoint_id;
+    }
+  }
+  return "";
 }
 
 void PromptLocator::Read() {
@@ -95,10 +100,20 @@
   if (rows.result == StoreResult::kOk) {
     const TimePoint now = m_loop->Now();
     m_read_at = now;
-    m_others = {};
+    PromptLocations others = std::exchange(m_others, {});
+    if (m_is_loaded && rows.version.era != m_era) {
+      m_earlier_others = std::move(others);
+    }
+    m_era = rows.version.era;
+    m_earlier_others.EvictOld(now);
     for (const StoreRow& row : rows.rows) {
-      PromptLocations& target = row.key == m_name ? m_own : m_others;
-      target.Merge(row.value, now);
+      if (row.key != m_name) {
+        m_others.Merge(row.value, now);
+      } else if (!m_is_loaded) {
+        // Later it contains nothing that m_own lacks, but after a restore old
+        // entries that m_own has evicted.
+        m_own.Merge(row.value, now);
+      }
     }
     m_is_loaded = true;
     if (m_own.size() > 0) {
@@ -116,13 +131,19 @@
   }
 }
 
-void PromptLocator::ScheduleWrite() {
+void PromptLocator::OnStoreRestored() {
+  if (m_hooks.is_reader() && m_own.size() > 0) {
+    ScheduleWrite(Spread(m_hooks.interval(), m_hooks.random));
+  }
+}
+
+void PromptLocator::ScheduleWrite(Duration min_delay) {
   if (m_write_timer.is_valid()) {
     return;
   }
   const Duration since = m_loop->Now() - m_written_at;
-  m_write_timer = m_loop->Schedule(
-      std::max(m_hooks.interval() - since, Duration{0}), [this] {
+  m_write_timer =
+      m_loop->Schedule(std::max(m_hooks.interval() - since, min_delay), [this] {
         m_write_timer = TimerHandle();
         Publish();
       });
--- a/src/prompt_locator.h
+++ b/src/prompt_locator.h
@@ -3,6 +3,7 @@
 #ifndef BRAMLEYBANK_SRC_PROMPT_LOCATOR_H_
 #define BRAMLEYBANK_SRC_PROMPT_LOCATOR_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +24,7 @@
 /// How often prompt locations are published, and how a gateway that does not
 /// read the store publishes and looks them up through one that does (a reader).
 struct PromptLocatorHooks {
+  RandomHook random;
   /// Minimum time between two writes or hand-overs.
   std::function<Duration()> interval;
   /// Whether this gateway accesses the store itself.
@@ -64,6 +66,9 @@
                        std::string_view endpoint_id);
   /// Another gateway has handed over the prompt locations of its streams.
   void OnHandedOver(std::string_view row);
+  /// The store has been restored from an older copy, which may lack entries of
+  /// this gateway. A reader writes its row again.
+  void OnStoreRestored();
   /// Looks up an engine that has prefilled the prompt.
   /// @param callback gets its id, or an empty string if none is known before
   /// the timeout; runs exactly once, possibly inside this call.
@@ -81,7 +86,7 @@
   void Read();
   void OnRows(const StoreRows& rows);
   void FinishLookups();
-  void ScheduleWrite();
+  void ScheduleWrite(Duration min_delay = Duration::zero());
   void Publish();
   void WriteRow();
   void HandOver();
@@ -97,6 +102,9 @@
   PromptLocations m_unpublished;
   // Rows of the other gateways as of m_read_at.
   PromptLocations m_others;
+  // m_others of the last era, for entries that have not been written again yet.
+  PromptLocations m_earlier_others;
+  uint64_t m_era = 0;
   std::vector<Lookup> m_lookups;
   TimePoint m_read_at;
   TimePoint m_written_at;
--- a/tests/unit_prompt_locator.cc
+++ b/tests/unit_prompt_locator.cc
@@ -83,8 +83,10 @@
     locator.Find(prompt_parts,
                  [this](const std::string& id) { found.push_back(id); });
   }
-  void Answer(const std::vector<StoreRow>& rows) {
-    store.Answer(kPromptTable, {.result = StoreResult::kOk, .rows = rows});
+  void Answer(const std::vector<StoreRow>& rows, uint64_t era = 0) {
+    store.Answer(
+        kPromptTable,
+        {.result = StoreResult::kOk, .rows = rows, .version = {9, era}});
   }
   void RunFor(Duration time) {
     const TimePoint end = loop.Now() + time;
@@ -104,7 +106,8 @@
       &loop,
       &store,
       "g1",
-      {.interval = [] { return Duration{0}; },
+      {.random = [] { return 0; },
+       .interval = [] { return Duration{0}; },
        .is_reader = [this] { return is_reader; },
        .hand_over =
            [this](std::string row, std::function<void(bool)> callback) {
@@ -204,6 +207,57 @@
   CHECK(fixture.store.writes.empty());
 }
 
+TEST_CASE("a reader writes a row again that a restore has taken back") {
+  Fixture fixture;
+  fixture.locator.Start();
+  fixture.Answer({});
+  fixture.locator.OnStoreRestored();
+  fixture.RunFor(2 * kTurn);
+  CHECK(fixture.store.writes.empty());
+  fixture.locator.OnStreamStarted("a:1", "e1");
+  fixture.RunFor(2 * kTurn);
+  REQUIRE(fixture.store.writes.size() == 1);
+  fixture.locator.OnStoreRestored();
+  fixture.locator.OnStoreRestored();
+  fixture.RunFor(2 * kTurn);
+  REQUIRE(fixture.store.writes.size() == 2);
+  CHECK(fixture.store.writes[1].value == RowOf("a:1", "e1"));
+  fixture.is_reader = false;
+  fixture.locator.OnStoreRestored();
+  fixture.RunFor(2 * kTurn);
+  CHECK(fixture.store.writes.size() == 2);
+  CHECK(fixture.handed_over.empty());
+}
+
+TEST_CASE("an own row that a restore has brought back renews no old entry") {
+  Fixture fixture;
+  fixture.locator.Start();
+  fixture.Answer({});
+  fixture.locator.OnStreamStarted("a:1", "e2");
+  fixture.RunFor(kPromptTableFreshness + kTurn);
+  fixture.Find("b:1");
+  fixture.Answer(
+      {{.key = "g1", .value = RowOf("a:1", "e1") + RowOf("old:1", "e3")}}, 1);
+  fixture.Find("a:1");
+  fixture.Find("old:1");
+  CHECK(fixture.found == std::vector<std::string>{"", "e2", ""});
+  fixture.RunFor(2 * kTurn);
+  CHECK(fixture.store.writes.back().value == RowOf("a:1", "e2"));
+}
+
+TEST_CASE("entries of other gateways that a restore has lost are still found") {
+  Fixture fixture;
+  fixture.locator.Start();
+  fixture.Answer({{.key = "g2", .value = RowOf("a:1", "e1")},
+                  {.key = "g3", .value = RowOf("b:1", "e2")}});
+  fixture.RunFor(kPromptTableFreshness + kTurn);
+  fixture.Find("c:1");
+  fixture.Answer({{.key = "g3", .value = RowOf("b:1", "e3")}}, 1);
+  fixture.Find("a:1");
+  fixture.Find("b:1");
+  CHECK(fixture.found == std::vector<std::string>{"", "e1", "e3"});
+}
+
 // Guards against a relay that keeps a stale location after a stream has moved
 // to another engine.
 TEST_CASE("handed-over entries replace known ones") {
