Tests: no earlier decision is written after a restore

Without the check, a row that went back in its phase and was advanced again by the passed time went unnoticed: taking over any decision that is read now fails two tests.

--- a/tests/rollout_fleet.h
+++ b/tests/rollout_fleet.h
@@ -203,7 +203,9 @@
   void Run(Duration time) {
     for (Duration end = store.now + time; store.now < end;
          store.now += std::chrono::milliseconds(10)) {
-      Serve();
+      if (has_requests) {
+        Serve();
+      }
       loop.RunOnce(std::chrono::milliseconds(0));
       loop.RunOnce(std::chrono::milliseconds(2));
     }
@@ -230,6 +232,7 @@
   double new_rate = 0.02;
   /// The first gateway reads the store for the others.
   bool has_relay;
+  bool has_requests = true;
   int requests = 0;
   int new_requests = 0;
   std::vector<std::unique_ptr<RolloutController>> controllers;
--- a/tests/unit_rollout_restore.cc
+++ b/tests/unit_rollout_restore.cc
@@ -31,6 +31,14 @@
       .value_or(RolloutDecision{});
 }
 
+/// Whether a decision with an earlier phase was written since the restore.
+bool HasWrittenEarlierThan(RolloutPhase phase, const Fleet& fleet) {
+  return std::ranges::any_of(
+      fleet.store.history, [phase](const StoreWrite& write) {
+        return write.key == "s" && DecodeDecision(write.value)->phase < phase;
+      });
+}
+
 /// Phase in the operator's status.
 std::optional<RolloutPhase> Status(const Fleet& fleet) {
   const auto value = fleet.store.Value("status", "rollout/s");
@@ -164,6 +172,7 @@
     CHECK(fleet.AllIn(RolloutPhase::kShifting));
   }
   CHECK(Decision(fleet).phase == RolloutPhase::kShifting);
+  CHECK_FALSE(HasWrittenEarlierThan(RolloutPhase::kShifting, fleet));
   fleet.Run(seconds(5));
   CHECK(fleet.AllIn(RolloutPhase::kCompleted));
   CHECK(Status(fleet) == RolloutPhase::kCompleted);
@@ -179,6 +188,7 @@
   REQUIRE(Status(fleet) == RolloutPhase::kProbing);
   fleet.ReportOrder(50);
   fleet.Run(milliseconds(200));
+  CHECK_FALSE(HasWrittenEarlierThan(RolloutPhase::kCompleted, fleet));
   CHECK(Status(fleet) == RolloutPhase::kCompleted);
   CHECK(Decision(fleet).phase == RolloutPhase::kCompleted);
   CHECK(Decision(fleet).published);
@@ -220,6 +230,7 @@
   };
   fleet.Run(milliseconds(1500));
   fleet.store.Restore();
+  fleet.has_requests = false;
   fleet.RepeatOrder();
   fleet.Run(milliseconds(100));
   const auto report =
@@ -340,10 +351,10 @@
   REQUIRE(fleet.AllIn(RolloutPhase::kRolledBack));
   fleet.store.TakeCopy();
   fleet.store.Restore();
-  fleet.ReportOrder(50);
-  fleet.Run(milliseconds(200));
   // The report of a gateway that has left stays in the store.
   fleet.controllers[2].reset();
+  fleet.ReportOrder(50);
+  fleet.Run(milliseconds(200));
   fleet.new_rate = 0;
   fleet.RepeatOrder();
   fleet.Run(seconds(1));
