Tests: reports of a former order, and lost reports without new requests

Both tests passed also without the code that they guard: the former order's report was too small, and new requests caused a write of the report in any case. Now each fails when its part is taken out: CHECK( is_probed() ) without the list of earlier ids, REQUIRE( report.has_value() ) without comparing the own row in a new era.

--- a/tests/unit_rollout_restore.cc
+++ b/tests/unit_rollout_restore.cc
@@ -229,8 +229,9 @@
     return write.key == "s";
   };
   fleet.Run(milliseconds(1500));
-  fleet.store.Restore();
   fleet.has_requests = false;
+  fleet.Run(milliseconds(100));
+  fleet.store.Restore();
   fleet.RepeatOrder();
   fleet.Run(milliseconds(100));
   const auto report =
@@ -352,7 +353,13 @@
   fleet.store.TakeCopy();
   fleet.store.Restore();
   // The report of a gateway that has left stays in the store.
-  fleet.controllers[2].reset();
+  const RolloutReport report{
+      .order = RefOf(fleet.order),
+      .evidence = {{"r", {.new_version = {.good = 0, .bad = 20}}}}};
+  fleet.store.Apply({.table = kRolloutTable,
+                     .key = "s/g9",
+                     .value = EncodeReport(report),
+                     .expected_version = std::nullopt});
   fleet.ReportOrder(50);
   fleet.Run(milliseconds(200));
   fleet.new_rate = 0;
