--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -214,11 +214,11 @@
   std::map<uint64_t, Wait> m_waits;
 };
 
-struct Fleet;
+struct RelayFleet;
 
 /// One gateway that follows the table "t".
-struct Node {
-  Node(Fleet* fleet, GatewayMember member);
+struct RelayNode {
+  RelayNode(RelayFleet* fleet, GatewayMember member);
 
   GatewayMember self;
   StoreLink link;
@@ -236,12 +236,12 @@
 
 /// Gateways on one event loop. A call between them takes one iteration of the
 /// loop.
-struct Fleet {
-  Fleet(int domains, int per_domain)
+struct RelayFleet {
+  RelayFleet(int domains, int per_domain)
       : members(MakeMembers(domains, per_domain)) {
     store.Put("old", "1");
     for (const GatewayMember& member : members) {
-      nodes.push_back(std::make_unique<Node>(this, member));
+      nodes.push_back(std::make_unique<RelayNode>(this, member));
     }
     for (const auto& node : nodes) {
       node->selector.SetMembers(members);
@@ -264,7 +264,7 @@
     };
     loop.Schedule(timeout, [finish] { finish(nullptr); });
     loop.Post([this, address, body = std::move(body), finish] {
-      Node* node = At(address);
+      RelayNode* node = At(address);
       ++relay_calls;
       if (node->is_dead) {
         finish(nullptr);
@@ -278,7 +278,7 @@
     });
   }
 
-  Node* At(const std::string& address) {
+  RelayNode* At(const std::string& address) {
     for (const auto& node : nodes) {
       if (node->self.peer_address == address) {
         return node.get();
@@ -286,8 +286,8 @@
     }
     return nullptr;
   }
-  std::vector<Node*> Readers(const std::string& domain) {
-    std::vector<Node*> readers;
+  std::vector<RelayNode*> Readers(const std::string& domain) {
+    std::vector<RelayNode*> readers;
     for (const auto& node : nodes) {
       if (node->self.failure_domain == domain && node->selector.IsReader()) {
         readers.push_back(node.get());
@@ -306,7 +306,7 @@
   /// Runs the loop until every gateway except those in `excluded` has the row.
   bool AllReceive(const std::string& key,
                   const StoreVersion& version,
-                  const std::set<Node*>& excluded = {}) {
+                  const std::set<RelayNode*>& excluded = {}) {
     const TimePoint end = loop.Now() + seconds(20);
     const auto is_known = [&] {
       return std::ranges::all_of(nodes, [&](const auto& node) {
@@ -335,7 +335,7 @@
   std::mt19937_64 random{5};
   std::vector<GatewayMember> members;
   int relay_calls = 0;
-  std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<std::unique_ptr<RelayNode>> nodes;
 };
 
 inline constexpr RelayWaitLimits kTestWaitLimits{
@@ -343,7 +343,7 @@
     .relay_wait = milliseconds(40),
     .direct_wait = milliseconds(200)};
 
-inline Node::Node(Fleet* fleet, GatewayMember member)
+inline RelayNode::RelayNode(RelayFleet* fleet, GatewayMember member)
     : self(std::move(member)),
       link(&fleet->loop, &fleet->store),
       selector(self.name,
--- a/tests/rollout_fleet.h
+++ b/tests/rollout_fleet.h
@@ -131,9 +131,9 @@
 };
 
 /// Gateways that serve requests of one route and follow one order.
-struct Fleet {
-  explicit Fleet(Duration duration = std::chrono::seconds(4),
-                 bool relayed = false)
+struct RolloutFleet {
+  explicit RolloutFleet(Duration duration = std::chrono::seconds(4),
+                        bool relayed = false)
       : has_relay(relayed) {
     order.duration = duration;
     for (int i = 0; i < 3; ++i) {
--- a/tests/suspect_fleet.h
+++ b/tests/suspect_fleet.h
@@ -83,9 +83,9 @@
 };
 
 /// Gateways and endpoints in memory, in steps of kStep.
-class Fleet {
+class SuspectFleet {
  public:
-  Fleet(int gateways, int endpoints, uint32_t seed)
+  SuspectFleet(int gateways, int endpoints, uint32_t seed)
       : m_random(seed), m_up_at(endpoints) {
     for (int i = 0; i < gateways; ++i) {
       AddGateway();
--- a/tests/unit_prompt_suspects.cc
+++ b/tests/unit_prompt_suspects.cc
@@ -90,7 +90,7 @@
 
 constexpr int kFleetSizes[] = {7, 9, 79, 304};
 
-void RunSound(Fleet* fleet) {
+void RunSound(SuspectFleet* fleet) {
   fleet->Run(seconds(3), [fleet] {
     fleet->Send({kShared});
     fleet->Send({kOther});
@@ -98,7 +98,7 @@
 }
 
 /// Sends forty sound requests a second, and two or three bad ones.
-void RunBadPart(Fleet* fleet, Duration time, int* step) {
+void RunBadPart(SuspectFleet* fleet, Duration time, int* step) {
   fleet->Run(time, [fleet, step] {
     fleet->Send({kShared});
     fleet->Send({kOther});
@@ -113,7 +113,7 @@
 TEST_CASE("a fleet blocks a bad part after few crashes") {
   for (const int gateways : kFleetSizes) {
     for (const uint32_t seed : {1U, 2U, 3U}) {
-      Fleet fleet(gateways, std::max(12, gateways / 2), seed);
+      SuspectFleet fleet(gateways, std::max(12, gateways / 2), seed);
       fleet.bad_part = kDeadly;
       int step = 0;
       RunSound(&fleet);
@@ -134,7 +134,7 @@
 // Guards against more crashes than the users allow while a fault lasts, against
 // two trials at once, and against a block that outlasts the fault.
 TEST_CASE("trials are rare while the fault lasts, and end the block after it") {
-  Fleet fleet(9, 12, 4);
+  SuspectFleet fleet(9, 12, 4);
   fleet.bad_part = kDeadly;
   int step = 0;
   RunBadPart(&fleet, seconds(15), &step);
@@ -155,7 +155,7 @@
 // sent.
 TEST_CASE(
     "the time until the next trial is known and doubles with each trial") {
-  Fleet fleet(1, 12, 7);
+  SuspectFleet fleet(1, 12, 7);
   const Parts parts = {kDeadly};
   SuspectTracker& tracker = fleet.tracker(0);
   CHECK_FALSE(tracker.RemainingTime(parts, fleet.now));
@@ -178,7 +178,7 @@
   for (const int gateways : kFleetSizes) {
     CAPTURE(gateways);
     const int endpoints = std::max(12, gateways / 2);
-    Fleet fleet(gateways, endpoints, 5);
+    SuspectFleet fleet(gateways, endpoints, 5);
     int step = 0;
     const auto load = [&] {
       fleet.Send({kShared});
@@ -211,7 +211,7 @@
 }
 
 /// Sends forty sound requests a second, and others with the bad part.
-void RunBadRate(Fleet* fleet, Duration time, int bad_per_second) {
+void RunBadRate(SuspectFleet* fleet, Duration time, int bad_per_second) {
   double due = 0;
   fleet->Run(time, [fleet, bad_per_second, &due] {
     fleet->Send({kShared});
@@ -225,7 +225,7 @@
 /// Checks the bound on crashes for a part that was sound for 10 s.
 void CheckPartThatTurnsBad(int gateways, int bad_per_second) {
   for (const uint32_t seed : {1U, 2U, 3U}) {
-    Fleet fleet(gateways, std::max(12, gateways / 2), seed);
+    SuspectFleet fleet(gateways, std::max(12, gateways / 2), seed);
     RunBadRate(&fleet, seconds(10), bad_per_second);
     fleet.bad_part = kDeadly;
     RunBadRate(&fleet, seconds(20), bad_per_second);
@@ -276,7 +276,7 @@
 // Guards against an answer before the last crashes that ends the block of the
 // other gateways, because its gateway could not write at once.
 TEST_CASE("a delayed clear does not end a newer quarantine") {
-  Fleet fleet(1, 12, 1);
+  SuspectFleet fleet(1, 12, 1);
   SuspectTracker& tracker = fleet.tracker(0);
   PromptSuspectList list;
   list.AddCrash(Crash("e1", {kDeadly}, 0));
@@ -297,7 +297,7 @@
 
 // Guards against evidence that is lost with the gateways that found it.
 TEST_CASE("a block survives a restart of all gateways") {
-  Fleet fleet(9, 12, 7);
+  SuspectFleet fleet(9, 12, 7);
   fleet.bad_part = kDeadly;
   int step = 0;
   RunBadPart(&fleet, seconds(12), &step);
@@ -310,7 +310,7 @@
 
 // Guards against a block that an operator cannot end.
 TEST_CASE("a block ends when the row is deleted") {
-  Fleet fleet(1, 12, 7);
+  SuspectFleet fleet(1, 12, 7);
   const auto list = TwoCrashes({kDeadly}, {kDeadly});
   SuspectTracker& tracker = fleet.tracker(0);
   tracker.OnRow({.key = "s", .value = list.Encode(), .version = 5}, fleet.now);
@@ -328,7 +328,7 @@
 // Guards against gateways that learn nothing, or send trials, while the store
 // is away.
 TEST_CASE("without the store each gateway uses its own evidence") {
-  Fleet fleet(3, 12, 8);
+  SuspectFleet fleet(3, 12, 8);
   fleet.bad_part = kDeadly;
   fleet.store.is_away = true;
   int step = 0;
@@ -348,7 +348,7 @@
 /// Resets the connections of one gateway while the store is away.
 void CheckResetsWithoutStore(bool has_begun, bool has_head) {
   for (const int interval_ms : {350, 700, 1400}) {
-    Fleet fleet(9, 12, 8);
+    SuspectFleet fleet(9, 12, 8);
     int n = 0;
     int blocking = 0;
     const auto load = [&] {
@@ -401,7 +401,7 @@
 // Guards against the loss of the one report that matters when many requests
 // wait at the endpoint that crashes.
 TEST_CASE("many waiting requests do not hide the one that crashed") {
-  Fleet fleet(1, 12, 8);
+  SuspectFleet fleet(1, 12, 8);
   SuspectTracker& tracker = fleet.tracker(0);
   for (int crash = 0; crash < 2; ++crash) {
     const std::string address = "e" + std::to_string(crash);
@@ -419,7 +419,7 @@
 
 // Guards against a refused trial that doubles the time to the next one.
 TEST_CASE("a trial of several parts is claimed for all of them or none") {
-  Fleet fleet(1, 12, 8);
+  SuspectFleet fleet(1, 12, 8);
   SuspectTracker& tracker = fleet.tracker(0);
   auto list = TwoCrashes({kShared}, {kShared});
   list.AddCrash(Crash("e1", {kOther}, 0));
@@ -437,7 +437,7 @@
 
 // Guards against memory that grows with the number of different parts.
 TEST_CASE("thousands of new parts do not grow the state without bound") {
-  Fleet fleet(1, 12, 9);
+  SuspectFleet fleet(1, 12, 9);
   SuspectTracker& tracker = fleet.tracker(0);
   for (PromptPartHash part = 1; part < 100000; part += 2) {
     const Parts parts = {part, part + 1};
--- a/tests/unit_relay.cc
+++ b/tests/unit_relay.cc
@@ -107,7 +107,7 @@
 
 // Guards against calls to the store that grow with the number of gateways.
 TEST_CASE("only relays call the store once all gateways follow") {
-  Fleet fleet(2, 12);
+  RelayFleet fleet(2, 12);
   CHECK(fleet.AllReceive("old", 11));
   fleet.Run(milliseconds(300));
   std::vector<int> before;
@@ -131,10 +131,10 @@
   for (const std::string fault : {"dead", "frozen", "cut", "refused"}) {
     CAPTURE(fault);
     for (const size_t lost : {1, 2}) {
-      Fleet fleet(2, 12);
+      RelayFleet fleet(2, 12);
       REQUIRE(fleet.AllReceive("old", 11));
-      std::set<Node*> faulty;
-      for (Node* relay : fleet.Readers("d0")) {
+      std::set<RelayNode*> faulty;
+      for (RelayNode* relay : fleet.Readers("d0")) {
         if (faulty.size() < lost) {
           faulty.insert(relay);
           relay->is_dead = fault == "dead";
@@ -146,7 +146,7 @@
       const StoreVersion version = fleet.store.Put("new", "2");
       CHECK(fleet.AllReceive("new", version, faulty));
       // A relay that recovers catches up, and no gateway returns to older rows.
-      for (Node* relay : faulty) {
+      for (RelayNode* relay : faulty) {
         relay->is_dead = false;
         relay->is_frozen = false;
         relay->link.is_cut = false;
@@ -164,7 +164,7 @@
 TEST_CASE("gateways that are cut off from the store are served by others") {
   for (const int per_domain : {1, 3, 10}) {
     CAPTURE(per_domain);
-    Fleet fleet(2, per_domain);
+    RelayFleet fleet(2, per_domain);
     REQUIRE(fleet.AllReceive("old", 11));
     for (const auto& node : fleet.nodes) {
       node->link.is_cut = node->self.failure_domain == "d0";
@@ -178,7 +178,7 @@
 // Guards against followers that leave a healthy relay for the store because the
 // relay has not read a table that is polled only occasionally.
 TEST_CASE("a relay without a polled table keeps its followers") {
-  Fleet fleet(1, 12);
+  RelayFleet fleet(1, 12);
   REQUIRE(fleet.AllReceive("old", 11));
   fleet.Run(milliseconds(200));
   int answers = 0;
@@ -204,13 +204,13 @@
 // Guards against a daemon that takes an old copy for the current one. A relay
 // that lost its connection to the store must not answer from its copy.
 TEST_CASE("a relay without the store refuses and gives the cause") {
-  Fleet fleet(1, 8);
+  RelayFleet fleet(1, 8);
   REQUIRE(fleet.AllReceive("old", 11));
   for (const auto& node : fleet.nodes) {
     node->link.is_refusing = true;
   }
   fleet.Run(milliseconds(400));
-  Node* relay = fleet.Readers("d0").front();
+  RelayNode* relay = fleet.Readers("d0").front();
   const auto ask = [&](const std::string& bytes) {
     RelayStatus status{};
     relay->store.Serve(bytes, [&](int code, const std::string& answer) {
@@ -231,9 +231,9 @@
 // allocate too much memory. Sends every prefix of a message, and messages with
 // changed bytes.
 TEST_CASE("malformed messages on the peer port are refused") {
-  Fleet fleet(1, 8);
+  RelayFleet fleet(1, 8);
   REQUIRE(fleet.AllReceive("old", 11));
-  Node* relay = fleet.Readers("d0").front();
+  RelayNode* relay = fleet.Readers("d0").front();
   const std::string good = EncodeRelayMessage(
       RelayQuery{.sender = "g1", .table = "t", .wait_ms = 0, .after = "a"});
   const auto serve = [&](const std::string& bytes) {
@@ -289,7 +289,7 @@
 // Guards against gateways of small domains whose rows count as out of date only
 // because they wait long at the store.
 TEST_CASE("gateways that are cut off are served by others after a quiet time") {
-  Fleet fleet(2, 3);
+  RelayFleet fleet(2, 3);
   REQUIRE(fleet.AllReceive("old", 11));
   for (const auto& node : fleet.nodes) {
     node->link.is_cut = node->self.failure_domain == "d0";
--- a/tests/unit_relay_restore.cc
+++ b/tests/unit_relay_restore.cc
@@ -11,8 +11,8 @@
 constexpr uint64_t kCopyNumber = 11;
 
 /// Two domains with relays, whose gateways have rows that the copy lacks.
-struct RestoredFleet : Fleet {
-  RestoredFleet() : Fleet(2, 12) {
+struct RestoredRelayFleet : RelayFleet {
+  RestoredRelayFleet() : RelayFleet(2, 12) {
     REQUIRE(AllReceive("old", kCopyNumber));
     copy = store.rows();
     store.Put("lost", "1");
@@ -23,7 +23,7 @@
 };
 
 TEST_CASE("a row written after a restore reaches all followers") {
-  RestoredFleet fleet;
+  RestoredRelayFleet fleet;
   for (int restores = 1; restores <= 2; ++restores) {
     fleet.store.Restore(fleet.copy, kCopyNumber);
     const StoreVersion version = fleet.store.Put("new", "2");
@@ -35,8 +35,8 @@
 }
 
 TEST_CASE("a relay that slept through a restore does not bring old rows back") {
-  RestoredFleet fleet;
-  Node* relay = fleet.Readers("d0").front();
+  RestoredRelayFleet fleet;
+  RelayNode* relay = fleet.Readers("d0").front();
   relay->is_frozen = true;
   fleet.store.Restore(fleet.copy, kCopyNumber);
   const StoreVersion version = fleet.store.Put("new", "2");
@@ -48,16 +48,16 @@
 }
 
 TEST_CASE("a relay that dies after a restore leaves no follower behind") {
-  RestoredFleet fleet;
+  RestoredRelayFleet fleet;
   fleet.store.Restore(fleet.copy, kCopyNumber);
-  Node* relay = fleet.Readers("d0").front();
+  RelayNode* relay = fleet.Readers("d0").front();
   relay->is_dead = true;
   const StoreVersion version = fleet.store.Put("new", "2");
   CHECK(fleet.AllReceive("new", version, {relay}));
 }
 
 TEST_CASE("followers read a restored store at their relays") {
-  RestoredFleet fleet;
+  RestoredRelayFleet fleet;
   fleet.Run(milliseconds(300));
   std::vector<int> before;
   for (const auto& node : fleet.nodes) {
@@ -73,12 +73,12 @@
 }
 
 TEST_CASE("a relay answers followers of releases that send no era") {
-  RestoredFleet fleet;
+  RestoredRelayFleet fleet;
   fleet.store.Restore(fleet.copy, kCopyNumber);
   const StoreVersion version = fleet.store.Put("new", "2");
   REQUIRE(fleet.AllReceive("new", version));
   REQUIRE(fleet.AllReceive("new", fleet.store.Put("new", "3")));
-  Node* relay = fleet.Readers("d0").front();
+  RelayNode* relay = fleet.Readers("d0").front();
   const auto serve = [&](RelayQuery query) {
     query.sender = fleet.nodes.front()->self.name;
     query.table = "t";
--- a/tests/unit_rollout.cc
+++ b/tests/unit_rollout.cc
@@ -174,7 +174,7 @@
 }
 
 TEST_CASE("a good version is completed in time") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.Run(seconds(2));
   CHECK(fleet.AllIn(RolloutPhase::kProbing));
   CHECK(fleet.new_requests < fleet.requests / 10);
@@ -189,7 +189,7 @@
 // relay.
 TEST_CASE("a relay writes the evidence of its followers") {
   for (const double rate : {0.02, 0.5}) {
-    Fleet fleet(seconds(4), /*relayed=*/true);
+    RolloutFleet fleet(seconds(4), /*relayed=*/true);
     fleet.new_rate = rate;
     fleet.Run(milliseconds(3900));
     CHECK(fleet.AllIn(rate < 0.1 ? RolloutPhase::kCompleted
@@ -220,7 +220,7 @@
 // Guards against evidence that is counted twice, in a gateway's own row and
 // again at a relay, when the gateway becomes a follower.
 TEST_CASE("evidence that is already written is not handed over") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.Run(milliseconds(500));
   fleet.has_relay = true;
   fleet.Run(milliseconds(500));
@@ -241,7 +241,7 @@
 
 // Guards against a bad version that gets more than a tenth of the requests.
 TEST_CASE("a bad version is rolled back by all gateways") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = 0.5;
   fleet.Run(seconds(4));
   CHECK(fleet.AllIn(RolloutPhase::kRolledBack));
@@ -255,7 +255,7 @@
 // Guards against a version that is judged good and then fails under load.
 TEST_CASE(
     "a version that turns bad while traffic shifts to it is rolled back") {
-  Fleet fleet(seconds(12));
+  RolloutFleet fleet(seconds(12));
   fleet.Run(milliseconds(7800));
   fleet.new_rate = 0.6;
   fleet.Run(milliseconds(1300));
@@ -265,7 +265,7 @@
 
 // Guards against a rollout that stops when its driver is lost.
 TEST_CASE("another gateway carries on the rollout when the driver is gone") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.Run(seconds(1));
   const auto decision = std::ranges::find_if(
       fleet.store.history,
@@ -281,7 +281,7 @@
 // Guards against a late write of a driver that was paused. It arrives after the
 // other gateways have published the final phase to the operator.
 TEST_CASE("a late write changes neither a decision nor a status") {
-  Fleet fleet;
+  RolloutFleet fleet;
   int writes = 0;
   fleet.store.should_hold = [&writes](const StoreWrite& write) {
     return write.key == "s" && ++writes == 20;
@@ -298,7 +298,7 @@
 // Guards against a gateway that starts during or after a rollout and sends
 // requests to a version that was rolled back.
 TEST_CASE("a restarted gateway follows the decision") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = 0.5;
   fleet.Run(seconds(4));
   REQUIRE(fleet.AllIn(RolloutPhase::kRolledBack));
@@ -314,7 +314,7 @@
 // Guards against a bad version that stays in use because the store does not
 // answer. Each gateway must stop on its own evidence.
 TEST_CASE("a gateway stops by itself while the store is unavailable") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.Run(milliseconds(200));
   fleet.store.is_down = true;
   fleet.new_rate = 0.9;
--- a/tests/unit_rollout_restore.cc
+++ b/tests/unit_rollout_restore.cc
@@ -20,19 +20,19 @@
 
 constexpr double kBadRate = 0.5;
 
-bool IsOnNewVersion(const Fleet& fleet) {
+bool IsOnNewVersion(const RolloutFleet& fleet) {
   return std::ranges::all_of(fleet.controllers, [](const auto& controller) {
     return controller->RuleForRetry("s").kind == Kind::kPreferred;
   });
 }
 
-RolloutDecision Decision(const Fleet& fleet) {
+RolloutDecision Decision(const RolloutFleet& fleet) {
   return DecodeDecision(fleet.store.Value(kRolloutTable, "s").value_or(""))
       .value_or(RolloutDecision{});
 }
 
 /// Whether a decision with an earlier phase was written since the restore.
-bool HasWrittenEarlierThan(RolloutPhase phase, const Fleet& fleet) {
+bool HasWrittenEarlierThan(RolloutPhase phase, const RolloutFleet& fleet) {
   return std::ranges::any_of(
       fleet.store.history, [phase](const StoreWrite& write) {
         return write.key == "s" && DecodeDecision(write.value)->phase < phase;
@@ -40,14 +40,14 @@
 }
 
 /// Phase in the operator's status.
-std::optional<RolloutPhase> Status(const Fleet& fleet) {
+std::optional<RolloutPhase> Status(const RolloutFleet& fleet) {
   const auto value = fleet.store.Value("status", "rollout/s");
   return value ? std::optional(platform::DecodeRolloutStatus(*value)->phase)
                : std::nullopt;
 }
 
 TEST_CASE("a completed rollout does not start again when it is repeated") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.store.TakeCopy();
   fleet.Run(milliseconds(3900));
   REQUIRE(fleet.AllIn(RolloutPhase::kCompleted));
@@ -63,7 +63,7 @@
 }
 
 TEST_CASE("a version that was rolled back gets nothing when it is repeated") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = kBadRate;
   fleet.store.TakeCopy();
   fleet.Run(seconds(4));
@@ -77,7 +77,7 @@
 }
 
 TEST_CASE("a rollout is repeated in each of two restores") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = kBadRate;
   fleet.store.TakeCopy();
   fleet.Run(seconds(4));
@@ -92,7 +92,7 @@
 }
 
 TEST_CASE("a stopped version stays stopped when the evidence is lost") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = kBadRate;
   fleet.Run(milliseconds(20));
   fleet.store.TakeCopy();
@@ -117,7 +117,7 @@
 }
 
 TEST_CASE("a gateway that starts after a restore gets the lost evidence") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = kBadRate;
   fleet.Run(milliseconds(20));
   fleet.store.TakeCopy();
@@ -138,7 +138,7 @@
 
 TEST_CASE("a newcomer's first decision does not restart a rollout") {
   for (const double rate : {0.02, kBadRate}) {
-    Fleet fleet;
+    RolloutFleet fleet;
     fleet.new_rate = rate;
     fleet.store.TakeCopy();
     fleet.Run(milliseconds(3900));
@@ -160,7 +160,7 @@
 }
 
 TEST_CASE("a phase does not go back with its row") {
-  Fleet fleet(seconds(12));
+  RolloutFleet fleet(seconds(12));
   fleet.Run(seconds(5));
   fleet.store.TakeCopy();
   fleet.Run(milliseconds(1500));
@@ -179,7 +179,7 @@
 }
 
 TEST_CASE("the status and decision of a finished rollout are written again") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.Run(seconds(1));
   fleet.store.TakeCopy();
   fleet.Run(milliseconds(2900));
@@ -198,7 +198,7 @@
 }
 
 TEST_CASE("the start time of a repeated rollout stays") {
-  Fleet fleet(seconds(20));
+  RolloutFleet fleet(seconds(20));
   fleet.store.TakeCopy();
   fleet.Run(seconds(5));
   const Duration started = Decision(fleet).started;
@@ -210,7 +210,7 @@
 }
 
 TEST_CASE("rows of a finished rollout are written few times after a restore") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.store.TakeCopy();
   fleet.Run(milliseconds(3900));
   fleet.store.Restore();
@@ -221,7 +221,7 @@
 }
 
 TEST_CASE("evidence of followers is not lost with the row of their relay") {
-  Fleet fleet(seconds(4), /*relayed=*/true);
+  RolloutFleet fleet(seconds(4), /*relayed=*/true);
   fleet.new_rate = kBadRate;
   fleet.Run(milliseconds(20));
   fleet.store.TakeCopy();
@@ -258,7 +258,7 @@
 }
 
 TEST_CASE("a rollout goes on while its order is missing after a restore") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = kBadRate;
   fleet.store.TakeCopy();
   fleet.Run(seconds(4));
@@ -277,7 +277,7 @@
 }
 
 TEST_CASE("a missing order that is not repeated ends its rollout") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.repeat_time = milliseconds(20);
   for (int i = 0; i < 3; ++i) {
     fleet.Start(i);
@@ -293,14 +293,14 @@
 }
 
 TEST_CASE("an order that is removed without a restore ends its rollout") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.Run(milliseconds(100));
   fleet.ReportNoOrder();
   CHECK(fleet.controllers[0]->RuleForRetry("s").kind == Kind::kAnyVersion);
 }
 
 TEST_CASE("an order with other content after a restore is a new order") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = kBadRate;
   fleet.store.TakeCopy();
   fleet.Run(seconds(4));
@@ -314,7 +314,7 @@
 }
 
 TEST_CASE("an order that is written again within one era is a new order") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = kBadRate;
   fleet.store.TakeCopy();
   fleet.Run(seconds(4));
@@ -330,7 +330,7 @@
 }
 
 TEST_CASE("an order retried within one era is not ended by rows of the first") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = kBadRate;
   fleet.Run(seconds(4));
   fleet.store.TakeCopy();
@@ -346,7 +346,7 @@
 
 TEST_CASE(
     "a newcomer does not count reports of a former order of an older era") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = 1;
   fleet.Run(seconds(4));
   REQUIRE(fleet.AllIn(RolloutPhase::kRolledBack));
@@ -380,7 +380,7 @@
 }
 
 TEST_CASE("an older order that is back after a restore does not end a newer") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.new_rate = kBadRate;
   fleet.Run(seconds(4));
   fleet.store.TakeCopy();
@@ -404,7 +404,7 @@
 }
 
 TEST_CASE("an older order that stays after a restore is taken in the end") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.repeat_time = milliseconds(20);
   for (int i = 0; i < 3; ++i) {
     fleet.Start(i);
@@ -424,7 +424,7 @@
 
 TEST_CASE(
     "a late report of another order with the same number is not counted") {
-  Fleet fleet;
+  RolloutFleet fleet;
   fleet.store.TakeCopy();
   fleet.order.version = "v1b";
   fleet.order.id = 101;
--- a/tests/unit_suspect_restore.cc
+++ b/tests/unit_suspect_restore.cc
@@ -27,12 +27,12 @@
 // Spread, one conflict and the delays of rows and writes.
 constexpr Duration kRewriteTime = kSuspectRestoreSpread + seconds(2);
 
-PromptSuspectList ListOf(const Fleet& fleet) {
+PromptSuspectList ListOf(const SuspectFleet& fleet) {
   return PromptSuspectList::Decode(fleet.store.row.value);
 }
 
 /// Lets a fleet learn a row.
-void SetRow(Fleet* fleet, const PromptSuspectList& list) {
+void SetRow(SuspectFleet* fleet, const PromptSuspectList& list) {
   fleet->store.row = {.value = list.Encode(),
                       .version = {fleet->store.row.version.number + 1,
                                   fleet->store.row.version.era},
@@ -44,7 +44,7 @@
   return TwoCrashes({part}, {part});
 }
 
-void CheckRewritten(Fleet* fleet, int gateways, Duration time) {
+void CheckRewritten(SuspectFleet* fleet, int gateways, Duration time) {
   std::deque<std::pair<TimePoint, int>> writes;
   int most = 0;
   int fewest_blocking = gateways;
@@ -70,7 +70,7 @@
 TEST_CASE("a quarantine outlasts a restore that loses its row") {
   for (const int gateways : kFleetSizes) {
     for (const uint32_t seed : {1U, 2U, 3U}) {
-      Fleet fleet(gateways, 12, seed);
+      SuspectFleet fleet(gateways, 12, seed);
       SetRow(&fleet, Quarantine(kDeadly));
       fleet.store.Restore({});
       CheckRewritten(&fleet, gateways, kRewriteTime);
@@ -80,7 +80,7 @@
 
 TEST_CASE("a quarantine outlasts a restore that brings back an older row") {
   for (const int gateways : kFleetSizes) {
-    Fleet fleet(gateways, 12, 4);
+    SuspectFleet fleet(gateways, 12, 4);
     PromptSuspectList list = Quarantine(kOther);
     SetRow(&fleet, list);
     const FleetStore::Row copy = fleet.store.row;
@@ -94,7 +94,7 @@
 
 TEST_CASE("a quarantine outlasts a restore that only followers remember") {
   constexpr int kGateways = 79;
-  Fleet fleet(kGateways, 12, 5);
+  SuspectFleet fleet(kGateways, 12, 5);
   fleet.readers = 0;
   SetRow(&fleet, Quarantine(kDeadly));
   fleet.store.Restore({});
@@ -104,7 +104,7 @@
 }
 
 TEST_CASE("gateways that start after a restore learn the lost quarantine") {
-  Fleet fleet(79, 12, 6);
+  SuspectFleet fleet(79, 12, 6);
   SetRow(&fleet, Quarantine(kDeadly));
   fleet.store.Restore({});
   fleet.RestartLastGateways(78);
@@ -113,7 +113,7 @@
 }
 
 TEST_CASE("two restores in a row lose no quarantine") {
-  Fleet fleet(9, 12, 7);
+  SuspectFleet fleet(9, 12, 7);
   SetRow(&fleet, Quarantine(kDeadly));
   fleet.store.Restore({});
   fleet.Run(milliseconds(500));
@@ -122,7 +122,7 @@
 }
 
 TEST_CASE("an era that goes back is followed like one that goes up") {
-  Fleet fleet(1, 12, 8);
+  SuspectFleet fleet(1, 12, 8);
   SuspectTracker& tracker = fleet.tracker(0);
   tracker.OnRow(
       {.key = "s", .value = Quarantine(kDeadly).Encode(), .version = {9, 3}},
@@ -138,7 +138,7 @@
 }
 
 TEST_CASE("a trial that a restore took back is not granted again") {
-  Fleet fleet(9, 12, 9);
+  SuspectFleet fleet(9, 12, 9);
   fleet.bad_part = kDeadly;
   PromptSuspectList list = Quarantine(kDeadly);
   SetRow(&fleet, list);
@@ -152,7 +152,7 @@
 }
 
 TEST_CASE("a trial is not granted twice across a restore") {
-  Fleet fleet(9, 12, 10);
+  SuspectFleet fleet(9, 12, 10);
   fleet.bad_part = kDeadly;
   SetRow(&fleet, Quarantine(kDeadly));
   const FleetStore::Row copy = fleet.store.row;
@@ -170,7 +170,7 @@
 
 TEST_CASE("a quarantine that an answer ended does not return by a restore") {
   for (const int gateways : kFleetSizes) {
-    Fleet fleet(gateways, 12, 11);
+    SuspectFleet fleet(gateways, 12, 11);
     PromptSuspectList list = Quarantine(kDeadly);
     SetRow(&fleet, list);
     const FleetStore::Row copy = fleet.store.row;
@@ -187,7 +187,7 @@
 }
 
 TEST_CASE("a mark that a part is known does not get lost by a restore") {
-  Fleet fleet(9, 12, 12);
+  SuspectFleet fleet(9, 12, 12);
   PromptSuspectList list = Quarantine(kDeadly);
   SetRow(&fleet, list);
   const FleetStore::Row copy = fleet.store.row;
@@ -202,7 +202,7 @@
 
 TEST_CASE(
     "a quarantine that an operator deleted does not return by a restore") {
-  Fleet fleet(9, 12, 13);
+  SuspectFleet fleet(9, 12, 13);
   SetRow(&fleet, Quarantine(kDeadly));
   const FleetStore::Row copy = fleet.store.row;
   fleet.store.row = {.value = {}, .version = 9, .exists = false};
@@ -214,7 +214,7 @@
 }
 
 TEST_CASE("a quarantine that is deleted after a restore is not written again") {
-  Fleet fleet(1, 12, 14);
+  SuspectFleet fleet(1, 12, 14);
   SuspectTracker& tracker = fleet.tracker(0);
   PromptSuspectList list = Quarantine(kDeadly);
   list.Merge(Quarantine(kOther));
@@ -229,7 +229,7 @@
 }
 
 TEST_CASE("a clear in the new era is not undone by an older memory") {
-  Fleet fleet(2, 12, 15);
+  SuspectFleet fleet(2, 12, 15);
   PromptSuspectList list = Quarantine(kDeadly);
   SetRow(&fleet, list);
   fleet.store.Restore(fleet.store.row);
@@ -241,7 +241,7 @@
 }
 
 /// Makes one gateway charge a crash, and returns its write.
-std::optional<SuspectTracker::Write> WriteCrash(Fleet* fleet) {
+std::optional<SuspectTracker::Write> WriteCrash(SuspectFleet* fleet) {
   SuspectTracker& tracker = fleet->tracker(0);
   tracker.OnCrash(Parts{kDeadly}, "e1", /*has_head=*/true, fleet->now);
   fleet->now += seconds(1);
@@ -250,7 +250,7 @@
 }
 
 TEST_CASE("a restore that loses an accepted write ends the wait for its row") {
-  Fleet fleet(1, 12, 16);
+  SuspectFleet fleet(1, 12, 16);
   SuspectTracker& tracker = fleet.tracker(0);
   for (const bool had_read : {false, true}) {
     if (had_read) {
@@ -273,7 +273,7 @@
 TEST_CASE("the answer to a write of an earlier era is not trusted") {
   for (const StoreResult result :
        {StoreResult::kOk, StoreResult::kConflict, StoreResult::kUnavailable}) {
-    Fleet fleet(1, 12, 17);
+    SuspectFleet fleet(1, 12, 17);
     SuspectTracker& tracker = fleet.tracker(0);
     tracker.OnRow({.key = "s", .value = "", .version = 9}, fleet.now);
     const auto write = WriteCrash(&fleet);
