Watches report a version only when a read is complete

Since restores without an era are noticed, a watch set its version with the first page of a read. The quarantine takes a version for a complete read and then dropped the rows of that page as deleted: three cases of unit_gateway with quarantined prompts failed.

--- a/src/store_watch.cc
+++ b/src/store_watch.cc
@@ -83,10 +83,11 @@
 void StoreWatch::NoticeRestore() {
   // Versions grow within an era. A lower one means a restore, also of a store
   // that states no era.
-  const bool is_restored = m_has_read && (m_read_version.era != m_version.era ||
-                                          m_read_version < m_version);
+  const StoreVersion known = std::max(m_version, m_last_read);
+  const bool is_restored =
+      m_has_read && (m_read_version.era != known.era || m_read_version < known);
   m_has_read = true;
-  m_version = m_read_version;
+  m_last_read = m_read_version;
   if (!is_restored) {
     return;
   }
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -97,8 +97,10 @@
   std::string m_read_after;
   StoreVersion m_read_version;
   StoreVersion m_version;
-  // Whether the first page of a read has arrived, so that m_version is set.
+  // Whether the first page of a read has arrived, and the version of the last
+  // one. That read need not be complete, unlike the one of m_version.
   bool m_has_read = false;
+  StoreVersion m_last_read;
   int m_failures = 0;
   TimerHandle m_timer;
   // Callbacks that outlive this object detect that it has expired.
