--- a/src/stop_admission.h
+++ b/src/stop_admission.h
@@ -18,7 +18,7 @@
 /// Why a request may not be sent, or that it may.
 enum class StopVerdict : uint8_t {
   kSend,
-  /// A stream that has not been sent yet.
+  /// A stream that has not begun.
   kStream,
   /// The stop is about to end.
   kEnding,
@@ -37,7 +37,7 @@
   const GatewayRoute* route = nullptr;
   /// Until its deadline.
   Duration time_left{0};
-  /// Nothing has been sent for it yet.
+  /// No endpoint can have run it yet.
   bool is_first = true;
 };
 
@@ -47,8 +47,8 @@
 /// than an idempotent one; one that was not sent is served elsewhere.
 class StopAdmission {
  public:
-  /// @param time from the sending of a request to the end of its answer, or to
-  /// when the answer was no longer awaited.
+  /// @param time from the sending of a request to the end of its answer.
+  /// Failures do not count: they can be much faster than the work.
   void OnAnswer(const std::string& route, Duration time);
 
   /// @param stop_left until the stop ends what is still open.
--- a/src/store_version.h
+++ b/src/store_version.h
@@ -17,15 +17,17 @@
   constexpr StoreVersion(uint64_t version_number, uint64_t version_era = 0)
       : era(version_era), number(version_number) {}
 
-  /// Number of times that the store has been restored from an older copy.
+  /// Rises by one each time the store is restored from an older copy.
   uint64_t era = 0;
   uint64_t number = 0;
 
+  friend constexpr bool operator==(const StoreVersion&,
+                                   const StoreVersion&) = default;
   /// Orders by era first.
-  // The linter takes the zero in the generated comparison for a pointer.
-  // NOLINTNEXTLINE(modernize-use-nullptr)
-  friend constexpr auto operator<=>(const StoreVersion&,
-                                    const StoreVersion&) = default;
+  friend constexpr std::strong_ordering operator<=>(const StoreVersion& a,
+                                                    const StoreVersion& b) {
+    return a.era != b.era ? a.era <=> b.era : a.number <=> b.number;
+  }
 };
 
 }  // namespace bramleybank
