--- a/tests/unit_gateway_silence.cc
+++ b/tests/unit_gateway_silence.cc
@@ -105,6 +105,22 @@
   CHECK(fixture.endpoints[1]->requests().size() == 1);
 }
 
+// Guards against a stream that is aborted because the successor of a silent
+// endpoint refuses when the retry budget is used up.
+TEST_CASE("a refusing successor does not end a stream without a retry budget" *
+          doctest::skip()) {
+  constexpr int kOneRetry = 100;  // Shared by the assumed gateways.
+  GatewayFixture fixture(
+      {{{.bytes = kStreamHead + Chunk(Event(1)), .closes = false}},
+       {{.bytes = kStreamHead + Chunk(Event(2)) + kStreamEnd}},
+       {{.bytes = NotRun("")}}},
+      kSilenceConfig, kOneRetry);
+  fixture.Send("POST /write/x");
+  fixture.WaitFor([&] { return fixture.HasEnded(kStreamEnd); });
+  CHECK(fixture.answer.find(Chunk(Event(2)) + kStreamEnd) != std::string::npos);
+  CHECK(fixture.endpoints[2]->requests().size() == 1);
+}
+
 // Guards against ending the attempt at a silent endpoint when the only other
 // one can take no request.
 TEST_CASE("a silent attempt is kept while no other endpoint takes requests") {
