--- a/src/http1_parser.cc
+++ b/src/http1_parser.cc
@@ -26,7 +26,7 @@
 
   static int OnBegin(http_parser* parser) {
     Http1Parser* self = Self(parser);
-    self->m_head = {};
+    self->m_message = {};
     self->m_in_message = true;
     return CountHeadBytes(self, kMinStartLineBytes) ? 0 : 1;
   }
@@ -42,49 +42,63 @@
 
   static int OnUrl(http_parser* parser, const char* at, size_t size) {
     Http1Parser* self = Self(parser);
-    self->m_head.target.append(at, size);
+    self->m_message.head.target.append(at, size);
     return CountHeadBytes(self, size) ? 0 : 1;
   }
 
   static int OnField(http_parser* parser, const char* at, size_t size) {
     Http1Parser* self = Self(parser);
-    if (self->m_in_value) {
+    Message& message = self->m_message;
+    if (message.in_value) {
       self->FinishHeader();
     }
-    self->m_field.append(at, size);
+    if (!message.in_trailer) {
+      message.field.append(at, size);
+    }
     return CountHeadBytes(self, size) ? 0 : 1;
   }
 
   static int OnValue(http_parser* parser, const char* at, size_t size) {
     Http1Parser* self = Self(parser);
-    self->m_in_value = true;
-    self->m_value.append(at, size);
+    Message& message = self->m_message;
+    if (!message.in_trailer) {
+      message.in_value = true;
+      message.value.append(at, size);
+    }
     return CountHeadBytes(self, size) ? 0 : 1;
   }
 
   static int OnHeadersComplete(http_parser* parser) {
     Http1Parser* self = Self(parser);
-    if (!self->m_field.empty()) {
+    Message& message = self->m_message;
+    if (!message.field.empty()) {
       self->FinishHeader();
     }
-    if (HasAmbiguousLength(self->m_head.headers)) {
+    if (HasAmbiguousLength(message.head.headers)) {
       self->m_error = Http1ParseError::kAmbiguousLength;
       return -1;
     }
-    self->m_head.keep_alive = http_should_keep_alive(parser) != 0;
+    message.head.keep_alive = http_should_keep_alive(parser) != 0;
     if (self->m_direction == Direction::kRequests) {
-      self->m_head.method =
+      message.head.method =
           http_method_str(static_cast<http_method>(parser->method));
     } else {
-      self->m_head.status = static_cast<int>(parser->status_code);
-      self->m_is_interim = parser->status_code < 200;
+      message.head.status = static_cast<int>(parser->status_code);
+      message.is_interim = parser->status_code < 200;
     }
-    if (!self->m_is_interim) {
-      self->m_callbacks.on_head(std::move(self->m_head));
+    if (!message.is_interim) {
+      self->m_callbacks.on_head(std::move(message.head));
     }
     return self->m_expects_no_body ? 1 : 0;
   }
 
+  static int OnChunkSize(http_parser* parser) {
+    // The library stores the size of a chunk here. The trailer follows the
+    // chunk of size 0.
+    Self(parser)->m_message.in_trailer = parser->content_length == 0;
+    return 0;
+  }
+
   static int OnBody(http_parser* parser, const char* at, size_t size) {
     Self(parser)->m_callbacks.on_body({at, size});
     return 0;
@@ -92,8 +106,7 @@
 
   static int OnComplete(http_parser* parser) {
     Http1Parser* self = Self(parser);
-    if (self->m_is_interim) {
-      self->m_is_interim = false;
+    if (self->m_message.is_interim) {
       return 0;
     }
     self->m_in_message = false;
@@ -112,6 +125,7 @@
       result.on_header_field = &OnField;
       result.on_header_value = &OnValue;
       result.on_headers_complete = &OnHeadersComplete;
+      result.on_chunk_header = &OnChunkSize;
       result.on_body = &OnBody;
       result.on_message_complete = &OnComplete;
       return result;
@@ -136,9 +150,9 @@
 Http1Parser::~Http1Parser() = default;
 
 void Http1Parser::FinishHeader() {
-  m_head.headers.emplace_back(std::exchange(m_field, {}),
-                              std::exchange(m_value, {}));
-  m_in_value = false;
+  m_message.head.headers.emplace_back(std::exchange(m_message.field, {}),
+                                      std::exchange(m_message.value, {}));
+  m_message.in_value = false;
 }
 
 void Http1Parser::Feed(std::string_view bytes) {
--- a/src/http1_parser.h
+++ b/src/http1_parser.h
@@ -40,7 +40,8 @@
   kHeadTooLarge,
 };
 
-/// Parses the messages of one connection one after the other.
+/// Parses the messages of one connection one after the other. The fields of a
+/// trailer are counted as part of the head and dropped.
 class Http1Parser {
  public:
   enum class Direction : uint8_t { kRequests, kResponses };
@@ -79,6 +80,16 @@
   struct HttpParserAdapter;
   friend struct HttpParserAdapter;
 
+  /// What is known of one message, interim responses included.
+  struct Message {
+    Http1Head head;
+    std::string field;
+    std::string value;
+    bool in_value = false;
+    bool in_trailer = false;
+    bool is_interim = false;
+  };
+
   void Parse(std::string_view bytes);
   void Fail(Http1ParseError error);
   void FinishHeader();
@@ -87,21 +98,19 @@
   const size_t m_max_head_bytes;
   Callbacks m_callbacks;
   std::unique_ptr<HttpParserAdapter> m_adapter;
-  Http1Head m_head;
+  // Invariant: replaced as a whole when a message begins, so that nothing of a
+  // message reaches the next one.
+  Message m_message;
   // Heads of the current message, its interim responses and its trailer.
   size_t m_head_bytes = 0;
   // Used for requests only.
   Http1HeadScanner m_scanner;
-  std::string m_field;
-  std::string m_value;
-  bool m_in_value = false;
   // Bytes after a complete message. Invariant: nothing is parsed between the
   // end of a message and Resume().
   std::string m_unparsed;
   bool m_paused = false;
   bool m_in_message = false;
   bool m_expects_no_body = false;
-  bool m_is_interim = false;
   Http1ParseError m_error = Http1ParseError::kNone;
 };
 
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -121,6 +121,7 @@
         std::chrono::seconds(5),
         {.on_connected =
              [this, method_and_path, key, headers] {
+               m_is_connected = true;
                m_client->Write(method_and_path +
                                " HTTP/1.1\r\nHost: h.example\r\n"
                                "Request-Id: r1\r\nDeadline-Ms: 4000\r\n"
@@ -132,6 +133,12 @@
          .on_drained = nullptr});
   }
 
+  /// Whether the head of the last request has been sent.
+  bool is_connected() const { return m_is_connected; }
+
+  /// Sends further bytes on the connection of the last request.
+  void Write(const std::string& bytes) { m_client->Write(bytes); }
+
   void CloseClient() { m_client->Close(); }
 
   /// Starts a planned stop.
@@ -205,6 +212,7 @@
   EventLoop m_loop;
   Gateway m_gateway;
   std::shared_ptr<TcpConnection> m_client;
+  bool m_is_connected = false;
 };
 
 /// An endpoint that sends `bytes`, then `repeated` until its peer closes.
--- /dev/null
+++ b/tests/unit_gateway_kept_connection.cc
@@ -0,0 +1,43 @@
+// Tests of several requests on one connection of a caller: nothing of a request
+// may act on the next one.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "gateway_fixture.h"
+#include "wire_names.h"
+
+namespace bramleybank {
+namespace {
+
+using Fixture = GatewayFixture;
+
+/// @returns a complete request without the end of its head.
+std::string Head(const std::string& method_and_path) {
+  return method_and_path + " HTTP/1.1\r\nHost: h.example\r\n" +
+         platform::kRequestIdHeader + ": r1\r\n" + platform::kTimeLeftHeader +
+         ": 4000\r\n" + platform::kAuthorizationHeader + ": Bearer good\r\n";
+}
+
+// Guards against an endpoint that runs a request with the headers of another.
+TEST_CASE("a trailer is not passed on with the next request") {
+  Fixture fixture({{{.bytes = kCompleteAnswer}}});
+  fixture.Send("POST /book/1", "good",
+               "Trailer: Token-Count\r\nTransfer-Encoding: chunked\r\n");
+  fixture.WaitFor([&] { return fixture.is_connected(); });
+  fixture.Write(Chunk("body") + "0\r\nToken-Count: 7,8\r\n\r\n");
+  fixture.WaitForAnswer("done");
+  fixture.answer.clear();
+  fixture.Write(Head("POST /book/2") + "Token-Count: 5,6\r\n\r\n");
+  fixture.WaitForAnswer("done");
+  REQUIRE(fixture.CountRequests() == 2);
+  for (const std::string& request : fixture.endpoints[0]->requests()) {
+    CAPTURE(request);
+    CHECK(request.find("7,8") == std::string::npos);
+  }
+  CHECK(fixture.endpoints[0]->requests()[1].find("Token-Count: 5,6\r\n") !=
+        std::string::npos);
+}
+
+}  // namespace
+}  // namespace bramleybank
--- a/tests/unit_http1_parser.cc
+++ b/tests/unit_http1_parser.cc
@@ -21,6 +21,14 @@
                 .on_body = [this](std::string_view data) { body += data; },
                 .on_complete = [this] { ++complete; }}) {}
 
+  /// Feeds bytes in one piece or one by one.
+  void Feed(const std::string& bytes, bool one_by_one) {
+    const size_t step = one_by_one ? 1 : bytes.size();
+    for (size_t at = 0; at < bytes.size(); at += step) {
+      parser.Feed(std::string_view(bytes).substr(at, step));
+    }
+  }
+
   std::vector<Http1Head> heads;
   std::string body;
   int complete = 0;
@@ -55,6 +63,35 @@
   CHECK(recorder.heads[1].target == "/2");
 }
 
+// Guards against running a request with a header of the request before it.
+TEST_CASE("a trailer field does not become a header of the next message") {
+  const std::string trailer = "0\r\nToken-Count: 7\r\nX-Last: y\r\n\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+  const HttpHeaders own = {{"Host", "h"}};
+  for (const auto direction : {Http1Parser::Direction::kRequests,
+                               Http1Parser::Direction::kResponses}) {
+    const bool is_request = direction == Http1Parser::Direction::kRequests;
+    const std::string start =
+        is_request ? "POST / HTTP/1.1\r\n" : "HTTP/1.1 200 OK\r\n";
+    const std::string second =
+        start + "Host: h\r\n" + (is_request ? "" : "Content-Length: 0\r\n");
+    for (const bool one_by_one : {false, true}) {
+      CAPTURE(is_request);
+      CAPTURE(one_by_one);
+      Recorder recorder(direction);
+      recorder.Feed(start + chunked + trailer, one_by_one);
+      REQUIRE(recorder.complete == 1);
+      recorder.parser.Resume();
+      recorder.Feed(second + "\r\n", one_by_one);
+      REQUIRE(recorder.complete == 2);
+      CHECK(recorder.heads[0].headers ==
+            HttpHeaders{{"Transfer-Encoding", "chunked"}});
+      CHECK(recorder.heads[1].headers.front() == own.front());
+      CHECK(recorder.heads[1].headers.size() == (is_request ? 1 : 2));
+    }
+  }
+}
+
 // Guards against request smuggling: the endpoint could use a different length.
 TEST_CASE("a request with an ambiguous length is refused") {
   const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
@@ -92,10 +129,7 @@
     CAPTURE(head);
     for (const bool one_by_one : {false, true}) {
       Recorder recorder(Http1Parser::Direction::kRequests);
-      const size_t step = one_by_one ? 1 : head.size();
-      for (size_t at = 0; at < head.size(); at += step) {
-        recorder.parser.Feed(std::string_view(head).substr(at, step));
-      }
+      recorder.Feed(head, one_by_one);
       CHECK(recorder.parser.error() == Http1ParseError::kMalformed);
       CHECK(recorder.complete == 0);
     }
