Malformed lines are refused in chunk framing and trailers too

Seen by callers: a request whose trailer has a blank before a colon, a folded line, a line that ends with a bare LF or a NUL at the start of a value is answered 200 and run by an endpoint, while the same line in a head is refused (a NUL there was accepted too). RFC 9112 calls such messages invalid wherever they stand; parsers that read them differently are how requests get smuggled. Found on the way: libhttp-parser, as Debian builds it, takes any byte for the LF after the CR of a chunk size and of a chunk's data, any byte but CR in a chunk extension, and a tab or form feed in a request target.

Cause: Http1HeadScanner stopped at the end of the head and looked at line ends and white space only.

Change: the scanner, now Http1MessageScanner, goes on behind the head of a chunked message, through sizes, extensions, line ends and the trailer, and refuses control characters in every line. The parser scans up to the end of the head first, since the library then knows whether chunks follow.

"chunk extensions, trailers and any data are accepted" guards against refusing what is valid.

--- a/src/http1_parser.cc
+++ b/src/http1_parser.cc
@@ -86,6 +86,9 @@
       message.head.status = static_cast<int>(parser->status_code);
       message.is_interim = parser->status_code < 200;
     }
+    if ((parser->flags & F_CHUNKED) != 0) {
+      self->m_scanner.StartChunks();
+    }
     if (!message.is_interim) {
       self->m_callbacks.on_head(std::move(message.head));
     }
@@ -167,18 +170,39 @@
 }
 
 void Http1Parser::Parse(std::string_view bytes) {
-  if (m_direction == Direction::kRequests && !m_scanner.Scan(bytes)) {
+  do {
+    const size_t size = ScanNext(bytes);
+    if (m_error != Http1ParseError::kNone) {
+      return;
+    }
+    const size_t parsed = Execute(bytes.substr(0, size));
+    if (m_paused) {
+      m_unparsed.assign(bytes.substr(parsed));
+      m_callbacks.on_complete();
+      return;
+    }
+    bytes.remove_prefix(size);
+  } while (!bytes.empty() && m_error == Http1ParseError::kNone);
+}
+
+size_t Http1Parser::ScanNext(std::string_view bytes) {
+  if (m_direction == Direction::kResponses) {
+    return bytes.size();
+  }
+  const size_t size = m_scanner.Scan(bytes);
+  if (!m_scanner.is_valid()) {
     Fail(Http1ParseError::kMalformed);
-    return;
   }
+  return size;
+}
+
+size_t Http1Parser::Execute(std::string_view bytes) {
   const size_t parsed =
       http_parser_execute(&m_adapter->parser, HttpParserAdapter::Settings(),
                           bytes.data(), bytes.size());
   const auto code = static_cast<enum http_errno>(m_adapter->parser.http_errno);
-  if (m_paused && code == HPE_PAUSED) {
-    m_unparsed.assign(bytes.substr(parsed));
-    m_callbacks.on_complete();
-    return;
+  if (code == HPE_PAUSED) {
+    return parsed;
   }
   if (code == HPE_UNEXPECTED_CONTENT_LENGTH ||
       code == HPE_INVALID_TRANSFER_ENCODING) {
@@ -188,6 +212,7 @@
   } else if (code != HPE_OK || m_adapter->parser.upgrade != 0) {
     Fail(Http1ParseError::kMalformed);
   }
+  return parsed;
 }
 
 void Http1Parser::Fail(Http1ParseError error) {
--- a/src/http1_parser.h
+++ b/src/http1_parser.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-#include "http1_head_scanner.h"
+#include "http1_message_scanner.h"
 #include "http_types.h"
 
 namespace bramleybank {
@@ -91,6 +91,12 @@
   };
 
   void Parse(std::string_view bytes);
+  /// Checks the lines of the next part of a message.
+  /// @returns the number of bytes to parse next.
+  size_t ScanNext(std::string_view bytes);
+  /// Passes bytes to the library; none means the end of the connection.
+  /// @returns the number of bytes that were parsed.
+  size_t Execute(std::string_view bytes);
   void Fail(Http1ParseError error);
   void FinishHeader();
 
@@ -104,7 +110,7 @@
   // Heads of the current message, its interim responses and its trailer.
   size_t m_head_bytes = 0;
   // Used for requests only.
-  Http1HeadScanner m_scanner;
+  Http1MessageScanner m_scanner;
   // Bytes after a complete message. Invariant: nothing is parsed between the
   // end of a message and Resume().
   std::string m_unparsed;
--- a/tests/unit_gateway_kept_connection.cc
+++ b/tests/unit_gateway_kept_connection.cc
@@ -39,5 +39,19 @@
         std::string::npos);
 }
 
+// Guards against passing on a request that its endpoint may read as two.
+TEST_CASE("a request with a malformed trailer is refused and not passed on") {
+  for (const std::string field : {"X : a\r\n", "X: a\r\n b\r\n", "X: a\n"}) {
+    CAPTURE(field);
+    Fixture fixture({{{.bytes = kCompleteAnswer}}});
+    fixture.Send("POST /book/1", "good", "Transfer-Encoding: chunked\r\n");
+    fixture.WaitFor([&] { return fixture.is_connected(); });
+    fixture.Write(Chunk("body") + "0\r\n" + field + "\r\n");
+    fixture.WaitFor([&] { return fixture.closed; });
+    CHECK(fixture.answer.starts_with("HTTP/1.1 400 "));
+    CHECK(fixture.CountRequests() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace bramleybank
--- a/tests/unit_http1_parser.cc
+++ b/tests/unit_http1_parser.cc
@@ -124,7 +124,13 @@
       "POST / HTTP/1.1\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
       "POST / HTTP/1.1\r\nHost: h\nContent-Length: 3\r\n\r\nabc",
       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\n\nabc",
-      "POST / HTTP/1.1\r\nHost: h\rX: y\r\nContent-Length: 3\r\n\r\nabc"};
+      "POST / HTTP/1.1\r\nHost: h\rX: y\r\nContent-Length: 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nHost: h\r\nX: " + std::string(1, '\0') +
+          "\r\nContent-Length: 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nHost: h\r\nX: \x01"
+      "b\r\nContent-Length: 3\r\n\r\nabc",
+      "POST /\ta HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+      "POST /\fa HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"};
   for (const std::string& head : heads) {
     CAPTURE(head);
     for (const bool one_by_one : {false, true}) {
@@ -146,6 +152,65 @@
   CHECK(recorder.parser.error() == Http1ParseError::kMalformed);
 }
 
+// Guards against request smuggling through the lines behind a head, which are
+// read by the same parsers.
+TEST_CASE("malformed lines are refused behind a head as in a head") {
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "3\r\nabc\r\n";
+  const std::vector<std::string> bodies = {
+      chunk + "0\r\nX : a\r\n\r\n",
+      chunk + "0\r\nX\t: a\r\n\r\n",
+      chunk + "0\r\nX: a\r\n b\r\n\r\n",
+      chunk + "0\r\n X: a\r\n\r\n",
+      chunk + "0\r\nX: a\n\r\n",
+      chunk + "0\r\nX: a\r\n\n",
+      chunk + "0\r\n\n",
+      chunk + "0\r\nX: a\rb\r\n\r\n",
+      chunk + "0\r\nX: " + std::string(1, '\0') + "b\r\n\r\n",
+      chunk + "0\r\nX\r\n\r\n",
+      chunk + "0;a\nb\r\n\r\n",
+      chunk + "0\rX\r\n",
+      "3;a\nb\r\nabc\r\n0\r\n\r\n",
+      "3;" + std::string(1, '\0') + "\r\nabc\r\n0\r\n\r\n",
+      "3 a\r\nabc\r\n0\r\n\r\n",
+      "3\rXabc\r\n0\r\n\r\n",
+      "3\r\nabc\rX0\r\n\r\n",
+      "3\r\nabc\n0\r\n\r\n",
+      "+3\r\nabc\r\n0\r\n\r\n",
+      "\r\n3\r\nabc\r\n0\r\n\r\n"};
+  for (const std::string& body : bodies) {
+    CAPTURE(body);
+    for (const bool one_by_one : {false, true}) {
+      Recorder recorder(Http1Parser::Direction::kRequests);
+      recorder.Feed(head + body, one_by_one);
+      CHECK(recorder.parser.error() == Http1ParseError::kMalformed);
+      CHECK(recorder.complete == 0);
+    }
+  }
+}
+
+// Guards against refusing what RFC 9112 allows between and behind chunks. The
+// data of a chunk may look like a malformed line.
+TEST_CASE("chunk extensions, trailers and any data are accepted") {
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string body =
+      "6;name=\"a b\"\r\n\n x\r:\n\r\n00A \r\n0123456789\r\n"
+      "0 ;last\r\nX: a\tb\r\nY:\r\n\r\n";
+  const std::string next = "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const bool one_by_one : {false, true}) {
+    CAPTURE(one_by_one);
+    Recorder recorder(Http1Parser::Direction::kRequests);
+    recorder.Feed(head + body + next, one_by_one);
+    CHECK(recorder.body == "\n x\r:\n0123456789");
+    recorder.parser.Resume();
+    CHECK(recorder.parser.error() == Http1ParseError::kNone);
+    REQUIRE(recorder.complete == 2);
+    CHECK(recorder.heads[1].target == "/2");
+  }
+}
+
 // Guards against unbounded memory use by headers.
 TEST_CASE("headers over the limit are refused") {
   Recorder recorder(Http1Parser::Direction::kRequests);
