Responses with malformed lines are not passed on

The same cause in the other direction: only requests were scanned, so that libhttp-parser took what it takes from an endpoint too.

Seen by callers: a field with a blank before its colon was passed on with the blank, also Content-Length and Transfer-Encoding, which the removal of hop-by-hop headers did not recognise then, so that an answer had two lengths; a NUL or another control character at the start of a value was passed on; a blank in a name or at the start of the first line; a CR followed by any byte ended the head, a chunk or the message, so that a body that isn't the endpoint's was taken for whole.

Change: responses pass the same scanner with lenient rules for lines. White space before a colon is removed and folded lines and bare LF are still accepted, as RFC 9112, 2.2 and 5 say for those who forward responses. The other forms end the attempt like any bytes that are no answer.

--- a/src/http1_message_scanner.cc
+++ b/src/http1_message_scanner.cc
@@ -53,8 +53,8 @@
 }
 
 void Http1MessageScanner::ConsumeByte(char byte) {
-  const bool ends_line = m_after_cr && byte == '\n';
-  if (m_after_cr != ends_line) {
+  const bool ends_line = byte == '\n' && (m_after_cr || AcceptsBareLineFeed());
+  if (!ends_line && (m_after_cr || byte == '\n')) {
     m_state = State::kInvalid;
     return;
   }
@@ -66,17 +66,30 @@
   }
 }
 
+bool Http1MessageScanner::AcceptsBareLineFeed() const {
+  return m_rules == Http1LineRules::kLenient &&
+         (m_state == State::kBeforeStartLine || m_state == State::kStartLine ||
+          m_state == State::kLineStart || m_state == State::kValue);
+}
+
 Http1MessageScanner::State Http1MessageScanner::ConsumeText(char byte) {
   switch (m_state) {
     case State::kBeforeStartLine:
     case State::kStartLine:
-      return byte == '\t' ? State::kInvalid : State::kStartLine;
+      return byte == '\t' && m_rules == Http1LineRules::kStrict
+                 ? State::kInvalid
+                 : State::kStartLine;
     case State::kLineStart:
     case State::kName:
+    case State::kAfterName:
       if (IsBlank(byte)) {
-        return State::kInvalid;
+        return ConsumeBlankInLine();
       }
-      return byte == ':' ? State::kValue : State::kName;
+      if (byte == ':') {
+        m_has_field = true;
+        return State::kValue;
+      }
+      return m_state == State::kAfterName ? State::kInvalid : State::kName;
     case State::kChunkSizeStart:
       m_chunk_bytes = 0;
       return ConsumeChunkSizeDigit(byte);
@@ -98,6 +111,16 @@
   }
 }
 
+Http1MessageScanner::State Http1MessageScanner::ConsumeBlankInLine() const {
+  if (m_rules == Http1LineRules::kStrict) {
+    return State::kInvalid;
+  }
+  if (m_state == State::kLineStart) {
+    return m_has_field ? State::kValue : State::kInvalid;
+  }
+  return State::kAfterName;
+}
+
 Http1MessageScanner::State Http1MessageScanner::ConsumeChunkSizeDigit(
     char byte) {
   uint64_t digit = 0;
@@ -124,6 +147,7 @@
     case State::kAfterChunkSize:
     case State::kChunkExtension:
       // The trailer follows the chunk of size 0.
+      m_has_field = false;
       return m_chunk_bytes == 0 ? State::kLineStart : State::kChunkData;
     case State::kChunkEnd:
       return State::kChunkSizeStart;
--- a/src/http1_message_scanner.h
+++ b/src/http1_message_scanner.h
@@ -9,12 +9,23 @@
 
 namespace bramleybank {
 
+/// Which lines of a head or a trailer are accepted.
+enum class Http1LineRules : uint8_t {
+  /// As RFC 9112 defines them. For requests, which are passed on.
+  kStrict,
+  /// In addition lines that end with a bare LF, folded lines, and white space
+  /// before a colon, as RFC 9112 asks of those who forward responses.
+  kLenient,
+};
+
 /// Rejects bare CR or LF, folded lines, white space in a field name or before
 /// its colon, and control characters, in the head, the trailer and the lines
-/// between chunks. libhttp-parser accepts such messages, and an endpoint behind
-/// this daemon may read a different request from them.
+/// between chunks. libhttp-parser accepts such messages, and the next hop may
+/// read a different message from them.
 class Http1MessageScanner {
  public:
+  explicit Http1MessageScanner(Http1LineRules rules) : m_rules(rules) {}
+
   /// Scans up to the end of the head, so that the parser can tell how the body
   /// is framed, or else all bytes. Bytes of a body are not interpreted.
   /// @returns the number of bytes that were scanned.
@@ -22,7 +33,7 @@
   /// The body that follows the scanned head is chunked.
   void StartChunks() { m_state = State::kChunkSizeStart; }
   /// Prepares for the head of the next message.
-  void Reset() { *this = Http1MessageScanner(); }
+  void Reset() { *this = Http1MessageScanner(m_rules); }
 
   bool is_valid() const { return m_state != State::kInvalid; }
 
@@ -33,6 +44,8 @@
     kStartLine,
     kLineStart,
     kName,
+    /// White space after a field name.
+    kAfterName,
     kValue,
     kChunkSizeStart,
     kChunkSize,
@@ -52,12 +65,17 @@
   size_t SkipChunkData(size_t available);
   /// Handles a byte that is not part of a line end.
   State ConsumeText(char byte);
+  State ConsumeBlankInLine() const;
   State ConsumeChunkSizeDigit(char byte);
   State EndLine();
+  bool AcceptsBareLineFeed() const;
 
+  Http1LineRules m_rules;
   State m_state = State::kBeforeStartLine;
   // Whether the previous byte was a carriage return.
   bool m_after_cr = false;
+  // Whether a field precedes the current line of a head or a trailer.
+  bool m_has_field = false;
   // Size of the current chunk, then the bytes of it that are still to come.
   uint64_t m_chunk_bytes = 0;
 };
--- a/src/http1_parser.cc
+++ b/src/http1_parser.cc
@@ -110,6 +110,7 @@
   static int OnComplete(http_parser* parser) {
     Http1Parser* self = Self(parser);
     if (self->m_message.is_interim) {
+      self->m_scanner.Reset();
       return 0;
     }
     self->m_in_message = false;
@@ -143,7 +144,9 @@
     : m_direction(direction),
       m_max_head_bytes(max_head_bytes),
       m_callbacks(std::move(callbacks)),
-      m_adapter(std::make_unique<HttpParserAdapter>()) {
+      m_adapter(std::make_unique<HttpParserAdapter>()),
+      m_scanner(direction == Direction::kRequests ? Http1LineRules::kStrict
+                                                  : Http1LineRules::kLenient) {
   http_parser_init(&m_adapter->parser, direction == Direction::kRequests
                                            ? HTTP_REQUEST
                                            : HTTP_RESPONSE);
@@ -153,6 +156,9 @@
 Http1Parser::~Http1Parser() = default;
 
 void Http1Parser::FinishHeader() {
+  // White space before a colon is not passed on.
+  const size_t end = m_message.field.find_last_not_of(" \t");
+  m_message.field.resize(end + 1);
   m_message.head.headers.emplace_back(std::exchange(m_message.field, {}),
                                       std::exchange(m_message.value, {}));
   m_message.in_value = false;
@@ -186,9 +192,6 @@
 }
 
 size_t Http1Parser::ScanNext(std::string_view bytes) {
-  if (m_direction == Direction::kResponses) {
-    return bytes.size();
-  }
   const size_t size = m_scanner.Scan(bytes);
   if (!m_scanner.is_valid()) {
     Fail(Http1ParseError::kMalformed);
--- a/src/http1_parser.h
+++ b/src/http1_parser.h
@@ -109,7 +109,6 @@
   Message m_message;
   // Heads of the current message, its interim responses and its trailer.
   size_t m_head_bytes = 0;
-  // Used for requests only.
   Http1MessageScanner m_scanner;
   // Bytes after a complete message. Invariant: nothing is parsed between the
   // end of a message and Resume().
--- a/tests/unit_http1_parser.cc
+++ b/tests/unit_http1_parser.cc
@@ -289,6 +289,56 @@
   }
 }
 
+// Guards against passing on headers that the caller reads differently, for
+// example a second length, and against a body that is not the endpoint's.
+TEST_CASE("a response that parsers interpret differently is refused") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::string> responses = {
+      ok + "X: " + std::string(1, '\0') + "a\r\nContent-Length: 0\r\n\r\n",
+      ok + "X: \x7f\r\nContent-Length: 0\r\n\r\n",
+      ok + "X Y: a\r\nContent-Length: 0\r\n\r\n",
+      ok + " X: a\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\rXContent-Length: 0\r\n\r\n",
+      ok + "X: a\r\nContent-Length: 0\r\n\rX",
+      chunked + "3\r\nabc\rX0\r\n\r\n",
+      chunked + "3\rXabc\r\n0\r\n\r\n",
+      chunked + "3;a\nb\r\nabc\r\n0\r\n\r\n",
+      chunked + "3\r\nabc\r\n0\r\n X: a\r\n\r\n",
+      chunked + "3\r\nabc\r\n0\r\n\rX"};
+  for (const std::string& response : responses) {
+    CAPTURE(response);
+    for (const bool one_by_one : {false, true}) {
+      Recorder recorder(Http1Parser::Direction::kResponses);
+      recorder.Feed(response, one_by_one);
+      CHECK(recorder.parser.error() == Http1ParseError::kMalformed);
+      CHECK(recorder.complete == 0);
+    }
+  }
+}
+
+// Guards against refusing the answers of servers that RFC 9112 tells us to
+// accept, and against passing on their odd lines unchanged.
+TEST_CASE("lines of lenient servers are passed on in the usual form") {
+  const std::string response =
+      "HTTP/1.1 100 Continue\n\nHTTP/1.1 200 OK\nX : a\r\n\tb\r\n"
+      "Transfer-Encoding : chunked\n\n3\r\nabc\r\n0\r\nY : c\n d\n\n";
+  for (const bool one_by_one : {false, true}) {
+    CAPTURE(one_by_one);
+    Recorder recorder(Http1Parser::Direction::kResponses);
+    recorder.Feed(response, one_by_one);
+    CHECK(recorder.parser.error() == Http1ParseError::kNone);
+    REQUIRE(recorder.complete == 1);
+    CHECK(recorder.body == "abc");
+    REQUIRE(recorder.heads[0].headers.size() == 2);
+    CHECK(recorder.heads[0].headers[0].first == "X");
+    CHECK(recorder.heads[0].headers[1].first == "Transfer-Encoding");
+    for (const auto& [name, value] : recorder.heads[0].headers) {
+      CHECK(value.find_first_of("\r\n") == std::string::npos);
+    }
+  }
+}
+
 TEST_CASE("bytes that are not a response are a fault") {
   Recorder recorder(Http1Parser::Direction::kResponses);
   recorder.parser.Feed("garbage\r\n\r\n");
