A refusal after a HEAD request has its body

Seen by callers: on a connection whose last request was a HEAD request, the next request is refused as malformed with a Content-Length and without the body that it announces.

GatewayCaller keeps what it knows of a request in members that only the next complete head replaces; a request that is refused before its head is complete is answered by those of the request before.

Change: they are one value, which is replaced as a whole when an answer ends.

--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -135,9 +135,9 @@
 }
 
 void GatewayCaller::OnHead(Http1Head head) {
-  m_has_head = true;
-  m_keep_alive = head.keep_alive;
-  m_is_head_request = head.method == "HEAD";
+  m_state.has_head = true;
+  m_state.keep_alive = head.keep_alive;
+  m_state.is_head_request = head.method == "HEAD";
   m_request = {.method = std::move(head.method),
                .target = std::move(head.target),
                .headers = std::move(head.headers),
@@ -166,7 +166,6 @@
     return;
   }
   m_is_busy = true;
-  m_has_head = false;
   m_hooks->on_request(shared_from_this(), std::move(m_request));
 }
 
@@ -197,9 +196,10 @@
     head.append(name).append(": ").append(value).append(kLineEnd);
   }
   // A request that has arrived behind this one gets an answer too.
-  m_states_close = !m_keep_alive ||
-                   (m_hooks->is_draining() && m_parser.unparsed_bytes() == 0);
-  if (m_states_close) {
+  m_state.states_close =
+      !m_state.keep_alive ||
+      (m_hooks->is_draining() && m_parser.unparsed_bytes() == 0);
+  if (m_state.states_close) {
     head.append("Connection: close\r\n");
   }
   return head;
@@ -214,7 +214,7 @@
   std::string message = RenderHead(status, headers);
   message.append("Content-Length: ").append(std::to_string(body.size()));
   message.append("\r\n\r\n");
-  if (!m_is_head_request) {
+  if (!m_state.is_head_request) {
     message.append(body);
   }
   m_connection->Write(message);
@@ -231,7 +231,7 @@
 
 void GatewayCaller::RefuseAndClose(int status, ResultCode code) {
   m_hooks->on_refused(code);
-  m_keep_alive = false;
+  m_state.keep_alive = false;
   Answer(status, {{"Content-Type", "application/json"}}, RefusalBody(code));
 }
 
@@ -269,10 +269,11 @@
   m_on_disconnect = nullptr;
   m_on_drained = nullptr;
   m_last_activity = m_loop->Now();
-  if (m_states_close) {
+  if (m_state.states_close) {
     CloseGracefully(CallerCloseReason::kLastAnswer);
     return;
   }
+  m_state = {};
   ArmTimer();
   // The next request may already be buffered. It is parsed in a separate event
   // loop task, because this method runs inside the call that answered.
@@ -373,7 +374,7 @@
 
 void GatewayCaller::ArmTimer() {
   m_loop->Cancel(m_timer);
-  const bool in_head = m_parser.is_inside_message() && !m_has_head;
+  const bool in_head = m_parser.is_inside_message() && !m_state.has_head;
   const Duration limit =
       in_head ? m_limits.header_timeout : m_limits.idle_timeout;
   m_timer = m_loop->Schedule(limit, [this] { OnTimer(); });
@@ -389,7 +390,7 @@
     return;
   }
   const TimePoint now = m_loop->Now();
-  const bool in_head = m_parser.is_inside_message() && !m_has_head;
+  const bool in_head = m_parser.is_inside_message() && !m_state.has_head;
   if (in_head && now - m_message_start >= m_limits.header_timeout) {
     RefuseAndClose(kStatusRequestTimeout, ResultCode::kBadHeader);
     return;
@@ -398,7 +399,7 @@
       now - m_last_activity >= m_limits.idle_timeout) {
     if (HasUndeliveredOutput()) {
       CloseIfStalled();
-    } else if (m_has_head) {
+    } else if (m_state.has_head) {
       RefuseAndClose(kStatusRequestTimeout, ResultCode::kBadHeader);
     } else {
       CloseIfIdle(CallerCloseReason::kIdle);
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -103,6 +103,15 @@
   bool is_busy() const { return m_is_busy; }
 
  private:
+  /// What is known of the current request and its answer.
+  struct RequestState {
+    bool has_head = false;
+    bool is_head_request = false;
+    bool keep_alive = true;
+    // Whether the head of the answer states that the connection closes.
+    bool states_close = false;
+  };
+
   void OnData(std::string_view data);
   void OnDrained();
   void OnHead(Http1Head head);
@@ -141,13 +150,11 @@
   TimerHandle m_timer;
   TimePoint m_accepted_at;
   bool m_has_input = false;
-  bool m_has_head = false;
   // A request is complete and its answer is not.
   bool m_is_busy = false;
-  bool m_keep_alive = true;
-  // Whether the head of the current answer states that the connection closes.
-  bool m_states_close = false;
-  bool m_is_head_request = false;
+  // Invariant: replaced as a whole when an answer ends, so that nothing of a
+  // request acts on the next one.
+  RequestState m_state;
   bool m_closed = false;
 };
 
--- a/tests/unit_gateway_kept_connection.cc
+++ b/tests/unit_gateway_kept_connection.cc
@@ -53,5 +53,18 @@
   }
 }
 
+// Guards against a refusal without the body that its length announces, which
+// leaves the caller waiting.
+TEST_CASE("a request refused after a HEAD request gets its whole answer") {
+  Fixture fixture({{{.bytes = kCompleteAnswer}}});
+  fixture.Send("HEAD /read/1");
+  fixture.WaitForAnswer("Content-Length: 0\r\n\r\n");
+  fixture.answer.clear();
+  fixture.Write(Head("GET /read/2") + "X : malformed\r\n\r\n");
+  fixture.WaitFor([&] { return fixture.closed; });
+  CHECK(fixture.answer.starts_with("HTTP/1.1 400 "));
+  CHECK(fixture.answer.find("bad_header") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace bramleybank
