No body bytes behind the answer to a HEAD request for a stream

Seen by callers: HEAD on a streaming route with Last-Event-Id, answered as a stream that is complete, is followed by the last chunk of a body, which the caller reads as the start of its next answer (MIXED). Found while looking for flags of a request that act on the next one.

Cause: GatewayCaller::Answer leaves the body of a HEAD request out, the methods for streams did not.

Test: unit_gateway_kept_connection, "the answer to a HEAD request for a stream has no body", failed before the change.

--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -245,7 +245,7 @@
 }
 
 void GatewayCaller::WriteStream(std::string_view bytes) {
-  if (m_closed || bytes.empty()) {
+  if (m_closed || bytes.empty() || m_state.is_head_request) {
     return;
   }
   char size[20];
@@ -260,7 +260,9 @@
   if (m_closed) {
     return;
   }
-  m_connection->Write("0\r\n\r\n");
+  if (!m_state.is_head_request) {
+    m_connection->Write("0\r\n\r\n");
+  }
   FinishAnswer();
 }
 
--- a/tests/unit_gateway_kept_connection.cc
+++ b/tests/unit_gateway_kept_connection.cc
@@ -66,5 +66,19 @@
   CHECK(fixture.answer.find("bad_header") != std::string::npos);
 }
 
+// Guards against bytes of a body that the caller takes for the start of the
+// next answer.
+TEST_CASE("the answer to a HEAD request for a stream has no body") {
+  Fixture fixture({{{.bytes = "HTTP/1.1 200 OK\r\n" + kSealHeaders +
+                              "Content-Length: 0\r\n\r\n"}}});
+  fixture.Send("HEAD /write/1", "good", "Last-Event-Id: 3\r\n");
+  fixture.WaitForAnswer("\r\n\r\n");
+  fixture.Write(Head("GET /unknown/") + "\r\n");
+  fixture.WaitForAnswer("unknown_path");
+  const size_t end = fixture.answer.find("\r\n\r\n") + 4;
+  CHECK(fixture.answer.starts_with("HTTP/1.1 200 "));
+  CHECK(fixture.answer.substr(end).starts_with("HTTP/1.1 404 "));
+}
+
 }  // namespace
 }  // namespace bramleybank
