The parser expects no body for one response only

ExpectNoBody() held for all later responses of a parser.

Test: unit_http1_parser, "only the response to a HEAD request is read without a body", failed before the change.

--- a/src/http1_parser.cc
+++ b/src/http1_parser.cc
@@ -114,6 +114,7 @@
       return 0;
     }
     self->m_in_message = false;
+    self->m_expects_no_body = false;
     self->m_head_bytes = 0;
     self->m_paused = true;
     http_parser_pause(parser, 1);
--- a/src/http1_parser.h
+++ b/src/http1_parser.h
@@ -67,8 +67,7 @@
   /// no length.
   void FeedEof();
 
-  /// Treats all further responses as responses to HEAD requests, without a
-  /// body.
+  /// The next final response answers a HEAD request, so it has no body.
   void ExpectNoBody() { m_expects_no_body = true; }
 
   Http1ParseError error() const { return m_error; }
--- a/tests/unit_http1_parser.cc
+++ b/tests/unit_http1_parser.cc
@@ -247,6 +247,21 @@
   CHECK(recorder.heads.size() == 1);
 }
 
+// Guards against dropping the body of a later response on the connection.
+TEST_CASE("only the response to a HEAD request is read without a body") {
+  Recorder recorder(Http1Parser::Direction::kResponses);
+  recorder.parser.ExpectNoBody();
+  recorder.parser.Feed(
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+  CHECK(recorder.complete == 1);
+  CHECK(recorder.body.empty());
+  recorder.parser.Resume();
+  CHECK(recorder.complete == 2);
+  CHECK(recorder.body == "abc");
+}
+
 TEST_CASE("interim responses are skipped") {
   Recorder recorder(Http1Parser::Direction::kResponses);
   recorder.parser.Feed(
