Responses with status 204 and 304 end with their head

A gateway's own 204 or 304 stated a length of 0.

Cause: libhttp-parser leaves it to its user to say that no body follows.

--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -195,6 +195,7 @@
   for (const auto& [name, value] : headers) {
     head.append(name).append(": ").append(value).append(kLineEnd);
   }
+  m_state.omits_body = m_state.is_head_request || HasNoBody(status);
   // A request that has arrived behind this one gets an answer too.
   m_state.states_close =
       !m_state.keep_alive ||
@@ -212,9 +213,13 @@
     return;
   }
   std::string message = RenderHead(status, headers);
-  message.append("Content-Length: ").append(std::to_string(body.size()));
-  message.append("\r\n\r\n");
-  if (!m_state.is_head_request) {
+  // A response that never has a body must not state the length of one.
+  if (!HasNoBody(status)) {
+    message.append("Content-Length: ").append(std::to_string(body.size()));
+    message.append(kLineEnd);
+  }
+  message.append(kLineEnd);
+  if (!m_state.omits_body) {
     message.append(body);
   }
   m_connection->Write(message);
@@ -240,12 +245,15 @@
     return;
   }
   std::string message = RenderHead(status, headers);
-  message.append("Transfer-Encoding: chunked\r\n\r\n");
+  if (!HasNoBody(status)) {
+    message.append("Transfer-Encoding: chunked\r\n");
+  }
+  message.append(kLineEnd);
   m_connection->Write(message);
 }
 
 void GatewayCaller::WriteStream(std::string_view bytes) {
-  if (m_closed || bytes.empty() || m_state.is_head_request) {
+  if (m_closed || bytes.empty() || m_state.omits_body) {
     return;
   }
   char size[20];
@@ -260,7 +268,7 @@
   if (m_closed) {
     return;
   }
-  if (!m_state.is_head_request) {
+  if (!m_state.omits_body) {
     m_connection->Write("0\r\n\r\n");
   }
   FinishAnswer();
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -108,6 +108,8 @@
     bool has_head = false;
     bool is_head_request = false;
     bool keep_alive = true;
+    // Whether the answer ends with its head.
+    bool omits_body = false;
     // Whether the head of the answer states that the connection closes.
     bool states_close = false;
   };
--- a/src/http1_parser.cc
+++ b/src/http1_parser.cc
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "http1_status.h"
+
 namespace bramleybank {
 namespace {
 
@@ -92,7 +94,11 @@
     if (!message.is_interim) {
       self->m_callbacks.on_head(std::move(message.head));
     }
-    return self->m_expects_no_body ? 1 : 0;
+    // A result of 1 tells the library that no body follows.
+    return self->m_expects_no_body ||
+                   HasNoBody(static_cast<int>(parser->status_code))
+               ? 1
+               : 0;
   }
 
   static int OnChunkSize(http_parser* parser) {
--- a/src/http1_status.cc
+++ b/src/http1_status.cc
@@ -1,9 +1,15 @@
-// Looks the reason phrases up in libhttp-parser.
+// Reason phrases come from libhttp-parser.
 #include "http1_status.h"
 
 #include <http_parser.h>
 
 namespace bramleybank {
+namespace {
+
+constexpr int kStatusNoContent = 204;
+constexpr int kStatusNotModified = 304;
+
+}  // namespace
 
 std::string_view ReasonPhrase(int status) {
   const std::string_view phrase =
@@ -11,4 +17,8 @@
   return phrase.starts_with('<') ? std::string_view("Status") : phrase;
 }
 
+bool HasNoBody(int status) {
+  return status == kStatusNoContent || status == kStatusNotModified;
+}
+
 }  // namespace bramleybank
--- a/tests/unit_gateway_kept_connection.cc
+++ b/tests/unit_gateway_kept_connection.cc
@@ -80,5 +80,17 @@
   CHECK(fixture.answer.substr(end).starts_with("HTTP/1.1 404 "));
 }
 
+// Guards against an answer that is awaited until the timeout of its route.
+TEST_CASE("an answer that never has a body is passed on at once") {
+  Fixture fixture({{{.bytes = "HTTP/1.1 304 Not Modified\r\n" + kSealHeaders +
+                              "Content-Length: 9\r\n\r\n",
+                     .closes = false}}});
+  fixture.Send("GET /read/1");
+  fixture.WaitForAnswer("\r\n\r\n");
+  CHECK(fixture.answer.starts_with("HTTP/1.1 304 "));
+  CHECK(fixture.answer.find("Content-Length") == std::string::npos);
+  CHECK(fixture.CountRequests() == 1);
+}
+
 }  // namespace
 }  // namespace bramleybank
--- a/tests/unit_http1_parser.cc
+++ b/tests/unit_http1_parser.cc
@@ -247,6 +247,23 @@
   CHECK(recorder.heads.size() == 1);
 }
 
+// Guards against waiting for a body that never comes. The lengths describe what
+// a GET request would get.
+TEST_CASE("a response that has no body ends with its head") {
+  for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+    for (const std::string framing :
+         {"Content-Length: 5", "Transfer-Encoding: chunked", "X: y"}) {
+      CAPTURE(status);
+      CAPTURE(framing);
+      Recorder recorder(Http1Parser::Direction::kResponses);
+      recorder.parser.Feed("HTTP/1.1 " + status + "\r\n" + framing +
+                           "\r\n\r\n");
+      CHECK(recorder.complete == 1);
+      CHECK(recorder.parser.error() == Http1ParseError::kNone);
+    }
+  }
+}
+
 // Guards against dropping the body of a later response on the connection.
 TEST_CASE("only the response to a HEAD request is read without a body") {
   Recorder recorder(Http1Parser::Direction::kResponses);
