The fields of a trailer do not become headers of a transfer

Seen: the field of a trailer in an answer of the store, an engine or a service was added to the headers of its transfer; one whose name starts with "HTTP/" removed all headers before it.

Change: lines behind the final head are counted against the limit and dropped.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -40,7 +40,8 @@
     HttpClientCallbacks callbacks;
     HttpOutcome outcome;
     bool paused = false;
-    bool headers_reported = false;
+    // The final status line and its headers have arrived.
+    bool has_head = false;
     size_t head_bytes = 0;
     bool cancelled = false;
   };
@@ -109,6 +110,10 @@
     if (transfer->head_bytes > kMaxClientHeadBytes) {
       return 0;
     }
+    if (transfer->has_head) {
+      // A field of the trailer, which is not part of the headers.
+      return length;
+    }
     const std::string_view line = TrimSpace({bytes, length});
     if (line.starts_with("HTTP/")) {
       // A new status line: discard the headers of an interim response.
@@ -133,10 +138,10 @@
       return true;
     }
     transfer->outcome.status = static_cast<int>(status);
-    if (transfer->headers_reported || !transfer->callbacks.on_headers) {
+    transfer->has_head = true;
+    if (!transfer->callbacks.on_headers) {
       return true;
     }
-    transfer->headers_reported = true;
     transfer->callbacks.on_headers(transfer->outcome.status,
                                    transfer->outcome.headers);
     return !transfer->cancelled;
--- a/tests/unit_http_client_answers.cc
+++ b/tests/unit_http_client_answers.cc
@@ -78,6 +78,29 @@
   }
 }
 
+// Guards against taking a trailer field for a header, such as the number of a
+// store's copy, or for the start of another answer.
+TEST_CASE("the fields of a trailer do not become headers") {
+  EventLoop loop;
+  FakeEndpoint server(
+      &loop, {{.bytes = "HTTP/1.1 200 OK\r\nX-Era: 1\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+                        "0\r\nHTTP/X: y\r\nX-Era: 2\r\nX-Late: 3\r\n\r\n"}});
+  HttpClient client(&loop);
+  std::optional<HttpOutcome> outcome;
+  client.Start(
+      Get(server.address(), "/"),
+      {.on_headers = nullptr,
+       .on_data = nullptr,
+       .on_done = [&](const HttpOutcome& result) { outcome = result; }});
+  WaitFor(&loop, [&] { return outcome.has_value(); });
+  REQUIRE(outcome);
+  CHECK(outcome->complete);
+  CHECK(outcome->body == "ok");
+  CHECK(FindHeader(outcome->headers, "X-Era") == "1");
+  CHECK_FALSE(FindHeader(outcome->headers, "X-Late"));
+}
+
 /// A server that keeps connections open and writes its previous answer on a
 /// connection once more before the next one.
 class RepeatingServer {
