Test that the product's own interface keeps trailers out of headers

The same cause was looked for in the other parser of requests, that of libmicrohttpd: it holds. The test guards against a change of the library or of how its values are read.

--- a/tests/unit_http_server.cc
+++ b/tests/unit_http_server.cc
@@ -12,6 +12,7 @@
 #include "http_request.h"
 #include "http_responder.h"
 #include "http_server.h"
+#include "tcp_connection.h"
 
 namespace bramleybank {
 namespace {
@@ -49,6 +50,9 @@
   }
 
   EventLoop& loop() { return m_loop; }
+  std::string address() const {
+    return std::string(kIp) + ":" + std::to_string(m_port);
+  }
 
   std::vector<HttpOutcome> outcomes;
 
@@ -139,6 +143,39 @@
   CHECK(handled == 0);
 }
 
+// Guards against handling a request with a header of the request before it.
+TEST_CASE("a trailer is no header of its request or of the next one") {
+  std::vector<HttpHeaders> heads;
+  ServerHarness harness([&](const HttpRequest& request, const auto& responder) {
+    heads.push_back(request.headers);
+    responder->Respond(200, {}, request.body);
+  });
+  std::string answers;
+  const auto caller = TcpConnection::Connect(
+      &harness.loop(), harness.address(), std::chrono::seconds(5),
+      {.on_connected = nullptr,
+       .on_data = [&](std::string_view data) { answers += data; },
+       .on_end = nullptr,
+       .on_drained = nullptr});
+  const std::string start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const auto send = [&](const std::string& rest) {
+    answers.clear();
+    caller->Write(start + rest);
+    REQUIRE(harness.RunUntil(
+        [&] { return answers.find("body") != std::string::npos; }));
+  };
+  send(
+      "Trailer: X-Late\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+      "0\r\nX-Late: 7\r\nAuthorization: k\r\n\r\n");
+  send("Content-Length: 4\r\n\r\nbody");
+  caller->Close();
+  REQUIRE(heads.size() == 2);
+  for (const HttpHeaders& headers : heads) {
+    CHECK_FALSE(FindHeader(headers, "X-Late"));
+    CHECK_FALSE(FindHeader(headers, "Authorization"));
+  }
+}
+
 TEST_CASE("a request of which no byte was sent is reported as unsent") {
   EventLoop loop;
   HttpClient client(&loop);
