One class for calls to engines; reports list the running generations

EndpointAdopter and StreamBackup bounded the reply of an engine in the same way, with the same fields; EngineCall does it for both. decode_report, in place of is_engine_report, returns what the report says about load and runs, for the judgement of silent streams that follows. No change of behaviour.

--- a/src/endpoint_adopter.cc
+++ b/src/endpoint_adopter.cc
@@ -5,6 +5,7 @@
 
 #include "bramleybank/limits.h"
 #include "endpoint_directory.h"
+#include "engine_call.h"
 #include "event_loop.h"
 #include "gateway_codec.h"
 #include "gateway_config.h"
@@ -22,11 +23,7 @@
       m_directory(directory),
       m_config(std::move(config)) {}
 
-EndpointAdopter::~EndpointAdopter() {
-  for (const auto& [address, probe] : m_probes) {
-    m_loop->Cancel(probe->timer);
-  }
-}
+EndpointAdopter::~EndpointAdopter() = default;
 
 bool EndpointAdopter::IsOnlyEngineService(const std::string& service) const {
   const auto config = m_config();
@@ -48,51 +45,30 @@
       m_probes.contains(entry.address) || !IsOnlyEngineService(entry.service)) {
     return;
   }
-  const auto probe = std::make_shared<Probe>();
-  probe->entry = entry;
-  probe->entry.id = new_id;
-  m_probes.emplace(entry.address, probe);
-  probe->attempt = std::make_unique<GatewayAttempt>(
-      m_loop, entry.address, m_codec->encode_report_request(),
-      /*is_head_request=*/false,
-      AttemptCallbacks{
-          .on_head = [](const Http1Head&) {},
-          .on_body = [this, probe = probe.get()](
-                         std::string_view data) { OnProbeBody(probe, data); },
-          .on_end = [this, address = entry.address](
-                        AttemptEnd end) { OnProbeEnd(address, end); }});
-  probe->timer =
-      m_loop->Schedule(kEngineReplyTimeout, [this, address = entry.address] {
-        OnProbeEnd(address, AttemptEnd::kBroken);
-      });
-}
-
-void EndpointAdopter::OnProbeBody(Probe* probe, std::string_view data) {
-  if (probe->body.size() + data.size() > kMaxEngineReplyBytes) {
-    OnProbeEnd(probe->entry.address, AttemptEnd::kBroken);
-    return;
-  }
-  probe->body.append(data);
+  EndpointEntry restarted = entry;
+  restarted.id = new_id;
+  m_probes.emplace(
+      entry.address,
+      std::make_unique<EngineCall>(
+          m_loop, entry.address, m_codec->encode_report_request(),
+          kEngineReplyTimeout, [this, restarted](const EngineReply& reply) {
+            OnReply(restarted, reply);
+          }));
 }
 
-void EndpointAdopter::OnProbeEnd(const std::string& address, AttemptEnd end) {
-  auto node = m_probes.extract(address);
-  const std::shared_ptr<Probe> probe = node.mapped();
-  m_loop->Cancel(probe->timer);
-  probe->attempt->Cancel();
-  // This runs inside a callback of the probe's attempt, so the attempt is freed
-  // in a later turn of the loop.
-  m_loop->Post([probe] {});
-  const bool adopted = end == AttemptEnd::kComplete &&
-                       m_codec->is_engine_report(probe->body) &&
+void EndpointAdopter::OnReply(const EndpointEntry& entry,
+                              const EngineReply& reply) {
+  const bool adopted = reply.is_complete() &&
+                       m_codec->decode_report(reply.body) &&
                        m_directory->is_store_lost();
   LogLine(LogEventId::kEndpointAdopted)
-      .Field("endpoint", probe->entry.id)
-      .Field("address", address)
+      .Field("endpoint", entry.id)
+      .Field("address", entry.address)
       .Field("adopted", adopted ? 1 : 0);
   if (adopted) {
-    m_directory->Adopt(probe->entry);
+    m_directory->Adopt(entry);
   }
+  m_probes.erase(entry.address);
 }
 
 }  // namespace bramleybank
--- a/src/endpoint_adopter.h
+++ b/src/endpoint_adopter.h
@@ -7,18 +7,16 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <string_view>
 
-#include "bramleybank/handle.h"
 #include "endpoint_entry.h"
-#include "gateway_attempt.h"
-#include "hooks.h"
 
 namespace bramleybank {
 
 class EndpointDirectory;
+class EngineCall;
 class EventLoop;
 class GatewayConfig;
+struct EngineReply;
 struct GatewayCodec;
 
 /// Adds restarted engines to the directory during an outage of the store. An
@@ -41,24 +39,16 @@
   void OnMisdirected(const EndpointEntry& entry, const std::string& new_id);
 
  private:
-  struct Probe {
-    EndpointEntry entry;
-    std::string body;
-    std::unique_ptr<GatewayAttempt> attempt;
-    TimerHandle timer;
-  };
-
   /// @returns whether `service` is the only configured service of engines.
   bool IsOnlyEngineService(const std::string& service) const;
-  void OnProbeBody(Probe* probe, std::string_view data);
-  void OnProbeEnd(const std::string& address, AttemptEnd end);
+  void OnReply(const EndpointEntry& entry, const EngineReply& reply);
 
   EventLoop* m_loop;
   const GatewayCodec* m_codec;
   EndpointDirectory* m_directory;
   const std::function<std::shared_ptr<const GatewayConfig>()> m_config;
-  // By address, with at most one probe in flight for each.
-  std::map<std::string, std::shared_ptr<Probe>> m_probes;
+  // Probes in flight by address.
+  std::map<std::string, std::unique_ptr<EngineCall>> m_probes;
 };
 
 }  // namespace bramleybank
--- a/src/gateway_codec.h
+++ b/src/gateway_codec.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "engine_report.h"
 #include "gateway_request.h"
 #include "http_types.h"
 
@@ -38,9 +39,10 @@
   std::function<std::string(const std::string& handle)> encode_copy_release;
   /// @returns a complete request for an engine's report.
   std::function<std::string()> encode_report_request;
-  /// @returns whether the body is an engine's report; other endpoints do not
-  /// provide one.
-  std::function<bool(const std::string& body)> is_engine_report;
+  /// @returns nothing when the body is not an engine's report; other endpoints
+  /// do not provide one.
+  std::function<std::optional<EngineReport>(const std::string& body)>
+      decode_report;
 };
 
 }  // namespace bramleybank
--- a/src/stream_backup.cc
+++ b/src/stream_backup.cc
@@ -6,6 +6,7 @@
 #include "bramleybank/limits.h"
 #include "endpoint_directory.h"
 #include "endpoint_picker.h"
+#include "engine_call.h"
 #include "event_loop.h"
 #include "gateway_codec.h"
 #include "log_event.h"
@@ -113,31 +114,17 @@
 void StreamBackup::StartCopy() {
   ++m_copy_requests_sent;
   m_copy_request_sent_at = m_loop->Now();
-  m_answer_body.clear();
-  m_answer_status = 0;
-  SendCopyRequest(
-      m_primary->address,
+  m_copy_request = std::make_unique<EngineCall>(
+      m_loop, m_primary->address,
       m_codec->encode_copy_request(m_request_id, m_holder->address),
-      {.on_head =
-           [this](const Http1Head& head) { m_answer_status = head.status; },
-       .on_body = [this](std::string_view data) { AppendAnswer(data); },
-       .on_end = [this](AttemptEnd end) { OnCopyEnd(end); }});
-  m_copy_request_timer = m_loop->Schedule(
-      kEngineReplyTimeout, [this] { OnCopyEnd(AttemptEnd::kBroken); });
-}
-
-void StreamBackup::AppendAnswer(std::string_view data) {
-  if (m_answer_body.size() + data.size() > kMaxEngineReplyBytes) {
-    OnCopyEnd(AttemptEnd::kBroken);
-    return;
-  }
-  m_answer_body.append(data);
+      kEngineReplyTimeout,
+      [this](const EngineReply& reply) { OnCopyReply(reply); });
 }
 
-void StreamBackup::OnCopyEnd(AttemptEnd end) {
-  CancelCopyRequest();
-  if (end == AttemptEnd::kComplete && m_answer_status == kStatusOk) {
-    m_requested_copy = m_codec->decode_copy_answer(m_answer_body);
+void StreamBackup::OnCopyReply(const EngineReply& reply) {
+  m_copy_request.reset();
+  if (reply.is_complete() && reply.status == kStatusOk) {
+    m_requested_copy = m_codec->decode_copy_answer(reply.body);
   }
   LogLine(LogEventId::kBackupReplaced)
       .Field("id", m_request_id)
@@ -147,26 +134,6 @@
       .Field("events", m_requested_copy ? m_requested_copy->events : 0);
 }
 
-void StreamBackup::SendCopyRequest(const std::string& address,
-                                   std::string message,
-                                   AttemptCallbacks callbacks) {
-  m_copy_request = std::make_unique<GatewayAttempt>(
-      m_loop, address, std::move(message),
-      /*is_head_request=*/false, std::move(callbacks));
-}
-
-void StreamBackup::CancelCopyRequest() {
-  m_loop->Cancel(std::exchange(m_copy_request_timer, TimerHandle()));
-  if (!m_copy_request) {
-    return;
-  }
-  m_copy_request->Cancel();
-  // This may run inside a callback of the attempt, so the attempt is freed in a
-  // later turn of the loop.
-  m_loop->Post([request = std::shared_ptr<GatewayAttempt>(
-                    std::move(m_copy_request))] {});
-}
-
 void StreamBackup::ReleaseHolder() {
   if (m_holder) {
     m_directory->OnBackupClosed(m_holder->id);
@@ -184,21 +151,17 @@
     m_requested_copy.reset();
     return;
   }
-  // The answer is ignored.
-  auto request = std::make_shared<std::unique_ptr<GatewayAttempt>>();
-  *request = std::make_unique<GatewayAttempt>(
+  // The call lives until its reply, which is ignored.
+  auto call = std::make_shared<std::unique_ptr<EngineCall>>();
+  *call = std::make_unique<EngineCall>(
       m_loop, m_primary->address,
-      m_codec->encode_copy_release(m_requested_copy->handle),
-      /*is_head_request=*/false,
-      AttemptCallbacks{.on_head = [](const Http1Head&) {},
-                       .on_body = [](std::string_view) {},
-                       .on_end = [](AttemptEnd) {}});
-  m_loop->Schedule(kCopyReleaseTime, [request] { request->reset(); });
+      m_codec->encode_copy_release(m_requested_copy->handle), kCopyReleaseTime,
+      [call](const EngineReply&) { call->reset(); });
   m_requested_copy.reset();
 }
 
 void StreamBackup::Close() {
-  CancelCopyRequest();
+  m_copy_request.reset();
   ReleaseHandle();
   ReleaseHolder();
   m_first_event.reset();
--- a/src/stream_backup.h
+++ b/src/stream_backup.h
@@ -6,11 +6,8 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 
-#include "bramleybank/handle.h"
 #include "endpoint_entry.h"
-#include "gateway_attempt.h"
 #include "gateway_request.h"
 #include "hooks.h"
 #include "rollout_rule.h"
@@ -19,8 +16,10 @@
 
 class EndpointDirectory;
 class EndpointPicker;
+class EngineCall;
 class EventLoop;
 struct EndpointRecord;
+struct EngineReply;
 struct GatewayCodec;
 
 /// Copy of the engine memory of one attempt. If the request names the engine
@@ -63,14 +62,9 @@
 
  private:
   void StartCopy();
-  void OnCopyEnd(AttemptEnd end);
+  void OnCopyReply(const EngineReply& reply);
   void ReleaseHolder();
   void ReleaseHandle();
-  void SendCopyRequest(const std::string& address,
-                       std::string message,
-                       AttemptCallbacks callbacks);
-  void AppendAnswer(std::string_view data);
-  void CancelCopyRequest();
 
   EventLoop* m_loop;
   const GatewayCodec* m_codec;
@@ -84,11 +78,8 @@
   // Set while there is a complete requested copy.
   std::optional<CopyAnswer> m_requested_copy;
   // Copy request in flight.
-  std::unique_ptr<GatewayAttempt> m_copy_request;
-  TimerHandle m_copy_request_timer;
+  std::unique_ptr<EngineCall> m_copy_request;
   TimePoint m_copy_request_sent_at;
-  int m_answer_status = 0;
-  std::string m_answer_body;
   // Copy requests sent for the current attempt.
   int m_copy_requests_sent = 0;
 };
--- a/tests/unit_platform_adapter.cc
+++ b/tests/unit_platform_adapter.cc
@@ -367,6 +367,34 @@
   CHECK_FALSE(codec.decode_answer({.status = 200}, "r").states_rate_limit);
 }
 
+// Guards against a malformed report that shows a run as lost.
+TEST_CASE("a report lists its runs, and malformed fields are not counts") {
+  const GatewayCodec codec = MakeGatewayCodec();
+  const std::string start = R"({"stage":"both","models":[],"kv_total":9)";
+  const auto report =
+      codec.decode_report(start + R"(,"queued":2,"running":3,)"
+                                  R"("runs":[["r1",700,12,5],["r3",8,0,5]]})");
+  REQUIRE(report);
+  CHECK(report->queued == 2);
+  CHECK(report->running == 3);
+  REQUIRE(report->runs);
+  CHECK(*report->runs ==
+        std::vector<EngineRun>{{.request_id = "r1", .events = 12},
+                               {.request_id = "r3", .events = 0}});
+  for (const std::string runs :
+       {R"({"r1":4})", R"([["r1",700,12,5],["r2",1]])", "[[3,4,5,6]]", "7"}) {
+    CAPTURE(runs);
+    const auto odd = codec.decode_report(
+        start + R"(,"queued":-1,"running":"3","runs":)" + runs + "}");
+    REQUIRE(odd);
+    CHECK_FALSE(odd->queued);
+    CHECK_FALSE(odd->running);
+    CHECK_FALSE(odd->runs);
+  }
+  CHECK_FALSE(codec.decode_report(R"({"stage":"both"})"));
+  CHECK_FALSE(codec.decode_report("busy"));
+}
+
 TEST_CASE("not-run, misdirected and sealed answers are recognized") {
   const GatewayCodec codec = MakeGatewayCodec();
   Http1Head head{.status = 421, .headers = {{"Request-Id", "other"}}};
