--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -249,16 +249,35 @@
 /// Size of one stream event. An engine's event with several tokens has a few
 /// hundred bytes.
 inline constexpr size_t kMaxEventBytes = 256 * 1024;
-/// Longest time between two events before a stream is moved to another engine.
-/// An engine that processes another prompt meanwhile takes about 230 ms for an
-/// event of 8 tokens.
-inline constexpr std::chrono::milliseconds kMaxEventSilence{400};
-/// A failure domain is considered lost when none of its streams has sent
-/// anything for this long.
-inline constexpr std::chrono::milliseconds kMaxDomainSilence{250};
+/// Longest pause between two events, and target for the first one, on routes
+/// that name none.
+inline constexpr std::chrono::milliseconds kDefaultEventGap{700};
+inline constexpr std::chrono::milliseconds kDefaultFirstEventTarget{4500};
+/// An engine whose stream is silent is probed after these shares of the route's
+/// longest pause and of its target for the first event. An engine that reads
+/// another prompt meanwhile takes about 230 ms for an event of 8 tokens.
+inline constexpr double kSuspiciousGapShare = 0.35;
+inline constexpr double kSuspiciousTargetShare = 0.5;
+inline constexpr std::chrono::milliseconds kMinSuspiciousSilence{150};
+/// A probe that is not answered within this time shows that its engine is lost;
+/// connecting and asking take 80 ms between regions. The time is shorter if
+/// several engines of a failure domain are silent.
+inline constexpr std::chrono::milliseconds kProbeTimeout{150};
+inline constexpr std::chrono::milliseconds kDomainProbeTimeout{100};
+/// Time between two probes of an engine; it doubles with each answer as long as
+/// they follow each other within kProbeStreakTime.
+inline constexpr std::chrono::milliseconds kMinProbeInterval{150};
+inline constexpr std::chrono::milliseconds kProbeStreakTime{5000};
+/// What a probe has shown is deleted after this time.
+inline constexpr std::chrono::seconds kProbeRetention{30};
+/// The state in an engine's report may be this old when it arrives.
+inline constexpr std::chrono::milliseconds kMaxReportAge{500};
+/// Shortest silence after which a report may show that a run is lost.
+inline constexpr std::chrono::milliseconds kMinLostRunSilence{400};
+/// A stream whose engine answers probes is moved after a silence of this many
+/// longest pauses; callers give up then.
+inline constexpr int kMaxExplainedGaps = 8;
 inline constexpr std::chrono::milliseconds kSilenceCheckInterval{50};
-/// Longest wait for the first event before another engine is tried.
-inline constexpr std::chrono::milliseconds kFirstEventTimeout{4500};
 /// Interval at which a successor is looked for while a silent attempt is kept,
 /// and the one for successors that only need a permit.
 inline constexpr std::chrono::milliseconds kSilenceRecheckInterval{1000};
--- a/src/engine_report.h
+++ b/src/engine_report.h
@@ -25,6 +25,8 @@
   /// Requests that have a slot; empty when not given. Those whose prompt is
   /// still being read are not among the runs.
   std::optional<int64_t> running;
+  /// Unix time of the engine's start in milliseconds; 0 when not given.
+  int64_t start_time_ms = 0;
   /// Empty when the engine does not list its runs.
   std::optional<std::vector<EngineRun>> runs;
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -15,6 +15,7 @@
 #include "endpoint_directory.h"
 #include "endpoint_limiter.h"
 #include "endpoint_picker.h"
+#include "endpoint_prober.h"
 #include "event_loop.h"
 #include "gateway_caller.h"
 #include "gateway_codec.h"
@@ -101,6 +102,9 @@
   void OnPromptQuarantined();
   void ArmSilenceCheck();
   void CheckSilence();
+  /// Engines send reports; those that have asked for no requests are not
+  /// probed.
+  bool IsProbeable(const EndpointRecord* endpoint) const;
   StopVerdict JudgeStop(const StopQuery& query) const;
   /// @param is_last whether the gateway stops right after this.
   void CloseIdleCallers(bool is_last);
@@ -130,7 +134,11 @@
       RetryLimits{.share = settings.retry_share,
                   .extra = settings.retry_extra /
                            static_cast<double>(kAssumedPeerCount)}};
-  StreamSilenceMonitor silence;
+  EndpointProber prober{loop, &codec, &metrics, [this] { CheckSilence(); }};
+  StreamSilenceMonitor silence{[this](const std::string& endpoint_id) {
+    return IsProbeable(directory.Find(endpoint_id)) ? &prober.Find(endpoint_id)
+                                                    : nullptr;
+  }};
   const GatewayMember self{.name = settings.name,
                            .failure_domain = settings.place.failure_domain,
                            .peer_address = settings.peer_address};
@@ -279,6 +287,7 @@
       .limiter = &limiter,
       .budget = &budget,
       .silence = &silence,
+      .prober = &prober,
       .metrics = &metrics,
       .adopter = &adopter,
       .rollouts = &rollouts,
@@ -605,19 +614,33 @@
   }
 }
 
+bool Gateway::Impl::IsProbeable(const EndpointRecord* endpoint) const {
+  if (endpoint == nullptr || !config || directory.IsRestricted(*endpoint)) {
+    return false;
+  }
+  const GatewayService* service = config->FindService(endpoint->entry.service);
+  return service != nullptr && service->engine;
+}
+
 void Gateway::Impl::CheckSilence() {
-  silence_timer = TimerHandle();
+  loop->Cancel(std::exchange(silence_timer, TimerHandle()));
   const SilenceFindings findings = silence.Check(loop->Now());
+  for (const std::string& id : findings.endpoints_to_probe) {
+    const EndpointRecord* endpoint = directory.Find(id);
+    if (IsProbeable(endpoint)) {
+      prober.Probe(endpoint->entry);
+    }
+  }
   for (const StreamLocation& place : findings.silent_domains) {
     directory.MarkDomainSuspect(place.service, place.failure_domain);
     LogLine(LogEventId::kDomainSilent)
         .Field("service", place.service)
         .Field("failure_domain", place.failure_domain);
   }
-  for (const uint64_t number : findings.silent_streams) {
-    const auto it = exchanges.find(number);
+  for (const SilentStream& stream : findings.silent_streams) {
+    const auto it = exchanges.find(stream.id);
     if (it != exchanges.end()) {
-      it->second->OnSilence();
+      it->second->OnSilence(stream.verdict);
     }
   }
   for (const auto& [number, exchange] : exchanges) {
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -10,6 +10,7 @@
 #include "endpoint_adopter.h"
 #include "endpoint_limiter.h"
 #include "endpoint_picker.h"
+#include "endpoint_prober.h"
 #include "event_loop.h"
 #include "gateway_caller.h"
 #include "gateway_codec.h"
@@ -221,6 +222,7 @@
   m_head = head;
   m_answer = m_context->codec->decode_answer(head, m_metadata.request_id);
   if (!m_answer.misdirected) {
+    m_context->prober->OnSign(m_endpoint.id);
     UpdateEndpointState();
   }
 }
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -30,6 +30,7 @@
 class EndpointAdopter;
 class EndpointLimiter;
 class EndpointPicker;
+class EndpointProber;
 class EventLoop;
 class GatewayCaller;
 class GatewayConfig;
@@ -39,6 +40,7 @@
 class RolloutController;
 class StreamSilenceMonitor;
 struct EndpointChoice;
+enum class SilenceVerdict : uint8_t;
 struct GatewayCodec;
 struct GatewayRoute;
 
@@ -51,6 +53,7 @@
   EndpointLimiter* limiter = nullptr;
   RetryBudget* budget = nullptr;
   StreamSilenceMonitor* silence = nullptr;
+  EndpointProber* prober = nullptr;
   MetricRegistry* metrics = nullptr;
   EndpointAdopter* adopter = nullptr;
   RolloutController* rollouts = nullptr;
@@ -82,7 +85,7 @@
 
   void Start();
   /// The silence monitor has found no progress in the current attempt.
-  void OnSilence();
+  void OnSilence(SilenceVerdict verdict);
   /// The gateway stops now: refuses a request whose answer has not begun.
   void RefuseForStop();
   /// Replaces or renews the KV cache backup of a running stream if necessary.
--- a/src/gateway_exchange_silence.cc
+++ b/src/gateway_exchange_silence.cc
@@ -14,6 +14,7 @@
 #include "gateway_exchange.h"
 #include "log_event.h"
 #include "metric_registry.h"
+#include "silence_judgement.h"
 #include "stream_silence_monitor.h"
 
 namespace bramleybank {
@@ -44,18 +45,25 @@
 }
 
 void GatewayExchange::MonitorSilence() {
+  const SilentRun run{
+      .request_id = m_metadata.request_id,
+      .endpoint_start_ms = m_endpoint.start_time_ms,
+      .limits = MakeSilenceLimits(m_route->latency_target,
+                                  m_route->max_event_gap, m_stream_started),
+      .has_event = m_attempt_has_event,
+      .last_event_id = m_last_event_id.value_or(0)};
   m_context->silence->Add(m_number,
                           {.service = m_service,
                            .failure_domain = m_endpoint.failure_domain,
                            .endpoint_id = m_endpoint.id},
-                          m_context->loop->Now());
+                          run, m_context->loop->Now());
 }
 
-void GatewayExchange::OnSilence() {
+void GatewayExchange::OnSilence(SilenceVerdict verdict) {
   if (!m_attempt) {
     return;
   }
-  if (const auto wait = ReplaceSilentAttempt("silent")) {
+  if (const auto wait = ReplaceSilentAttempt(NameOf(verdict))) {
     m_context->silence->Postpone(m_number, m_context->loop->Now() + *wait);
   }
 }
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 
 #include "bramleybank/limits.h"
+#include "endpoint_prober.h"
 #include "event_loop.h"
 #include "event_splitter.h"
 #include "gateway_caller.h"
@@ -69,7 +70,9 @@
     return;
   }
   if (has_progress) {
-    m_context->silence->OnEvent(m_number, m_context->loop->Now());
+    m_context->silence->OnEvent(m_number, m_last_event_id.value_or(0),
+                                m_context->loop->Now());
+    m_context->prober->OnSign(m_endpoint.id);
   }
   if (m_caller->backlog_bytes() > kMaxCallerBacklogBytes) {
     m_attempt->SetReading(false);
--- a/src/stream_silence_monitor.cc
+++ b/src/stream_silence_monitor.cc
@@ -2,10 +2,10 @@
 #include "stream_silence_monitor.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "bramleybank/limits.h"
+#include "endpoint_evidence.h"
 
 namespace bramleybank {
 namespace {
@@ -13,22 +13,49 @@
 // If the time since the last check exceeds this, the process was suspended.
 constexpr Duration kLateCheckThreshold = std::chrono::milliseconds(200);
 
+/// @returns whether the endpoint may be lost together with its domain. An
+/// endpoint that cannot be probed shows nothing but its silence.
+bool IsUnresponsive(const EndpointEvidence* evidence, TimePoint now) {
+  return evidence == nullptr ||
+         (evidence->unanswered_since &&
+          now - *evidence->unanswered_since >= kDomainProbeTimeout);
+}
+
+/// @returns whether the endpoint has answered a probe of this silence.
+bool HasAnswered(const EndpointEvidence* evidence, const SilentRun& run) {
+  return evidence != nullptr && evidence->reported_at > run.silent_since;
+}
+
 }  // namespace
 
+bool StreamSilenceMonitor::Domain::is_lost() const {
+  return silent_endpoints.size() >= kMinDomainLosses && !has_sign;
+}
+
+StreamSilenceMonitor::StreamSilenceMonitor(EvidenceHook evidence)
+    : m_evidence(std::move(evidence)) {}
+
 void StreamSilenceMonitor::Add(uint64_t stream,
                                StreamLocation location,
+                               SilentRun run,
                                TimePoint now) {
+  run.silent_since = now;
   m_streams.insert_or_assign(
-      stream, Stream{.location = std::move(location), .last_event = now});
+      stream, Stream{.location = std::move(location), .run = std::move(run)});
 }
 
-void StreamSilenceMonitor::OnEvent(uint64_t stream, TimePoint now) {
+void StreamSilenceMonitor::OnEvent(uint64_t stream,
+                                   uint64_t last_event_id,
+                                   TimePoint now) {
   const auto it = m_streams.find(stream);
-  if (it != m_streams.end()) {
-    it->second.last_event = now;
-    it->second.has_event = true;
-    it->second.postponed_until.reset();
+  if (it == m_streams.end()) {
+    return;
   }
+  SilentRun& run = it->second.run;
+  run.silent_since = now;
+  run.has_event = true;
+  run.last_event_id = std::max(run.last_event_id, last_event_id);
+  it->second.postponed_until.reset();
 }
 
 void StreamSilenceMonitor::Remove(uint64_t stream) {
@@ -42,56 +69,74 @@
   }
 }
 
+void StreamSilenceMonitor::Restart(TimePoint now) {
+  for (auto& [id, stream] : m_streams) {
+    stream.run.silent_since = now;
+    stream.postponed_until.reset();
+  }
+}
+
+void StreamSilenceMonitor::AddToDomain(const Stream& stream,
+                                       TimePoint now,
+                                       Domain* domain) const {
+  domain->sample = &stream;
+  if (stream.postponed_until) {
+    return;
+  }
+  const bool is_silent =
+      now - stream.run.silent_since >= stream.run.limits.event;
+  if (!is_silent) {
+    domain->has_sign = domain->has_sign || stream.run.has_event;
+    return;
+  }
+  const EndpointEvidence* evidence = m_evidence(stream.location.endpoint_id);
+  if (!IsUnresponsive(evidence, now)) {
+    domain->has_sign = domain->has_sign || HasAnswered(evidence, stream.run);
+  } else if (stream.run.has_event) {
+    domain->silent_endpoints.insert(stream.location.endpoint_id);
+  }
+}
+
+std::map<StreamSilenceMonitor::DomainKey, StreamSilenceMonitor::Domain>
+StreamSilenceMonitor::FindDomains(TimePoint now) const {
+  std::map<DomainKey, Domain> domains;
+  for (const auto& [id, stream] : m_streams) {
+    AddToDomain(
+        stream, now,
+        &domains[{stream.location.service, stream.location.failure_domain}]);
+  }
+  return domains;
+}
+
 SilenceFindings StreamSilenceMonitor::Check(TimePoint now) {
   SilenceFindings findings;
   const Duration since_check = now - std::exchange(m_last_check, now);
   if (since_check > kLateCheckThreshold) {
-    // Events may be waiting in the sockets, so the silence is measured from now
-    // on.
-    for (auto& [id, stream] : m_streams) {
-      stream.last_event = now;
-      stream.postponed_until.reset();
-    }
+    // Events may be waiting in the sockets.
+    Restart(now);
     return findings;
   }
-  std::map<std::pair<std::string_view, std::string_view>, DomainState> domains;
-  std::set<std::string_view> counted_endpoints;
-  for (const auto& [id, stream] : m_streams) {
-    DomainState& domain =
-        domains[{stream.location.service, stream.location.failure_domain}];
-    domain.sample = &stream;
-    if (stream.postponed_until) {
-      continue;
-    }
-    if (now - stream.last_event < kMaxDomainSilence) {
-      domain.has_recent_event = domain.has_recent_event || stream.has_event;
-    } else if (stream.has_event &&
-               counted_endpoints.insert(stream.location.endpoint_id).second) {
-      ++domain.silent_endpoints;
-    }
-  }
-  const auto is_lost = [&](const Stream& stream) {
-    const DomainState& domain =
-        domains[{stream.location.service, stream.location.failure_domain}];
-    return domain.silent_endpoints >= kMinDomainLosses &&
-           !domain.has_recent_event;
-  };
+  const std::map<DomainKey, Domain> domains = FindDomains(now);
   for (const auto& [key, domain] : domains) {
-    if (is_lost(*domain.sample)) {
+    if (domain.is_lost()) {
       findings.silent_domains.push_back(domain.sample->location);
     }
   }
   for (const auto& [id, stream] : m_streams) {
-    if (stream.postponed_until) {
-      if (now >= *stream.postponed_until) {
-        findings.silent_streams.push_back(id);
-      }
+    const StreamLocation& location = stream.location;
+    SilenceVerdict verdict =
+        JudgeSilence(stream.run, m_evidence(location.endpoint_id), now);
+    if (verdict != SilenceVerdict::kWait) {
+      findings.endpoints_to_probe.insert(location.endpoint_id);
+    }
+    if (stream.postponed_until && now < *stream.postponed_until) {
       continue;
     }
-    const Duration limit =
-        stream.has_event ? kMaxEventSilence : kFirstEventTimeout;
-    if (now - stream.last_event > limit || is_lost(stream)) {
-      findings.silent_streams.push_back(id);
+    if (domains.at({location.service, location.failure_domain}).is_lost()) {
+      verdict = SilenceVerdict::kEndpointLost;
+    }
+    if (IsLost(verdict)) {
+      findings.silent_streams.push_back({.id = id, .verdict = verdict});
     }
   }
   return findings;
--- a/src/stream_silence_monitor.h
+++ b/src/stream_silence_monitor.h
@@ -4,15 +4,22 @@
 #define BRAMLEYBANK_SRC_STREAM_SILENCE_MONITOR_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "hooks.h"
+#include "silence_judgement.h"
 
 namespace bramleybank {
 
+struct EndpointEvidence;
+
 /// Where a stream runs.
 struct StreamLocation {
   std::string service;
@@ -23,29 +30,51 @@
                           const StreamLocation&) = default;
 };
 
+/// A stream that is to be moved to another endpoint.
+struct SilentStream {
+  uint64_t id = 0;
+  SilenceVerdict verdict = SilenceVerdict::kWait;
+
+  friend bool operator==(const SilentStream&, const SilentStream&) = default;
+};
+
 /// Result of one check.
 struct SilenceFindings {
-  /// Ids of the streams that are to be moved to another engine.
-  std::vector<uint64_t> silent_streams;
+  std::vector<SilentStream> silent_streams;
+  /// Ids of endpoints whose streams are silent, to be probed.
+  std::set<std::string> endpoints_to_probe;
   /// One location in each service and failure domain that has fallen silent.
   std::vector<StreamLocation> silent_domains;
+
+  friend bool operator==(const SilenceFindings&,
+                         const SilenceFindings&) = default;
 };
 
 /// Watches the streams of one gateway. An engine that disappears without a
-/// connection reset can be detected only by its silence. An engine that
-/// prefills another prompt is silent, too, but for a shorter time. If all
-/// streams of a failure domain fall silent together, the domain is lost, and a
-/// shorter timeout is enough. Streams there that wait for their first event are
-/// moved as well.
+/// connection reset can be detected only by its silence, and a sound engine may
+/// be silent as well; see silence_judgement.h. If several endpoints of a
+/// failure domain are silent and do not answer, and no stream there has an
+/// event, the domain is lost. All its streams are moved then, also those that
+/// wait for their first event.
 class StreamSilenceMonitor {
  public:
-  /// A request for a stream was sent to an engine.
-  void Add(uint64_t stream, StreamLocation location, TimePoint now);
+  /// @returns what is known about an endpoint; null if it cannot be probed.
+  using EvidenceHook =
+      std::function<const EndpointEvidence*(const std::string& endpoint_id)>;
+
+  explicit StreamSilenceMonitor(EvidenceHook evidence);
+
+  /// A request for a stream was sent to an engine, or its answer is read again.
+  void Add(uint64_t stream,
+           StreamLocation location,
+           SilentRun run,
+           TimePoint now);
   /// An event of the stream has arrived.
-  void OnEvent(uint64_t stream, TimePoint now);
+  /// @param last_event_id of this event; 0 if it has none.
+  void OnEvent(uint64_t stream, uint64_t last_event_id, TimePoint now);
   void Remove(uint64_t stream);
   /// A silent stream stays at its engine. It is no longer evidence about its
-  /// domain, and is reported again at `until` unless it has an event before.
+  /// domain, and is judged again at `until` unless it has an event before.
   void Postpone(uint64_t stream, TimePoint until);
 
   /// Checks all streams; must be called at a regular interval. A check that
@@ -58,20 +87,28 @@
  private:
   struct Stream {
     StreamLocation location;
-    // Time of the last event; before the first one, time of the start.
-    TimePoint last_event;
-    bool has_event = false;
+    SilentRun run;
     std::optional<TimePoint> postponed_until = std::nullopt;
   };
 
   /// State of the streams of one service in one failure domain.
-  struct DomainState {
-    size_t silent_endpoints = 0;
-    bool has_recent_event = false;
+  struct Domain {
+    std::set<std::string_view> silent_endpoints;
+    // Any of its endpoints has sent an event or answered a probe.
+    bool has_sign = false;
     // Any stream of the domain.
     const Stream* sample = nullptr;
+
+    bool is_lost() const;
   };
+  using DomainKey = std::pair<std::string_view, std::string_view>;
+
+  /// Measures all silences from now on.
+  void Restart(TimePoint now);
+  std::map<DomainKey, Domain> FindDomains(TimePoint now) const;
+  void AddToDomain(const Stream& stream, TimePoint now, Domain* domain) const;
 
+  const EvidenceHook m_evidence;
   std::map<uint64_t, Stream> m_streams;
   TimePoint m_last_check;
 };
--- a/tests/gateway_fakes.h
+++ b/tests/gateway_fakes.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,8 +81,8 @@
   std::vector<StoreWrite> writes;
 };
 
-/// An endpoint on loopback. Each connection runs the next step of the script;
-/// the last step is used for all further connections.
+/// An endpoint on loopback. Each request runs the next step of the script; the
+/// last step is used for all further requests.
 class FakeEndpoint {
  public:
   struct Step {
@@ -104,7 +105,12 @@
     m_port = *m_listener.Start("127.0.0.1:0", [this](int fd) { Accept(fd); });
   }
 
+  /// From now on requests for an engine's report are not part of the script.
+  /// @param json answer to them; empty to leave them without one.
+  void SetReport(std::string json) { m_report = std::move(json); }
+
   std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+  size_t reports_requested() const { return m_reports_requested; }
   /// The requests that arrived, each with at least its complete head.
   const std::vector<std::string>& requests() const { return m_requests; }
   size_t closed_by_peer() const { return m_closed_by_peer; }
@@ -125,18 +131,16 @@
     auto peer = std::make_shared<Peer>();
     peer->fd = fd;
     m_peers.push_back(peer);
-    const size_t number = std::min(m_accepted++, m_script.size() - 1);
     peer->connection = TcpConnection::Adopt(
         m_loop, fd,
         {.on_connected = nullptr,
          .on_data =
-             [this, peer, number](std::string_view data) {
+             [this, peer](std::string_view data) {
                peer->input.append(data);
                if (!peer->answered &&
                    peer->input.find("\r\n\r\n") != std::string::npos) {
                  peer->answered = true;
-                 m_requests.push_back(peer->input);
-                 RunStep(peer, m_script[number]);
+                 Answer(peer);
                }
              },
          .on_end =
@@ -147,6 +151,24 @@
          .on_drained = nullptr});
   }
 
+  void Answer(const std::shared_ptr<Peer>& peer) {
+    if (m_report && peer->input.starts_with("GET /api/report ")) {
+      ++m_reports_requested;
+      SendReport(peer);
+      return;
+    }
+    m_requests.push_back(peer->input);
+    RunStep(peer, m_script[std::min(m_requests.size(), m_script.size()) - 1]);
+  }
+
+  void SendReport(const std::shared_ptr<Peer>& peer) const {
+    if (!m_report->empty()) {
+      peer->connection->Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                              std::to_string(m_report->size()) + "\r\n\r\n" +
+                              *m_report);
+    }
+  }
+
   void RunStep(const std::shared_ptr<Peer>& peer, const Step& step) {
     peer->connection->Write(step.bytes);
     if (step.resets) {
@@ -192,7 +214,8 @@
   std::vector<Step> m_script;
   TcpListener m_listener;
   uint16_t m_port = 0;
-  size_t m_accepted = 0;
+  std::optional<std::string> m_report;
+  size_t m_reports_requested = 0;
   size_t m_closed_by_peer = 0;
   std::vector<std::string> m_requests;
   std::vector<std::shared_ptr<Peer>> m_peers;
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -182,7 +182,7 @@
       {{{.bytes = kStreamHead,
          .closes = false,
          .repeated = "",
-         .interval = kMaxEventSilence / 3,
+         .interval = kDefaultEventGap / 3,
          .pieces = {Chunk("id: 1\nda"), Chunk("ta: t\n\n"),
                     Chunk("id: 2\ndata: t"), Chunk("\n\n"), "0\r\n\r\n"}}},
        {{.bytes = kStreamHead + "0\r\n\r\n"}}});
@@ -542,7 +542,7 @@
 // Guards against cutting a slow stream because no other attempt is allowed.
 TEST_CASE("a silent stream that must not be retried is not cut") {
   Fixture fixture({{{.bytes = kStreamHead + Chunk(Event(1)),
-                     .interval = 2 * Duration(kMaxEventSilence),
+                     .interval = 2 * Duration(kDefaultEventGap),
                      .pieces = {"", Chunk(Event(2)), "0\r\n\r\n"}}}},
                   kConfig, /*retries=*/0);
   fixture.Send("POST /write/x");
--- a/tests/unit_gateway_silence.cc
+++ b/tests/unit_gateway_silence.cc
@@ -28,6 +28,12 @@
  "timeout_ms":4000,"service":"app","max_attempts":4,"resumable":true}],
 "services":[{"name":"app","health_path":"/health","max_conns":9}],
 "tenants":[{"name":"family","api_keys":["good"]}]})";
+constexpr char kEngineSilenceConfig[] = R"({"version":3,"routes":[
+{"name":"write","host":"h.example","prefix":"/write/","kind":"streaming",
+ "timeout_ms":4000,"target_gap_ms":700,"service":"app","max_attempts":4,
+ "resumable":true}],
+"services":[{"name":"app","engine":{"slots":4}}],
+"tenants":[{"name":"family","api_keys":["good"]}]})";
 const std::string kStreamEnd = "0\r\n\r\n";
 const Step kSilent = {.bytes = "", .closes = false};
 
@@ -226,5 +232,42 @@
   CheckSlowAnswer(&fixture);
 }
 
+/// @returns the report of an engine that runs the request of the fixture.
+std::string Report(int events) {
+  return R"({"stage":"both","models":[],"kv_total":9,"queued":0,"running":1,)"
+         R"("runs":[["r1",700,)" +
+         std::to_string(events) + ",5]]}";
+}
+
+// Guards against a stream that runs at two engines because the first one pauses
+// as its route allows, or for a second.
+TEST_CASE("a pausing stream stays at an engine that answers probes") {
+  for (const milliseconds pause : {milliseconds(600), milliseconds(1300)}) {
+    Step step = SlowStream();
+    step.interval = pause;
+    GatewayFixture fixture({{step}, {{.bytes = kStreamHead + kStreamEnd}}},
+                           kEngineSilenceConfig);
+    fixture.endpoints[0]->SetReport(Report(1));
+    CheckSlowStream(&fixture);
+    CHECK(fixture.endpoints[0]->reports_requested() > 0);
+    CHECK(fixture.endpoints[1]->requests().empty());
+  }
+}
+
+// Guards against streams that wait for an engine that is gone, or for events
+// that a dead connection holds back.
+TEST_CASE("a silent stream leaves an engine that has lost it") {
+  for (const std::string& report : {std::string(), Report(9)}) {
+    CAPTURE(report);
+    GatewayFixture fixture(
+        {{{.bytes = kStreamHead + Chunk(Event(1)), .closes = false}},
+         {{.bytes = kStreamHead + Chunk(Event(2)) + kStreamEnd}}},
+        kEngineSilenceConfig);
+    fixture.endpoints[0]->SetReport(report);
+    CheckSlowStream(&fixture);
+    CHECK(fixture.endpoints[1]->requests().size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace bramleybank
