State of an attempt is a type of its own; retries have a file of their own

ExchangeAttempt holds what belongs to one send of a request, which GatewayExchange reset field by field. No change of behaviour.

--- /dev/null
+++ b/src/exchange_attempt.h
@@ -0,0 +1,49 @@
+// One send of a request to an endpoint, and what has come back.
+#ifndef BRAMLEYBANK_SRC_EXCHANGE_ATTEMPT_H_
+#define BRAMLEYBANK_SRC_EXCHANGE_ATTEMPT_H_
+
+#include <cstddef>
+#include <memory>
+
+#include "answer_buffer.h"
+#include "endpoint_entry.h"
+#include "event_splitter.h"
+#include "gateway_attempt.h"
+#include "gateway_request.h"
+#include "hooks.h"
+#include "http1_parser.h"
+#include "stream_backup.h"
+
+namespace bramleybank {
+
+/// State of one attempt of an exchange.
+struct ExchangeAttempt {
+  /// @param buffered_bytes bytes of all incomplete answers that are buffered.
+  explicit ExchangeAttempt(size_t* buffered_bytes) : body(buffered_bytes) {}
+
+  /// Number of the send within its exchange.
+  int number = 0;
+  EndpointEntry endpoint;
+  TimePoint started_at;
+  /// Null before the attempt starts and after it has ended.
+  std::unique_ptr<GatewayAttempt> connection;
+  /// Copy of the run's KV cache. Set once the attempt has started.
+  std::unique_ptr<StreamBackup> backup;
+  Http1Head head;
+  AnswerMetadata answer;
+  AnswerBuffer body;
+  EventSplitter events;
+  /// Not counting comments and empty lines.
+  bool has_event = false;
+  /// The attempt continues a stream that has begun, and none of its events has
+  /// shown by its id that it does.
+  bool must_follow = false;
+  /// An event has arrived.
+  bool has_begun = false;
+  /// The attempt was silent and could not be replaced; for the log.
+  bool is_kept = false;
+};
+
+}  // namespace bramleybank
+
+#endif  // BRAMLEYBANK_SRC_EXCHANGE_ATTEMPT_H_
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -12,6 +12,7 @@
 #include "endpoint_picker.h"
 #include "endpoint_prober.h"
 #include "event_loop.h"
+#include "exchange_attempt.h"
 #include "gateway_caller.h"
 #include "gateway_codec.h"
 #include "gateway_config.h"
@@ -48,12 +49,7 @@
       m_metadata(context->codec->decode_request(m_request.headers)),
       m_on_finished(std::move(on_finished)),
       m_config(context->config()),
-      m_body(context->buffered_bytes),
-      m_backup(context->loop,
-               context->codec,
-               context->directory,
-               context->picker,
-               m_metadata.request_id),
+      m_current(std::make_unique<ExchangeAttempt>(context->buffered_bytes)),
       m_alive(std::make_shared<GatewayExchange*>(this)),
       m_last_event_id(m_metadata.last_event_id) {}
 
@@ -150,57 +146,82 @@
 
 void GatewayExchange::StartAttempt(const EndpointRecord& endpoint,
                                    bool from_backup) {
-  m_endpoint = endpoint.entry;
-  m_attempt_start = m_context->loop->Now();
-  m_head = {};
-  m_answer = {};
-  m_body.Clear();
-  m_events = {};
-  m_attempt_has_event = false;
-  m_attempt_must_follow = m_events_forwarded > 0;
-  m_attempt_has_begun = false;
-  m_attempt_is_kept = false;
+  auto attempt = PrepareAttempt(endpoint);
+  std::string message = RenderRequest(endpoint, from_backup, attempt.get());
   m_permit_wait_end.reset();
-  m_tried_endpoints.push_back(m_endpoint.id);
-  ++m_sends;
+  SetCurrent(std::move(attempt));
+  OnSend(endpoint, from_backup);
+  if (is_stream()) {
+    MonitorSilence();
+  }
+  Connect(m_current.get(), std::move(message));
+  ArmAttemptTimer();
+}
+
+std::unique_ptr<ExchangeAttempt> GatewayExchange::PrepareAttempt(
+    const EndpointRecord& endpoint) {
+  auto attempt = std::make_unique<ExchangeAttempt>(m_context->buffered_bytes);
+  attempt->number = ++m_sends;
+  attempt->endpoint = endpoint.entry;
+  attempt->started_at = m_context->loop->Now();
+  attempt->must_follow = m_events_forwarded > 0;
+  if (is_stream() && SupportsBackup()) {
+    attempt->backup = std::make_unique<StreamBackup>(
+        m_context->loop, m_context->codec, m_context->directory,
+        m_context->picker, m_metadata.request_id);
+  }
+  return attempt;
+}
+
+void GatewayExchange::SetCurrent(std::unique_ptr<ExchangeAttempt> attempt) {
+  std::swap(m_current, attempt);
+  // Freed later, because this may run inside a callback of the former attempt.
+  m_context->loop->Post(
+      [former = std::shared_ptr<ExchangeAttempt>(std::move(attempt))] {});
+}
+
+void GatewayExchange::OnSend(const EndpointRecord& endpoint, bool from_backup) {
+  m_tried_endpoints.push_back(endpoint.entry.id);
   if (endpoint.rate_limit) {
     m_context->metrics->Count("bramleybank_sends_to_limited_total", "attempt",
                               m_sends > 1 ? "repeat" : "first");
   }
-  std::string message = RenderRequest(endpoint, from_backup);
-  m_context->directory->OnAttemptStarted(m_endpoint.id);
+  m_context->directory->OnAttemptStarted(endpoint.entry.id);
   m_context->limiter->OnSend(endpoint);
-  if (is_stream()) {
-    LogLine(LogEventId::kAttemptStarted)
-        .Field("id", m_metadata.request_id)
-        .Field("endpoint", m_endpoint.id)
-        .Field("open_here", endpoint.open_attempts)
-        .Field("restores", from_backup ? 1 : 0)
-        .Field("prompt_at", m_prompt_endpoint_id)
-        .Field("backup", m_backup.holder_id())
-        .Field("after_event",
-               static_cast<long long>(m_last_event_id.value_or(0)));
-    if (SupportsBackup() && !m_metadata.prompt_parts.empty()) {
-      m_context->prompts->OnStreamStarted(m_metadata.prompt_parts,
-                                          m_endpoint.id);
-    }
-    MonitorSilence();
+  if (!is_stream()) {
+    return;
+  }
+  LogLine(LogEventId::kAttemptStarted)
+      .Field("id", m_metadata.request_id)
+      .Field("endpoint", endpoint.entry.id)
+      .Field("open_here", endpoint.open_attempts)
+      .Field("restores", from_backup ? 1 : 0)
+      .Field("prompt_at", m_prompt_endpoint_id)
+      .Field("backup", m_current->backup ? m_current->backup->holder_id() : "")
+      .Field("after_event",
+             static_cast<long long>(m_last_event_id.value_or(0)));
+  if (SupportsBackup() && !m_metadata.prompt_parts.empty()) {
+    m_context->prompts->OnStreamStarted(m_metadata.prompt_parts,
+                                        endpoint.entry.id);
   }
-  m_attempt = std::make_unique<GatewayAttempt>(
-      m_context->loop, m_endpoint.address, std::move(message),
+}
+
+void GatewayExchange::Connect(ExchangeAttempt* attempt, std::string message) {
+  attempt->connection = std::make_unique<GatewayAttempt>(
+      m_context->loop, attempt->endpoint.address, std::move(message),
       m_request.method == "HEAD",
       AttemptCallbacks{
           .on_head = [this](const Http1Head& head) { OnHead(head); },
           .on_body = [this](std::string_view data) { OnBody(data); },
           .on_end = [this](AttemptEnd end) { OnAttemptEnd(end); }});
-  ArmAttemptTimer();
 }
 
 std::string GatewayExchange::RenderRequest(const EndpointRecord& endpoint,
-                                           bool from_backup) {
-  const HttpHeaders headers =
-      m_context->codec->encode_attempt(RemoveHopByHopHeaders(m_request.headers),
-                                       DescribeAttempt(endpoint, from_backup));
+                                           bool from_backup,
+                                           ExchangeAttempt* attempt) {
+  const HttpHeaders headers = m_context->codec->encode_attempt(
+      RemoveHopByHopHeaders(m_request.headers),
+      DescribeAttempt(endpoint, from_backup, attempt));
   std::string message = m_request.method + " " + m_request.target;
   message.append(" HTTP/1.1\r\n");
   for (const auto& [name, value] : headers) {
@@ -219,26 +240,27 @@
 }
 
 void GatewayExchange::OnHead(const Http1Head& head) {
-  m_head = head;
-  m_answer = m_context->codec->decode_answer(head, m_metadata.request_id);
-  if (!m_answer.misdirected) {
-    m_context->prober->OnSign(m_endpoint.id);
+  m_current->head = head;
+  m_current->answer =
+      m_context->codec->decode_answer(head, m_metadata.request_id);
+  if (!m_current->answer.misdirected) {
+    m_context->prober->OnSign(m_current->endpoint.id);
     UpdateEndpointState();
   }
 }
 
 void GatewayExchange::OnBody(std::string_view data) {
-  const bool is_event_stream = is_stream() && IsSuccess(m_head.status) &&
-                               m_answer.has_seal &&
-                               !m_answer.has_other_request_id;
+  const bool is_event_stream =
+      is_stream() && IsSuccess(m_current->head.status) &&
+      m_current->answer.has_seal && !m_current->answer.has_other_request_id;
   if (!is_event_stream) {
-    if (!m_body.Append(data)) {
+    if (!m_current->body.Append(data)) {
       FailAttempt(EndpointOutcome::kFailed, RetryReason::kTooLarge,
                   "answer body exceeds the size limit");
     }
     return;
   }
-  m_events.Feed(data);
+  m_current->events.Feed(data);
   ForwardEvents();
 }
 
@@ -257,22 +279,23 @@
 }
 
 void GatewayExchange::OnAnswerComplete() {
-  if (m_answer.has_other_request_id ||
-      (IsSuccess(m_head.status) && !m_answer.has_seal)) {
+  if (m_current->answer.has_other_request_id ||
+      (IsSuccess(m_current->head.status) && !m_current->answer.has_seal)) {
     FailAttempt(EndpointOutcome::kFailed, RetryReason::kEarlyEnd,
                 "answer has another request id or a success without seal");
     return;
   }
-  if (m_answer.misdirected) {
-    m_context->adopter->OnMisdirected(m_endpoint, m_answer.endpoint_id);
+  if (m_current->answer.misdirected) {
+    m_context->adopter->OnMisdirected(m_current->endpoint,
+                                      m_current->answer.endpoint_id);
   }
-  if (m_answer.not_run || m_answer.misdirected) {
-    FailAttempt(m_answer.misdirected ? EndpointOutcome::kMisdirected
-                                     : EndpointOutcome::kRefused,
+  if (m_current->answer.not_run || m_current->answer.misdirected) {
+    FailAttempt(m_current->answer.misdirected ? EndpointOutcome::kMisdirected
+                                              : EndpointOutcome::kRefused,
                 RetryReason::kRefusedByEndpoint, "refused");
     return;
   }
-  if (is_stream() && IsSuccess(m_head.status)) {
+  if (is_stream() && IsSuccess(m_current->head.status)) {
     OnStreamComplete();
     return;
   }
@@ -281,7 +304,7 @@
                 "answer does not continue the stream");
     return;
   }
-  const bool failed = m_head.status >= kMinServerErrorStatus;
+  const bool failed = m_current->head.status >= kMinServerErrorStatus;
   EndAttempt(failed ? EndpointOutcome::kFailed : EndpointOutcome::kAnswered);
   if (!failed) {
     RecordAnswerTime();
@@ -292,112 +315,18 @@
     StartNextAttempt();
     return;
   }
-  m_caller->Answer(m_head.status, RemoveHopByHopHeaders(m_head.headers),
-                   m_body.bytes());
+  m_caller->Answer(m_current->head.status,
+                   RemoveHopByHopHeaders(m_current->head.headers),
+                   m_current->body.bytes());
   Finish();
 }
 
-void GatewayExchange::EndAttempt(EndpointOutcome outcome) {
-  m_context->silence->Remove(m_number);
-  m_context->directory->OnAttemptEnded(m_endpoint.id, outcome);
-  if (!m_attempt) {
-    return;
-  }
-  m_attempt->Cancel();
-  // Deleted later, because the attempt may be inside its own callback.
-  m_context->loop->Post(
-      [attempt = std::shared_ptr<GatewayAttempt>(std::move(m_attempt))] {});
-}
-
-void GatewayExchange::ReportVersionOutcome(bool failed) {
-  m_context->rollouts->Observe(m_service, m_route->name, m_endpoint.version,
-                               failed,
-                               m_context->loop->Now() - m_attempt_start);
-}
-
-void GatewayExchange::FailAttempt(EndpointOutcome outcome,
-                                  RetryReason reason,
-                                  std::string_view detail) {
-  EndFailedAttempt(outcome, reason, detail);
-  if (m_possible_runs == 0 && !MayStillSend()) {
-    GiveUpForStop();
-    return;
-  }
-  if (TryAcquireRetry(reason)) {
-    StartNextAttempt();
-    return;
-  }
-  GiveUp(m_possible_runs > 0 ? ResultCode::kAnswerLost
-                             : ResultCode::kOverloaded);
-}
-
-void GatewayExchange::EndFailedAttempt(EndpointOutcome outcome,
-                                       RetryReason reason,
-                                       std::string_view detail) {
-  const bool may_have_run = m_attempt && m_attempt->was_sent() &&
-                            outcome != EndpointOutcome::kRefused &&
-                            outcome != EndpointOutcome::kMisdirected;
-  EndAttempt(outcome);
-  if (outcome == EndpointOutcome::kLost && reason == RetryReason::kEarlyEnd) {
-    ReportCrash();
-  }
-  if (may_have_run) {
-    m_is_trial = false;
-    ++m_possible_runs;
-    ReportVersionOutcome(/*failed=*/true);
-  }
-  LogLine(LogEventId::kAttemptEnded)
-      .Field("id", m_metadata.request_id)
-      .Field("endpoint", m_endpoint.id)
-      .Field("address", m_endpoint.address)
-      .Field("reason", NameOf(reason))
-      .Field("detail", detail)
-      .Field("may_have_run", may_have_run ? 1 : 0)
-      .Field("head", m_head.status != 0 ? 1 : 0)
-      .Field("begun", m_attempt_has_event ? 1 : 0)
-      .Field("parts", FormatParts(m_metadata.shared_parts))
-      .Field("last_event", static_cast<long long>(m_last_event_id.value_or(0)))
-      .Field("attempt_ms",
-             ToMilliseconds(m_context->loop->Now() - m_attempt_start));
-  m_context->metrics->Count("bramleybank_attempts_lost_total", "reason",
-                            NameOf(reason));
-}
-
-bool GatewayExchange::MayRetry() const {
-  if (m_position_is_unknown) {
-    return false;
-  }
-  const bool is_running = m_attempt && m_attempt->was_sent();
-  const int runs = m_possible_runs + (is_running ? 1 : 0);
-  if (runs > 0 && (!m_route->IsIdempotent() || runs >= m_route->max_attempts)) {
-    return false;
-  }
-  return m_sends < m_route->max_attempts + kMaxExtraSends &&
-         TimeLeft() > Duration{0} && MayStillSend();
-}
-
-bool GatewayExchange::ChargeRetry(RetryReason reason) {
-  if (reason == RetryReason::kConnectFailed) {
-    // No endpoint received the request, so the retry adds no load and does not
-    // count against the retry budget.
-    return true;
-  }
-  const bool granted = m_context->budget->TryRetry(m_service, reason);
-  m_context->metrics->Count(granted ? "bramleybank_retries_total"
-                                    : "bramleybank_retries_refused_total",
-                            "reason", NameOf(reason));
-  return granted;
-}
-
-bool GatewayExchange::TryAcquireRetry(RetryReason reason) {
-  return MayRetry() && ChargeRetry(reason);
-}
-
 void GatewayExchange::OnTimeout() {
   m_timer = TimerHandle();
   const bool may_have_run =
-      m_possible_runs > 0 || (m_attempt && m_attempt->was_sent());
-  if (m_attempt) {
+      m_possible_runs > 0 ||
+      (m_current->connection && m_current->connection->was_sent());
+  if (m_current->connection) {
     if (may_have_run) {
       ReportVersionOutcome(/*failed=*/true);
     }
@@ -415,35 +344,12 @@
   LogLine(LogEventId::kStreamCallerGone)
       .Field("id", m_metadata.request_id)
       .Field("events", static_cast<long long>(m_events_forwarded));
-  if (m_attempt) {
+  if (m_current->connection) {
     EndAttempt(EndpointOutcome::kCancelled);
   }
   Finish();
 }
 
-void GatewayExchange::GiveUp(ResultCode code) {
-  if (m_stream_started) {
-    LogLine(LogEventId::kStreamGivenUp)
-        .Field("id", m_metadata.request_id)
-        .Field("code", static_cast<int>(code))
-        .Field("last_event",
-               static_cast<long long>(m_last_event_id.value_or(0)));
-    m_context->metrics->Count("bramleybank_streams_given_up_total");
-    m_caller->Abort();
-    Finish();
-    return;
-  }
-  if (m_possible_runs > 0) {
-    Refuse(code == ResultCode::kTimedOut ? code : ResultCode::kAnswerLost,
-           Duration{0});
-    return;
-  }
-  // If endpoints have named a time for the next request, callers get it as
-  // Retry-After.
-  Refuse(code, m_context->limiter->RemainingWait(m_service).value_or(
-                   kBusyRetryAfter));
-}
-
 void GatewayExchange::Refuse(ResultCode code, Duration retry_after) {
   LogLine(LogEventId::kRequestRefused)
       .Field("id", m_metadata.request_id)
@@ -468,7 +374,9 @@
     return;
   }
   m_is_finished = true;
-  m_backup.Close();
+  if (m_current->backup) {
+    m_current->backup->Close();
+  }
   m_context->loop->Cancel(m_timer);
   m_timer = TimerHandle();
   m_context->loop->Cancel(m_attempt_timer);
@@ -478,10 +386,10 @@
     LogLine(LogEventId::kRequestEnded)
         .Field("id", m_metadata.request_id)
         .Field("route", m_route->name)
-        .Field("endpoint", m_endpoint.id)
-        .Field("status", m_head.status)
+        .Field("endpoint", m_current->endpoint.id)
+        .Field("status", m_current->head.status)
         .Field("sends", m_sends)
-        .Field("limited", m_answer.rate_limit ? 1 : 0)
+        .Field("limited", m_current->answer.rate_limit ? 1 : 0)
         .Field("events", static_cast<long long>(m_events_forwarded))
         .Field("first_event_ms", ToMilliseconds(m_first_event_delay))
         .Field("longest_gap_ms", ToMilliseconds(m_longest_gap))
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -11,19 +11,14 @@
 #include <string_view>
 #include <vector>
 
-#include "answer_buffer.h"
 #include "bramleybank/handle.h"
 #include "bramleybank/result_code.h"
 #include "endpoint_directory.h"
-#include "event_splitter.h"
-#include "gateway_attempt.h"
 #include "gateway_request.h"
 #include "hooks.h"
-#include "http1_parser.h"
 #include "limit_retry_budget.h"
 #include "prompt_part.h"
 #include "stop_admission.h"
-#include "stream_backup.h"
 
 namespace bramleybank {
 
@@ -40,9 +35,13 @@
 class RolloutController;
 class StreamSilenceMonitor;
 struct EndpointChoice;
+struct ExchangeAttempt;
 enum class SilenceVerdict : uint8_t;
 struct GatewayCodec;
 struct GatewayRoute;
+struct Http1Head;
+struct RawEvent;
+enum class AttemptEnd : uint8_t;
 
 /// What all exchanges share. Everything pointed to outlives them.
 struct ExchangeContext {
@@ -146,10 +145,23 @@
   /// The endpoint has cut off the current attempt.
   void ReportCrash();
   void StartAttempt(const EndpointRecord& endpoint, bool from_backup);
+  std::unique_ptr<ExchangeAttempt> PrepareAttempt(
+      const EndpointRecord& endpoint);
+  void SetCurrent(std::unique_ptr<ExchangeAttempt> attempt);
+  /// Records that the current attempt is about to be sent.
+  void OnSend(const EndpointRecord& endpoint, bool from_backup);
+  void Connect(ExchangeAttempt* attempt, std::string message);
+  /// @param from_backup whether the attempt resumes from the backup of the
+  /// current one, which is then used up.
   AttemptMetadata DescribeAttempt(const EndpointRecord& endpoint,
-                                  bool from_backup);
-  std::string RenderRequest(const EndpointRecord& endpoint, bool from_backup);
+                                  bool from_backup,
+                                  ExchangeAttempt* attempt);
+  std::string RenderRequest(const EndpointRecord& endpoint,
+                            bool from_backup,
+                            ExchangeAttempt* attempt);
   bool SupportsBackup() const;
+  /// @returns the engine whose backup the stream can be resumed from, or null.
+  const EndpointRecord* UsableBackupHolder() const;
   void MonitorSilence();
 
   void OnHead(const Http1Head& head);
@@ -222,19 +234,8 @@
   // at another endpoint.
   TimerHandle m_attempt_timer;
 
-  // The current attempt; m_endpoint describes its endpoint.
-  std::unique_ptr<GatewayAttempt> m_attempt;
-  EndpointEntry m_endpoint;
-  TimePoint m_attempt_start;
-  Http1Head m_head;
-  AnswerMetadata m_answer;
-  AnswerBuffer m_body;
-  EventSplitter m_events;
-  // Not counting comments and empty lines.
-  bool m_attempt_has_event = false;
-  // The current attempt continues a stream that has begun, and none of its
-  // events has shown by its id that it does.
-  bool m_attempt_must_follow = false;
+  // The current attempt, or the last one. Never null.
+  std::unique_ptr<ExchangeAttempt> m_current;
 
   // Ids of the endpoints that this request has been sent to.
   std::vector<std::string> m_tried_endpoints;
@@ -247,13 +248,8 @@
   // When the request stops waiting for a permit; empty if it has not waited
   // since its last attempt.
   std::optional<TimePoint> m_permit_wait_end;
-  StreamBackup m_backup;
   // Id of the engine that has prefilled the prompt; empty when unknown.
   std::string m_prompt_endpoint_id;
-  // An event has arrived in the current attempt.
-  bool m_attempt_has_begun = false;
-  // The current attempt was silent and could not be replaced; for the log.
-  bool m_attempt_is_kept = false;
   // This request is the trial of its quarantined parts, until one of its
   // attempts may have run.
   bool m_is_trial = false;
--- a/src/gateway_exchange_endpoint.cc
+++ b/src/gateway_exchange_endpoint.cc
@@ -10,6 +10,7 @@
 #include "endpoint_limiter.h"
 #include "endpoint_picker.h"
 #include "event_loop.h"
+#include "exchange_attempt.h"
 #include "gateway_config.h"
 #include "log_event.h"
 #include "metric_registry.h"
@@ -41,7 +42,7 @@
     GiveUpForStop();
     return;
   }
-  const EndpointRecord* holder = m_backup.UsableHolder();
+  const EndpointRecord* holder = UsableBackupHolder();
   if (holder != nullptr && m_context->limiter->MaySend(*holder)) {
     StartAttempt(*holder, /*from_backup=*/true);
     return;
@@ -136,7 +137,8 @@
 }
 
 AttemptMetadata GatewayExchange::DescribeAttempt(const EndpointRecord& endpoint,
-                                                 bool from_backup) {
+                                                 bool from_backup,
+                                                 ExchangeAttempt* started) {
   AttemptMetadata attempt{.endpoint_id = endpoint.entry.id,
                           .time_left = TimeLeft(),
                           .customer = m_customer,
@@ -144,7 +146,10 @@
                           .backup_address = {},
                           .restore = std::nullopt};
   if (from_backup) {
-    attempt.restore = m_backup.Name();
+    attempt.restore = m_current->backup->Name();
+  }
+  if (m_current->backup) {
+    m_current->backup->Abandon();
   }
   const EndpointRecord* prompt_endpoint = FindPromptEndpoint();
   // A KV cache is valid only for the model version that computed it.
@@ -154,27 +159,28 @@
       prompt_endpoint->entry.version == endpoint.entry.version) {
     attempt.prompt_source = prompt_endpoint->entry.address;
   }
-  if (is_stream() && SupportsBackup()) {
-    attempt.backup_address =
-        m_backup.Open(endpoint, m_context->rollouts->RuleForRetry(m_service));
+  if (started->backup) {
+    attempt.backup_address = started->backup->Open(
+        endpoint, m_context->rollouts->RuleForRetry(m_service));
   }
   return attempt;
 }
 
 void GatewayExchange::UpdateEndpointState() {
   EndpointDirectory* directory = m_context->directory;
-  if (m_answer.is_leaving && directory->OnLeaving(m_endpoint.id)) {
+  if (m_current->answer.is_leaving &&
+      directory->OnLeaving(m_current->endpoint.id)) {
     LogLine(LogEventId::kEndpointLeaving)
-        .Field("endpoint", m_endpoint.id)
+        .Field("endpoint", m_current->endpoint.id)
         .Field("id", m_metadata.request_id);
     m_context->metrics->Count("bramleybank_endpoints_leaving_total");
   }
-  if (m_answer.retry_after) {
-    directory->OnPause(m_endpoint.id, *m_answer.retry_after);
+  if (m_current->answer.retry_after) {
+    directory->OnPause(m_current->endpoint.id, *m_current->answer.retry_after);
     LogLine(LogEventId::kEndpointPaused)
-        .Field("endpoint", m_endpoint.id)
+        .Field("endpoint", m_current->endpoint.id)
         .Field("id", m_metadata.request_id)
-        .Field("pause_ms", ToMilliseconds(*m_answer.retry_after));
+        .Field("pause_ms", ToMilliseconds(*m_current->answer.retry_after));
     m_context->metrics->Count("bramleybank_endpoint_pauses_total");
   }
   UpdateRateLimit();
@@ -185,26 +191,30 @@
   // A late second answer may be older than the limit, and an answer without the
   // endpoint's own mark may come from elsewhere.
   const bool is_current =
-      (m_answer.has_seal || m_answer.not_run) && !m_answer.has_other_request_id;
+      (m_current->answer.has_seal || m_current->answer.not_run) &&
+      !m_current->answer.has_other_request_id;
   bool changed = false;
-  if (m_answer.rate_limit) {
-    changed = directory->OnRateLimit(m_endpoint.id, *m_answer.rate_limit,
+  if (m_current->answer.rate_limit) {
+    changed = directory->OnRateLimit(m_current->endpoint.id,
+                                     *m_current->answer.rate_limit,
                                      m_context->loop->Now());
-  } else if (!m_answer.states_rate_limit && is_current) {
-    changed = directory->OnNoRateLimit(m_endpoint.id, m_attempt_start);
+  } else if (!m_current->answer.states_rate_limit && is_current) {
+    changed =
+        directory->OnNoRateLimit(m_current->endpoint.id, m_current->started_at);
   }
   if (!changed) {
     return;
   }
   LogLine(LogEventId::kEndpointLimited)
-      .Field("endpoint", m_endpoint.id)
+      .Field("endpoint", m_current->endpoint.id)
       .Field("id", m_metadata.request_id)
-      .Field("limited", m_answer.rate_limit ? 1 : 0)
-      .Field("per_second", std::to_string(m_answer.rate_limit.value_or(0)));
+      .Field("limited", m_current->answer.rate_limit ? 1 : 0)
+      .Field("per_second",
+             std::to_string(m_current->answer.rate_limit.value_or(0)));
   m_context->metrics->Count("bramleybank_endpoint_limits_total", "change",
-                            m_answer.rate_limit ? "stated" : "ended");
-  const EndpointRecord* record = directory->Find(m_endpoint.id);
-  if (!m_answer.rate_limit && record != nullptr) {
+                            m_current->answer.rate_limit ? "stated" : "ended");
+  const EndpointRecord* record = directory->Find(m_current->endpoint.id);
+  if (!m_current->answer.rate_limit && record != nullptr) {
     m_context->limiter->OnLimitEnded(*record);
   }
 }
--- a/src/gateway_exchange_quarantine.cc
+++ b/src/gateway_exchange_quarantine.cc
@@ -4,6 +4,7 @@
 
 #include "bramleybank/limits.h"
 #include "event_loop.h"
+#include "exchange_attempt.h"
 #include "gateway_config.h"
 #include "gateway_exchange.h"
 #include "log_event.h"
@@ -14,7 +15,7 @@
 namespace bramleybank {
 
 void GatewayExchange::ReportBegun() {
-  if (!std::exchange(m_attempt_has_begun, true)) {
+  if (!std::exchange(m_current->has_begun, true)) {
     m_context->quarantine->OnBegun(m_service, m_metadata.shared_parts);
   }
 }
@@ -68,14 +69,14 @@
 }
 
 void GatewayExchange::OnQuarantined() {
-  if (!m_attempt || m_is_trial || m_attempt_has_begun) {
+  if (!m_current->connection || m_is_trial || m_current->has_begun) {
     return;
   }
   const std::vector<PromptPartHash> blocking = FindBlockingParts();
   if (blocking.empty()) {
     return;
   }
-  if (m_attempt->was_sent()) {
+  if (m_current->connection->was_sent()) {
     ++m_possible_runs;
   }
   EndAttempt(EndpointOutcome::kCancelled);
@@ -96,10 +97,11 @@
 }
 
 void GatewayExchange::ReportCrash() {
-  m_context->quarantine->OnLost(m_service, m_endpoint.address);
-  if (is_stream() && !m_attempt_has_begun) {
+  m_context->quarantine->OnLost(m_service, m_current->endpoint.address);
+  if (is_stream() && !m_current->has_begun) {
     m_context->quarantine->OnCrash(m_service, m_metadata.shared_parts,
-                                   m_endpoint.address, m_head.status != 0);
+                                   m_current->endpoint.address,
+                                   m_current->head.status != 0);
   }
 }
 
--- /dev/null
+++ b/src/gateway_exchange_retry.cc
@@ -0,0 +1,143 @@
+// The part of an exchange that ends attempts and decides whether the request is
+// sent once more.
+#include <memory>
+#include <string_view>
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "endpoint_limiter.h"
+#include "event_loop.h"
+#include "exchange_attempt.h"
+#include "gateway_caller.h"
+#include "gateway_config.h"
+#include "gateway_exchange.h"
+#include "log_event.h"
+#include "metric_registry.h"
+#include "prompt_part.h"
+#include "rollout_controller.h"
+#include "stream_silence_monitor.h"
+
+namespace bramleybank {
+
+void GatewayExchange::EndAttempt(EndpointOutcome outcome) {
+  m_context->silence->Remove(m_number);
+  m_context->directory->OnAttemptEnded(m_current->endpoint.id, outcome);
+  if (!m_current->connection) {
+    return;
+  }
+  m_current->connection->Cancel();
+  // Deleted later, because the attempt may be inside its own callback.
+  m_context->loop->Post([attempt = std::shared_ptr<GatewayAttempt>(
+                             std::move(m_current->connection))] {});
+}
+
+void GatewayExchange::ReportVersionOutcome(bool failed) {
+  m_context->rollouts->Observe(m_service, m_route->name,
+                               m_current->endpoint.version, failed,
+                               m_context->loop->Now() - m_current->started_at);
+}
+
+void GatewayExchange::FailAttempt(EndpointOutcome outcome,
+                                  RetryReason reason,
+                                  std::string_view detail) {
+  EndFailedAttempt(outcome, reason, detail);
+  if (m_possible_runs == 0 && !MayStillSend()) {
+    GiveUpForStop();
+    return;
+  }
+  if (TryAcquireRetry(reason)) {
+    StartNextAttempt();
+    return;
+  }
+  GiveUp(m_possible_runs > 0 ? ResultCode::kAnswerLost
+                             : ResultCode::kOverloaded);
+}
+
+void GatewayExchange::EndFailedAttempt(EndpointOutcome outcome,
+                                       RetryReason reason,
+                                       std::string_view detail) {
+  const bool may_have_run = m_current->connection &&
+                            m_current->connection->was_sent() &&
+                            outcome != EndpointOutcome::kRefused &&
+                            outcome != EndpointOutcome::kMisdirected;
+  EndAttempt(outcome);
+  if (outcome == EndpointOutcome::kLost && reason == RetryReason::kEarlyEnd) {
+    ReportCrash();
+  }
+  if (may_have_run) {
+    m_is_trial = false;
+    ++m_possible_runs;
+    ReportVersionOutcome(/*failed=*/true);
+  }
+  LogLine(LogEventId::kAttemptEnded)
+      .Field("id", m_metadata.request_id)
+      .Field("endpoint", m_current->endpoint.id)
+      .Field("address", m_current->endpoint.address)
+      .Field("reason", NameOf(reason))
+      .Field("detail", detail)
+      .Field("may_have_run", may_have_run ? 1 : 0)
+      .Field("head", m_current->head.status != 0 ? 1 : 0)
+      .Field("begun", m_current->has_event ? 1 : 0)
+      .Field("parts", FormatParts(m_metadata.shared_parts))
+      .Field("last_event", static_cast<long long>(m_last_event_id.value_or(0)))
+      .Field("attempt_ms",
+             ToMilliseconds(m_context->loop->Now() - m_current->started_at));
+  m_context->metrics->Count("bramleybank_attempts_lost_total", "reason",
+                            NameOf(reason));
+}
+
+bool GatewayExchange::MayRetry() const {
+  if (m_position_is_unknown) {
+    return false;
+  }
+  const bool is_running =
+      m_current->connection && m_current->connection->was_sent();
+  const int runs = m_possible_runs + (is_running ? 1 : 0);
+  if (runs > 0 && (!m_route->IsIdempotent() || runs >= m_route->max_attempts)) {
+    return false;
+  }
+  return m_sends < m_route->max_attempts + kMaxExtraSends &&
+         TimeLeft() > Duration{0} && MayStillSend();
+}
+
+bool GatewayExchange::ChargeRetry(RetryReason reason) {
+  if (reason == RetryReason::kConnectFailed) {
+    // No endpoint received the request, so the retry adds no load and does not
+    // count against the retry budget.
+    return true;
+  }
+  const bool granted = m_context->budget->TryRetry(m_service, reason);
+  m_context->metrics->Count(granted ? "bramleybank_retries_total"
+                                    : "bramleybank_retries_refused_total",
+                            "reason", NameOf(reason));
+  return granted;
+}
+
+bool GatewayExchange::TryAcquireRetry(RetryReason reason) {
+  return MayRetry() && ChargeRetry(reason);
+}
+
+void GatewayExchange::GiveUp(ResultCode code) {
+  if (m_stream_started) {
+    LogLine(LogEventId::kStreamGivenUp)
+        .Field("id", m_metadata.request_id)
+        .Field("code", static_cast<int>(code))
+        .Field("last_event",
+               static_cast<long long>(m_last_event_id.value_or(0)));
+    m_context->metrics->Count("bramleybank_streams_given_up_total");
+    m_caller->Abort();
+    Finish();
+    return;
+  }
+  if (m_possible_runs > 0) {
+    Refuse(code == ResultCode::kTimedOut ? code : ResultCode::kAnswerLost,
+           Duration{0});
+    return;
+  }
+  // If endpoints have named a time for the next request, callers get it as
+  // Retry-After.
+  Refuse(code, m_context->limiter->RemainingWait(m_service).value_or(
+                   kBusyRetryAfter));
+}
+
+}  // namespace bramleybank
--- a/src/gateway_exchange_silence.cc
+++ b/src/gateway_exchange_silence.cc
@@ -10,6 +10,7 @@
 #include "endpoint_limiter.h"
 #include "endpoint_picker.h"
 #include "event_loop.h"
+#include "exchange_attempt.h"
 #include "gateway_config.h"
 #include "gateway_exchange.h"
 #include "log_event.h"
@@ -33,7 +34,7 @@
 
 void GatewayExchange::OnAttemptTimeout() {
   m_attempt_timer = TimerHandle();
-  const bool is_silent = m_attempt && m_head.status == 0;
+  const bool is_silent = m_current->connection && m_current->head.status == 0;
   if (!is_silent || TimeLeft() <= m_route->latency_target) {
     return;
   }
@@ -47,20 +48,20 @@
 void GatewayExchange::MonitorSilence() {
   const SilentRun run{
       .request_id = m_metadata.request_id,
-      .endpoint_start_ms = m_endpoint.start_time_ms,
+      .endpoint_start_ms = m_current->endpoint.start_time_ms,
       .limits = MakeSilenceLimits(m_route->latency_target,
                                   m_route->max_event_gap, m_stream_started),
-      .has_event = m_attempt_has_event,
+      .has_event = m_current->has_event,
       .last_event_id = m_last_event_id.value_or(0)};
   m_context->silence->Add(m_number,
                           {.service = m_service,
-                           .failure_domain = m_endpoint.failure_domain,
-                           .endpoint_id = m_endpoint.id},
+                           .failure_domain = m_current->endpoint.failure_domain,
+                           .endpoint_id = m_current->endpoint.id},
                           run, m_context->loop->Now());
 }
 
 void GatewayExchange::OnSilence(SilenceVerdict verdict) {
-  if (!m_attempt) {
+  if (!m_current->connection) {
     return;
   }
   if (const auto wait = ReplaceSilentAttempt(NameOf(verdict))) {
@@ -83,7 +84,7 @@
   if (!ChargeRetry(RetryReason::kStalled)) {
     return KeepSilentAttempt("no_budget", kSilenceRecheckInterval);
   }
-  m_silent_endpoints.push_back(m_endpoint.id);
+  m_silent_endpoints.push_back(m_current->endpoint.id);
   EndFailedAttempt(EndpointOutcome::kLost, RetryReason::kStalled, detail);
   // The loss may have made the domain of that endpoint suspect.
   const std::optional<Successor> better = FindSuccessor();
@@ -96,13 +97,13 @@
 
 Duration GatewayExchange::KeepSilentAttempt(std::string_view reason,
                                             Duration wait) {
-  if (!std::exchange(m_attempt_is_kept, true)) {
+  if (!std::exchange(m_current->is_kept, true)) {
     LogLine(LogEventId::kAttemptKept)
         .Field("id", m_metadata.request_id)
-        .Field("endpoint", m_endpoint.id)
+        .Field("endpoint", m_current->endpoint.id)
         .Field("reason", reason)
         .Field("attempt_ms",
-               ToMilliseconds(m_context->loop->Now() - m_attempt_start));
+               ToMilliseconds(m_context->loop->Now() - m_current->started_at));
     m_context->metrics->Count("bramleybank_silent_attempts_kept_total",
                               "reason", reason);
   }
@@ -114,7 +115,7 @@
   if (!FindBlockingParts().empty()) {
     return std::nullopt;
   }
-  const EndpointRecord* holder = m_backup.UsableHolder();
+  const EndpointRecord* holder = UsableBackupHolder();
   if (holder != nullptr && m_context->limiter->MaySend(*holder)) {
     return Successor{.endpoint = holder, .from_backup = true};
   }
--- a/src/gateway_exchange_stop.cc
+++ b/src/gateway_exchange_stop.cc
@@ -2,6 +2,7 @@
 // account.
 #include "bramleybank/limits.h"
 #include "event_loop.h"
+#include "exchange_attempt.h"
 #include "gateway_config.h"
 #include "gateway_exchange.h"
 #include "metric_registry.h"
@@ -32,7 +33,7 @@
 void GatewayExchange::RecordAnswerTime() {
   if (!is_stream()) {
     m_context->on_answer_time(m_route->name,
-                              m_context->loop->Now() - m_attempt_start);
+                              m_context->loop->Now() - m_current->started_at);
   }
 }
 
@@ -41,8 +42,9 @@
     return;
   }
   const bool may_have_run =
-      m_possible_runs > 0 || (m_attempt && m_attempt->was_sent());
-  if (m_attempt) {
+      m_possible_runs > 0 ||
+      (m_current->connection && m_current->connection->was_sent());
+  if (m_current->connection) {
     EndAttempt(EndpointOutcome::kCancelled);
   }
   Refuse(may_have_run ? ResultCode::kAnswerLost : ResultCode::kDraining,
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -8,7 +8,7 @@
 #include "bramleybank/limits.h"
 #include "endpoint_prober.h"
 #include "event_loop.h"
-#include "event_splitter.h"
+#include "exchange_attempt.h"
 #include "gateway_caller.h"
 #include "gateway_config.h"
 #include "gateway_headers.h"
@@ -37,9 +37,13 @@
          service->engine->supports_backups && m_route->resumable;
 }
 
+const EndpointRecord* GatewayExchange::UsableBackupHolder() const {
+  return m_current->backup ? m_current->backup->UsableHolder() : nullptr;
+}
+
 void GatewayExchange::MaintainBackup() {
-  if (m_attempt && SupportsBackup()) {
-    m_backup.Maintain(m_context->rollouts->RuleForRetry(m_service));
+  if (m_current->connection && m_current->backup) {
+    m_current->backup->Maintain(m_context->rollouts->RuleForRetry(m_service));
   }
 }
 
@@ -53,7 +57,7 @@
 
 void GatewayExchange::ForwardEvents() {
   bool has_progress = false;
-  while (const auto event = m_events.Next()) {
+  while (const auto event = m_current->events.Next()) {
     has_progress = has_progress || IsProgress(*event);
     if (event->id || IsProgress(*event)) {
       ReportBegun();
@@ -64,7 +68,7 @@
       return;
     }
   }
-  if (m_events.pending_bytes() > kMaxEventBytes) {
+  if (m_current->events.pending_bytes() > kMaxEventBytes) {
     FailAttempt(EndpointOutcome::kLost, RetryReason::kTooLarge,
                 "event exceeds the size limit");
     return;
@@ -72,14 +76,14 @@
   if (has_progress) {
     m_context->silence->OnEvent(m_number, m_last_event_id.value_or(0),
                                 m_context->loop->Now());
-    m_context->prober->OnSign(m_endpoint.id);
+    m_context->prober->OnSign(m_current->endpoint.id);
   }
   if (m_caller->backlog_bytes() > kMaxCallerBacklogBytes) {
-    m_attempt->SetReading(false);
+    m_current->connection->SetReading(false);
     m_context->silence->Remove(m_number);
     m_caller->SetDrainedHandler([this] {
-      if (m_attempt) {
-        m_attempt->SetReading(true);
+      if (m_current->connection) {
+        m_current->connection->SetReading(true);
         MonitorSilence();
       }
     });
@@ -96,23 +100,24 @@
     }
   }
   // Only an id shows that an answer continues a stream that has begun.
-  if (m_attempt_must_follow && !event.id && event.has_content) {
+  if (m_current->must_follow && !event.id && event.has_content) {
     return false;
   }
   if (!m_stream_started) {
     m_stream_started = true;
-    m_caller->StartStream(m_head.status, RemoveHopByHopHeaders(m_head.headers));
+    m_caller->StartStream(m_current->head.status,
+                          RemoveHopByHopHeaders(m_current->head.headers));
   }
   if (event.id) {
     m_last_event_id = event.id;
-    m_attempt_must_follow = false;
+    m_current->must_follow = false;
     m_position_is_unknown = false;
   } else if (event.has_content) {
     m_position_is_unknown = true;
   }
-  if (event.has_content && !m_attempt_has_event) {
-    m_attempt_has_event = true;
-    m_prompt_endpoint_id = m_endpoint.id;
+  if (event.has_content && !m_current->has_event) {
+    m_current->has_event = true;
+    m_prompt_endpoint_id = m_current->endpoint.id;
     ReportVersionOutcome(/*failed=*/false);
   }
   if (event.has_content) {
@@ -124,7 +129,9 @@
 
 void GatewayExchange::RecordEventTiming() {
   const TimePoint now = m_context->loop->Now();
-  m_backup.OnFirstEvent();
+  if (m_current->backup) {
+    m_current->backup->OnFirstEvent();
+  }
   if (m_events_forwarded++ == 0) {
     m_first_event_delay = now - m_request.received_at;
     m_context->metrics->Observe("bramleybank_first_event_seconds",
@@ -136,7 +143,7 @@
 }
 
 void GatewayExchange::OnStreamComplete() {
-  if (m_events.pending_bytes() > 0) {
+  if (m_current->events.pending_bytes() > 0) {
     FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
                 "stream ended in the middle of an event");
     return;
@@ -144,14 +151,16 @@
   // A server that dies as it begins to write closes the connection like this.
   // Only a resumed stream may have no event left, if its end was stated.
   const bool is_resumed = m_last_event_id.value_or(0) > 0;
-  if (!m_attempt_has_event && (!is_resumed || !HasStatedEnd(m_head))) {
+  if (!m_current->has_event &&
+      (!is_resumed || !HasStatedEnd(m_current->head))) {
     FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
                 "stream ended before its first event");
     return;
   }
   EndAttempt(EndpointOutcome::kAnswered);
   if (!m_stream_started) {
-    m_caller->StartStream(m_head.status, RemoveHopByHopHeaders(m_head.headers));
+    m_caller->StartStream(m_current->head.status,
+                          RemoveHopByHopHeaders(m_current->head.headers));
   }
   m_caller->FinishStream();
   Finish();
--- a/src/stream_backup.cc
+++ b/src/stream_backup.cc
@@ -35,10 +35,6 @@
 
 std::string StreamBackup::Open(const EndpointRecord& primary,
                                const RolloutRule& versions) {
-  // If the new attempt resumes from the copy, it consumes it. The copy must not
-  // be released then.
-  m_requested_copy.reset();
-  Close();
   m_primary = primary.entry;
   const EndpointRecord* holder = m_picker->PickForBackup(primary, versions);
   if (holder == nullptr) {
@@ -160,6 +156,11 @@
   m_requested_copy.reset();
 }
 
+void StreamBackup::Abandon() {
+  m_requested_copy.reset();
+  Close();
+}
+
 void StreamBackup::Close() {
   m_copy_request.reset();
   ReleaseHandle();
--- a/src/stream_backup.h
+++ b/src/stream_backup.h
@@ -49,6 +49,9 @@
   /// regular interval while the attempt runs.
   /// @param versions on which the run may be resumed.
   void Maintain(const RolloutRule& versions = {});
+  /// Another attempt resumes from the copy or does without it. The copy must
+  /// not be released any more, since its engine may be using it.
+  void Abandon();
   /// Releases the copy.
   void Close();
 
