Review: a server's 503 without its promise is passed on as one (REFUSED)

Rule REFUSED: a request that isn't idempotent is answered 503 and has run. Disruption: one server of seven fails 0.4 of its requests for 6 s, after it has run them, with 503 and without Not-Executed.

--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -660,8 +660,10 @@
   std::string zone = "zone-a";
   int slots = 8;
   int64_t work_ms = 20;
-  /// Whether a request fails with the server's own 500.
+  /// Whether a request fails after it has run, and the status that it then
+  /// gets.
   std::function<bool()> fails;
+  std::string failure = "500 Internal Server Error";
   /// Events of each answer, if the server streams; 0 for a plain answer.
   int events = 0;
   int64_t event_ms = 50;
@@ -737,9 +739,21 @@
       const std::string expected = request.Header("Expect-Instance");
       std::string head =
           "Request-Id: " + id + "\r\nInstance-Id: " + m_options.id + "\r\n";
-      if (request.Path() == "/health" || request.Path() == "/api/report") {
+      if (request.Path() == "/health") {
+        socket.Send("HTTP/1.1 200 OK\r\n" + head + "Content-Length: 0\r\n\r\n");
+        continue;
+      }
+      if (request.Path() == "/api/report") {
+        const std::string report =
+            json{{"stage", "both"}, {"models", json::array()},
+                 {"busy", false},   {"call_seq", 1},
+                 {"queued", 0},     {"running", m_running.load()},
+                 {"kv_used", 0},    {"kv_total", 88000},
+                 {"handles", 0},    {"born", m_born}}
+                .dump();
         socket.Send("HTTP/1.1 200 OK\r\n" + head +
-                    "Content-Length: 2\r\n\r\n{}");
+                    "Content-Type: application/json\r\nContent-Length: " +
+                    std::to_string(report.size()) + "\r\n\r\n" + report);
         continue;
       }
       if (!expected.empty() && expected != m_options.id) {
@@ -778,7 +792,7 @@
       }
       const bool fails = m_options.fails && m_options.fails();
       const std::string body = "answer to " + id;
-      socket.Send(std::string("HTTP/1.1 ") + (fails ? "500 Failed" : "200 OK") +
+      socket.Send("HTTP/1.1 " + (fails ? m_options.failure : "200 OK") +
                   "\r\n" + head + "Response-Seal: seal-" + id +
                   "\r\nContent-Length: " + std::to_string(body.size()) +
                   "\r\n\r\n" + body);
@@ -996,6 +1010,8 @@
   int64_t target_ms = 250;
   int max_attempts = 1;
   bool resumable = false;
+  /// Whether the service consists of model servers.
+  bool engine = false;
 };
 
 inline json ConfigJson(uint64_t version,
@@ -1024,7 +1040,11 @@
                                 {"service", route.service},
                                 {"max_attempts", route.max_attempts},
                                 {"anonymous", false},
+                                {"sticky", route.engine},
                                 {"resumable", route.resumable}});
+    if (route.kind == "streaming") {
+      config["routes"].back()["target_gap_ms"] = 700;
+    }
     if (!services[route.service]) {
       services[route.service] = true;
       config["services"].push_back({{"name", route.service},
@@ -1032,6 +1052,16 @@
                                     {"max_conns", 200},
                                     {"protocol", "h1"},
                                     {"tls", false}});
+      if (route.engine) {
+        config["services"].back()["engine"] = {
+            {"slots", 24},
+            {"kv_capacity_tokens", 88000},
+            {"kv_token_bytes", 18432},
+            {"moves", false},
+            {"backups", false},
+            {"handle_s", 4.0},
+            {"models", json::array({{{"name", "m"}}})}};
+      }
     }
   }
   return config;
