--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -120,16 +120,27 @@
   Exit(2);
 }
 
+/// @returns a port on which nothing listens. It lies below those of outgoing
+/// connections, one of which could take it before the gateway does.
 inline uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), length);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-  close(fd);
-  return ntohs(address.sin_port);
+  constexpr int kFirst = 15000;
+  constexpr int kCount = 15000;
+  static int next = static_cast<int>(getpid() * 131 % kCount);
+  for (int i = 0; i < kCount; ++i) {
+    next = (next + 7) % kCount;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<uint16_t>(kFirst + next));
+    const int failed =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    close(fd);
+    if (failed == 0) {
+      return static_cast<uint16_t>(kFirst + next);
+    }
+  }
+  CannotRun("no free port");
 }
 
 inline std::string Lower(std::string text) {
@@ -634,14 +645,22 @@
   std::string server;
   std::string version;
   int64_t at_ms = 0;
+  /// When the server made the last event of the run; 0 before the first one.
+  int64_t last_event_ms = 0;
 };
 
 /// Runs of all servers.
 class Runs {
  public:
-  void Add(const Run& run) {
+  /// @returns the number of the run.
+  size_t Add(const Run& run) {
     const std::lock_guard lock(m_mutex);
     m_runs.push_back(run);
+    return m_runs.size() - 1;
+  }
+  void OnEvent(size_t run) {
+    const std::lock_guard lock(m_mutex);
+    m_runs[run].last_event_ms = NowMs();
   }
   std::vector<Run> All() const {
     const std::lock_guard lock(m_mutex);
@@ -667,6 +686,8 @@
   /// Events of each answer, if the server streams; 0 for a plain answer.
   int events = 0;
   int64_t event_ms = 50;
+  /// The server works on when the connection of a stream has closed.
+  bool works_on = false;
 };
 
 /// A server of the platform: checks Expect-Instance, runs requests, and keeps
@@ -697,6 +718,8 @@
   }
   uint16_t port() const { return m_listener.port(); }
   const ServerOptions& options() const { return m_options; }
+  /// The whole server does nothing for this time, and then goes on.
+  void FallSilent(int64_t ms) { m_silent_until = NowMs() + ms; }
   void Register(const std::string& state) {
     const std::lock_guard lock(m_mutex);
     m_state = state;
@@ -735,6 +758,7 @@
       if (!request.complete) {
         return;
       }
+      SleepUntil(m_silent_until);
       const std::string id = request.Header("Request-Id");
       const std::string expected = request.Header("Expect-Instance");
       std::string head =
@@ -767,14 +791,14 @@
                     "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         continue;
       }
-      m_runs->Add({.request_id = id,
-                   .server = m_options.id,
-                   .version = m_options.version,
-                   .at_ms = NowMs()});
+      const size_t run = m_runs->Add({.request_id = id,
+                                      .server = m_options.id,
+                                      .version = m_options.version,
+                                      .at_ms = NowMs()});
       Record::Get().Detail("run %s at %s (%s)", id.c_str(),
                            m_options.id.c_str(), m_options.version.c_str());
       if (m_options.events > 0) {
-        const bool is_sent = SendEvents(socket, request, head);
+        const bool is_sent = SendEvents(socket, request, head, run);
         --m_running;
         if (!is_sent) {
           Record::Get().Detail("dropped %s at %s", id.c_str(),
@@ -802,7 +826,8 @@
   /// @returns whether the whole stream was sent.
   bool SendEvents(Socket& socket,
                   const Message& request,
-                  const std::string& head) const {
+                  const std::string& head,
+                  size_t run) {
     const std::string id = request.Header("Request-Id");
     if (!WaitWhileConnected(socket, m_options.work_ms) ||
         !socket.Send("HTTP/1.1 200 OK\r\n" + head + "Response-Seal: seal-" +
@@ -810,18 +835,27 @@
                      "Transfer-Encoding: chunked\r\n\r\n")) {
       return false;
     }
+    bool is_connected = true;
     const int first = 1 + std::atoi(request.Header("Last-Event-Id").c_str());
     for (int i = first; i <= m_options.events; ++i) {
+      SleepUntil(m_silent_until);
+      is_connected = is_connected && WaitWhileConnected(socket, 1);
+      if (!is_connected && !m_options.works_on) {
+        return false;
+      }
+      m_runs->OnEvent(run);
       const std::string event = "id: " + std::to_string(i) + "\ndata: " + id +
                                 " " + std::to_string(i) + "\n\n";
       char size[20];
       std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
-      if (!socket.Send(size + event + "\r\n") ||
-          !WaitWhileConnected(socket, m_options.event_ms)) {
-        return false;
+      is_connected = is_connected && socket.Send(size + event + "\r\n");
+      if (is_connected) {
+        is_connected = WaitWhileConnected(socket, m_options.event_ms);
+      } else {
+        SleepMs(m_options.event_ms);
       }
     }
-    return socket.Send("0\r\n\r\n");
+    return is_connected && socket.Send("0\r\n\r\n");
   }
 
   /// @returns whether the connection is still open after this time.
@@ -850,6 +884,7 @@
   int64_t m_born = 0;
   uint64_t m_seq = 0;
   std::atomic<int> m_running{0};
+  std::atomic<int64_t> m_silent_until{0};
   std::atomic<bool> m_gone{false};
   std::thread m_beats;
 };
