--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -98,6 +98,16 @@
 /// Processes of the project that the case has started and not yet ended.
 inline std::mutex g_children_mutex;
 inline std::vector<pid_t> g_children;
+/// Temporary folders with the settings and the log of a gateway.
+inline std::vector<std::string> g_folders;
+
+inline void RemoveFolders() {
+  for (const std::string& folder : g_folders) {
+    unlink((folder + "/settings.conf").c_str());
+    unlink((folder + "/log").c_str());
+    rmdir(folder.c_str());
+  }
+}
 
 inline void EndChildren() {
   const std::lock_guard lock(g_children_mutex);
@@ -111,6 +121,9 @@
 /// Ends the case at once, with the processes that it has started.
 [[noreturn]] inline void Exit(int status) {
   EndChildren();
+  if (std::getenv("KEEP_LOGS") == nullptr) {
+    RemoveFolders();
+  }
   _exit(status);
 }
 
@@ -902,22 +915,14 @@
       CannotRun("no temporary folder");
     }
     m_folder = path;
+    g_folders.push_back(m_folder);
     m_front = FreePort();
     m_ready = FreePort();
     m_metrics = FreePort();
     m_peer = FreePort();
     WriteSettings(store_port, zone);
   }
-  ~Gateway() {
-    Kill();
-    const std::string settings = m_folder + "/settings.conf";
-    const std::string log = m_folder + "/log";
-    unlink(settings.c_str());
-    if (std::getenv("KEEP_LOGS") == nullptr) {
-      unlink(log.c_str());
-      rmdir(m_folder.c_str());
-    }
-  }
+  ~Gateway() { Kill(); }
 
   void Start() {
     // The command of the deploy file, with the path of these settings.
