--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -24,6 +24,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -910,11 +911,10 @@
           uint16_t store_port,
           const std::string& zone = "zone-a")
       : m_name(name) {
-    char path[] = "/tmp/review-2-XXXXXX";
-    if (mkdtemp(path) == nullptr) {
+    m_folder = std::filesystem::temp_directory_path() / "review-2-XXXXXX";
+    if (mkdtemp(m_folder.data()) == nullptr) {
       CannotRun("no temporary folder");
     }
-    m_folder = path;
     g_folders.push_back(m_folder);
     m_front = FreePort();
     m_ready = FreePort();
