Write the status of a rollout under the condition of its order

Cause: a status row names its version and not its order. A reader took each final status that was newer than the order for the order's outcome, and the write depended on the status row only, so the driver of a replaced order could write last. The other hypotheses (a decision or evidence of the former order is counted) do not fit the log: rollout_published of v3 as completed comes before any answer of v3, with the decision on v3 at probing.

Change: a write to the store may depend on rows that it does not change, in the same transaction (StoreWrite::conditions). The status depends on the row of its order. So a status that is newer than an order was written for it, also when a version is ordered twice. A status that names another version, which a gateway of an earlier release may write late, is not the outcome of the order. A driver whose order was replaced between its read and its write does not write.

--- a/src/metadata_store.h
+++ b/src/metadata_store.h
@@ -17,7 +17,7 @@
 /// How a call to the store ended.
 enum class StoreResult : uint8_t {
   kOk,
-  /// The row does not have the version that the write expects. If the store was
+  /// A row does not have the version that the write expects. If the store was
   /// restored in the meantime, another row may have had it, and the write may
   /// have been applied to that one: read again before the next write.
   kConflict,
@@ -54,6 +54,17 @@
   friend bool operator==(const StoreRows&, const StoreRows&) = default;
 };
 
+/// A row that a write depends on without changing it.
+struct StoreCondition {
+  std::string table;
+  std::string key;
+  /// Version that the row must have; 0 if the row must not exist.
+  StoreVersion version;
+
+  friend bool operator==(const StoreCondition&,
+                         const StoreCondition&) = default;
+};
+
 /// Conditional write of one row.
 struct StoreWrite {
   std::string table;
@@ -62,6 +73,8 @@
   /// Version that the row must have; 0 if the row must not exist. If empty, the
   /// write is unconditional.
   std::optional<StoreVersion> expected_version;
+  /// Further conditions, checked in the same transaction.
+  std::vector<StoreCondition> conditions = {};
 
   friend bool operator==(const StoreWrite&, const StoreWrite&) = default;
 };
--- a/src/rollout_controller.cc
+++ b/src/rollout_controller.cc
@@ -377,7 +377,8 @@
                                      const RolloutOrder& order,
                                      const StoreRows& rows) {
   // The order's number can be compared with rows of its own era only.
-  if (rows.result != StoreResult::kOk || rows.version.era != order.id.era) {
+  if (rows.result != StoreResult::kOk || rows.version.era != order.id.era ||
+      FindRollout(order.service, order.id) == nullptr) {
     return;
   }
   const std::string key = m_rows->rollout_key_prefix + order.service;
@@ -385,7 +386,10 @@
   const auto current = row == nullptr || row->version < order.id
                            ? std::nullopt
                            : m_rows->decode_rollout_status(row->value);
-  const bool is_final = current && IsFinal(current->phase);
+  // Gateways of earlier releases write without a condition on the order, so a
+  // row that is newer than the order may be the status of the former one.
+  const bool is_final =
+      current && IsFinal(current->phase) && current->version == order.version;
   if (is_final) {
     // A final status is never replaced: a driver that was paused may write
     // late.
@@ -397,7 +401,10 @@
       {.table = m_rows->status_table,
        .key = key,
        .value = m_rows->encode_rollout_status(status),
-       .expected_version = row == nullptr ? StoreVersion() : row->version},
+       .expected_version = row == nullptr ? StoreVersion() : row->version,
+       // Fails once another order has replaced this one, so a status that is
+       // newer than its order belongs to it.
+       .conditions = {{m_rows->operator_table, key, order.id}}},
       WhileAlive([this, service = order.service, id = order.id,
                   phase = decision.phase](const StoreResult& result) {
         if (result == StoreResult::kOk) {
--- a/tests/rollout_fleet.h
+++ b/tests/rollout_fleet.h
@@ -57,6 +57,11 @@
     if (write.expected_version && !Matches(*write.expected_version, row)) {
       return StoreResult::kConflict;
     }
+    for (const auto& [table, key, version] : write.conditions) {
+      if (!Matches(version, m_rows[{table, key}])) {
+        return StoreResult::kConflict;
+      }
+    }
     row = {.key = write.key, .value = write.value, .version = ++m_version};
     history.push_back(write);
     return StoreResult::kOk;
@@ -73,6 +78,10 @@
   uint64_t era() const { return m_era; }
   /// @returns the number of a row that an operator writes now.
   uint64_t AssignNumber() { return ++m_version; }
+  /// Sets the number of the operator's row with this key; 0 removes the row.
+  void SetOperatorRow(const std::string& key, uint64_t number) {
+    m_rows[{"op", key}] = {.key = key, .value = {}, .version = number};
+  }
 
   /// @returns the value of a row, or nothing if there is none.
   std::optional<std::string> Value(const std::string& table,
@@ -132,6 +141,9 @@
 
 /// Gateways that serve requests of one route and follow one order.
 struct RolloutFleet {
+  /// Key of the order's row and of its status.
+  static constexpr char kOrderKey[] = "rollout/s";
+
   explicit RolloutFleet(Duration duration = std::chrono::seconds(4),
                         bool relayed = false)
       : has_relay(relayed) {
@@ -142,6 +154,7 @@
   }
 
   void Start(int i) {
+    store.SetOperatorRow(kOrderKey, order.id.number);
     controllers.resize(3);
     controllers[i] = std::make_unique<RolloutController>(
         &loop, &store, &rows, "g" + std::to_string(i),
@@ -165,6 +178,7 @@
   /// all gateways.
   void ReportOrder(uint64_t number) {
     order.id = StoreVersion(number, store.era());
+    store.SetOperatorRow(kOrderKey, number);
     for (const auto& controller : controllers) {
       if (controller) {
         controller->OnOrder(order);
@@ -175,6 +189,7 @@
   void RepeatOrder() { ReportOrder(store.AssignNumber()); }
   /// Reports to all gateways that the order has no row.
   void ReportNoOrder() {
+    store.SetOperatorRow(kOrderKey, 0);
     for (const auto& controller : controllers) {
       controller->OnOrderRemoved(
           "s", StoreVersion(store.AssignNumber(), store.era()));
--- a/tests/unit_platform_adapter.cc
+++ b/tests/unit_platform_adapter.cc
@@ -239,6 +239,14 @@
         R"({"expected_rev":[{"key":"k","part":"","table":"t","ver":4}],)"
         R"("remove":[],"writes":[{"key":"k","part":"","table":"t",)"
         R"("value":"bm9kZS0x"}]})");
+  CHECK(EncodeWrite({.table = "t",
+                     .key = "k",
+                     .value = "",
+                     .expected_version = std::nullopt,
+                     .conditions = {{"u", "l", StoreVersion(5, 2)}}}) ==
+        R"({"expected_rev":[{"key":"l","part":"","table":"u","ver":5}],)"
+        R"("remove":[],"writes":[{"key":"k","part":"","table":"t",)"
+        R"("value":""}]})");
 }
 
 TEST_CASE("base64 round trip for all padding lengths") {
--- a/tests/unit_rollout_restore.cc
+++ b/tests/unit_rollout_restore.cc
@@ -41,7 +41,7 @@
 
 /// Phase in the operator's status.
 std::optional<RolloutPhase> Status(const RolloutFleet& fleet) {
-  const auto value = fleet.store.Value("status", "rollout/s");
+  const auto value = fleet.store.Value("status", RolloutFleet::kOrderKey);
   return value ? std::optional(platform::DecodeRolloutStatus(*value)->phase)
                : std::nullopt;
 }
--- a/tests/unit_store_client.cc
+++ b/tests/unit_store_client.cc
@@ -10,6 +10,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "event_loop.h"
 #include "tcp_address.h"
@@ -131,9 +133,14 @@
     }
     return *rows;
   }
-  StoreResult Write(std::optional<StoreVersion> expected) {
+  StoreResult Write(std::optional<StoreVersion> expected,
+                    std::vector<StoreCondition> conditions = {}) {
     std::optional<StoreResult> result;
-    store.Write({.table = "t", .key = "k", .expected_version = expected},
+    store.Write({.table = "t",
+                 .key = "k",
+                 .value = {},
+                 .expected_version = expected,
+                 .conditions = std::move(conditions)},
                 [&](StoreResult answer) { result = answer; });
     while (!result) {
       loop.RunOnce(kTurn);
@@ -185,5 +192,20 @@
   CHECK(fixture.Write(StoreVersion(5, 1)) == StoreResult::kConflict);
 }
 
+// Guards against the same by a condition on another row.
+TEST_CASE("a condition of an earlier era is a conflict") {
+  EraFixture fixture;
+  fixture.server.SetEraLine("Store-Era: 1\r\n");
+  fixture.Read();
+  const auto write = [&](const StoreVersion& order) {
+    return fixture.Write(StoreVersion(), {{"t", "order", order}});
+  };
+  CHECK(write(StoreVersion(5, 0)) == StoreResult::kConflict);
+  CHECK(fixture.server.requests() == 1);
+  CHECK(write(StoreVersion(5, 1)) == StoreResult::kOk);
+  fixture.server.SetEraLine("Store-Era: 2\r\n");
+  CHECK(write(StoreVersion(5, 1)) == StoreResult::kConflict);
+}
+
 }  // namespace
 }  // namespace bramleybank::platform
