Replace an endpoint's refusal that may have run by a 502

Cause: GatewayExchange::OnAnswerComplete counted such an attempt as a possible run and forwarded its status all the same. The seal in the answer rules out a refusal of the gateway's own, and the single request at the endpoints a repeat by the gateway.

Change: a 408, 429 or 503 without the endpoint's promise, for a request that must not run twice, becomes 502 refusal_unconfirmed (4008) without the endpoint's seal: a 502 promises nothing, and a failure with a seal has to keep the endpoint's status. Requests that may run again get the endpoint's status as before.

--- a/include/bramleybank/result_code.h
+++ b/include/bramleybank/result_code.h
@@ -51,6 +51,7 @@
   kCallGivenUp = 4005,
   kAnswerLost = 4006,
   kTimedOut = 4007,
+  kRefusalUnconfirmed = 4008,
   kPlatformDown = 5001,
   kPlatformConflict = 5002,
   kPlatformAnswerLost = 5003,
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -328,6 +328,11 @@
     StartNextAttempt();
     return;
   }
+  if (m_current->answer.status_promises_not_run && !m_route->IsIdempotent()) {
+    // The caller would send it again, and it may have run.
+    Refuse(ResultCode::kRefusalUnconfirmed, Duration{0});
+    return;
+  }
   m_caller->Answer(m_current->head.status,
                    RemoveHopByHopHeaders(m_current->head.headers),
                    m_current->body.bytes());
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -106,6 +106,9 @@
   bool not_run = false;
   /// The address now belongs to another endpoint.
   bool misdirected = false;
+  /// Callers take the answer's status for the promise that the request has not
+  /// run. Only `not_run` and `misdirected` prove it.
+  bool status_promises_not_run = false;
   /// The answer carries the endpoint's seal. A success without it is rejected.
   bool has_seal = false;
   /// The answer carries the id of another request.
--- a/src/result_code.cc
+++ b/src/result_code.cc
@@ -73,6 +73,8 @@
      "The request may have run and its answer was lost."},
     {kTimedOut, "timed_out", 504,
      "The request may have run and was not answered in time."},
+    {kRefusalUnconfirmed, "refusal_unconfirmed", 502,
+     "The endpoint refused the request without stating that it has not run."},
     {kPlatformDown, "platform_down", 503,
      "The platform's table cannot be reached. This request was not sent; one "
      "sent earlier with the same key may have run, so repeat with that key."},
--- a/tests/unit_gateway_broken_answer.cc
+++ b/tests/unit_gateway_broken_answer.cc
@@ -164,6 +164,49 @@
   CHECK(both.CountRequests() == 2);
 }
 
+// Guards against a request that runs twice: callers take these statuses for
+// the promise that it has not run, and send it again.
+TEST_CASE("a refusal that may have run is not passed on as a promise") {
+  constexpr char kStreamOnce[] = R"({"version":3,"routes":[
+{"name":"tell","host":"h.example","prefix":"/tell/","kind":"streaming",
+ "timeout_ms":5000,"service":"app","max_attempts":5},
+{"name":"book","host":"h.example","prefix":"/book/","kind":"unsafe",
+ "timeout_ms":2000,"service":"app","max_attempts":3}],
+"services":[{"name":"app"}],
+"tenants":[{"name":"family","api_keys":["good"]}]})";
+  for (const char* status : {"408 Slow", "429 Many", "503 Busy"}) {
+    for (const char* request : {"POST /tell/x", "POST /book/x"}) {
+      CAPTURE(status);
+      CAPTURE(request);
+      const Step step = {.bytes = WithLength(status, "own")};
+      GatewayFixture fixture({{step}, {step}}, kStreamOnce);
+      fixture.Send(request);
+      fixture.WaitForAnswer("refusal_unconfirmed");
+      CHECK(fixture.answer.starts_with("HTTP/1.1 502"));
+      CHECK(fixture.answer.find("Response-Seal") == std::string::npos);
+      CHECK(fixture.CountRequests() == 1);
+    }
+  }
+}
+
+// Guards against replacing what an endpoint says where that can do no harm.
+TEST_CASE("other failures of endpoints are passed on unchanged") {
+  GatewayFixture repeatable({{{.bytes = WithLength("503 Busy", "own")}}});
+  repeatable.Send("GET /read/x");
+  repeatable.WaitForAnswer("\r\n\r\nown");
+  CHECK(repeatable.answer.starts_with("HTTP/1.1 503"));
+  for (const std::string status : {"400 Bad", "500 Error", "504 Late"}) {
+    GatewayFixture fixture({{{.bytes = WithLength(status, "own")}}});
+    fixture.Send("POST /book/x");
+    fixture.WaitForAnswer("\r\n\r\nown");
+    CHECK(fixture.answer.starts_with("HTTP/1.1 " + status.substr(0, 3)));
+  }
+  GatewayFixture refused({{{.bytes = kNotRunAnswer}}});
+  refused.Send("POST /book/x");
+  refused.WaitForAnswer("overloaded");
+  CHECK(refused.answer.starts_with("HTTP/1.1 503"));
+}
+
 // Guards against a body without a length that is taken for whole although its
 // connection was reset, and against refusing one that ended in order.
 TEST_CASE("an answer without a length is whole only after an orderly end") {
