Take an answer that ends before its request has arrived for incomplete

The caller got the part as a whole answer.

Cause: GatewayAttempt closes at the end of the server's side, so it never sees the reset that follows, and the end alone completed the body.

Change: the end of the connection completes an answer only if the endpoint's operating system has received the whole request (nothing unsent, nothing unacknowledged). A server that has read its request before it closes is not affected, since its close acknowledges the request. If a server answers early, in earnest and without a length, its answer is lost: the request goes to another endpoint if it may, otherwise the caller gets 502. That is the lesser harm, since nothing tells such an answer from a part. A request that has arrived in the endpoint's buffers, but was not read there, is still not detected.

An answer that is reset without an end before was incomplete already.

--- a/src/gateway_attempt.cc
+++ b/src/gateway_attempt.cc
@@ -53,6 +53,11 @@
   return m_was_sent || (m_connection && m_connection->sent_bytes() > 0);
 }
 
+bool GatewayAttempt::WasReceived() const {
+  return m_connection && m_connection->unsent_bytes() == 0 &&
+         m_connection->delivered_bytes() == m_connection->sent_bytes();
+}
+
 void GatewayAttempt::SetReading(bool reading) {
   if (m_connection) {
     m_connection->SetReading(reading);
@@ -84,7 +89,7 @@
 }
 
 void GatewayAttempt::OnTcpEnd(TcpCloseReason end) {
-  if (end == TcpCloseReason::kClosed) {
+  if (end == TcpCloseReason::kClosed && WasReceived()) {
     // End of file completes a response without a length; any other response
     // stays incomplete.
     m_parser.FeedEof();
--- a/src/gateway_attempt.h
+++ b/src/gateway_attempt.h
@@ -61,6 +61,9 @@
  private:
   void OnData(std::string_view data);
   void OnTcpEnd(TcpCloseReason end);
+  /// Whether the endpoint's operating system has received the whole request. An
+  /// endpoint that closes before may have broken off its answer.
+  bool WasReceived() const;
   void PostEnd(AttemptEnd end);
   void CloseConnection();
 
--- a/src/tcp_connection.cc
+++ b/src/tcp_connection.cc
@@ -200,8 +200,11 @@
 }
 
 uint64_t TcpConnection::delivered_bytes() const {
+  if (m_fd < 0) {
+    return m_delivered_at_end;
+  }
   int in_kernel = 0;
-  if (m_fd < 0 || ioctl(m_fd, SIOCOUTQ, &in_kernel) != 0) {
+  if (ioctl(m_fd, SIOCOUTQ, &in_kernel) != 0) {
     return m_total_sent;
   }
   return m_total_sent - static_cast<uint64_t>(in_kernel);
@@ -220,6 +223,7 @@
   m_callbacks = {};
   m_phase = Phase::kClosed;
   if (m_fd >= 0) {
+    m_delivered_at_end = delivered_bytes();
     m_loop->Unwatch(m_fd);
     close(m_fd);
     m_fd = -1;
--- a/src/tcp_connection.h
+++ b/src/tcp_connection.h
@@ -98,7 +98,8 @@
   /// received anything.
   uint64_t sent_bytes() const { return m_total_sent; }
   /// Bytes that the peer's operating system has received, or those handed to
-  /// this one if that is not known.
+  /// this one if that is not known. After the end of the connection: until
+  /// then.
   uint64_t delivered_bytes() const;
   bool is_open() const { return m_fd >= 0; }
 
@@ -143,6 +144,8 @@
   std::string m_output;
   size_t m_sent_offset = 0;
   uint64_t m_total_sent = 0;
+  // Set when the descriptor is closed.
+  uint64_t m_delivered_at_end = 0;
   // Connect timeout while connecting, linger timeout after FinishAndClose().
   TimerHandle m_timer;
 };
--- a/tests/gateway_fakes.h
+++ b/tests/gateway_fakes.h
@@ -98,6 +98,9 @@
     std::vector<std::string> pieces = {};
     /// Whether the connection is reset after `bytes`, instead of closed.
     bool resets = false;
+    /// Whether the rest of the request is left unread, and the connection is
+    /// half closed after `bytes` and reset later.
+    bool ends_early = false;
   };
 
   FakeEndpoint(EventLoop* loop, std::vector<Step> script)
@@ -171,7 +174,11 @@
 
   void RunStep(const std::shared_ptr<Peer>& peer, const Step& step) {
     peer->connection->Write(step.bytes);
-    if (step.resets) {
+    if (step.ends_early) {
+      peer->connection->SetReading(false);
+      shutdown(peer->fd, SHUT_WR);
+    }
+    if (step.resets || step.ends_early) {
       const linger none{.l_onoff = 1, .l_linger = 0};
       setsockopt(peer->fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
       m_loop->Schedule(kResetDelay, [peer] { peer->connection->Close(); });
--- a/tests/unit_gateway_broken_answer.cc
+++ b/tests/unit_gateway_broken_answer.cc
@@ -251,5 +251,29 @@
   }
 }
 
+// Guards against a part of an answer that is passed on as a whole one, since
+// the endpoint stopped in the middle of an upload.
+TEST_CASE("an answer that ends before its request has arrived is incomplete") {
+  const std::string upload(3'000'000, 'u');
+  const std::string length =
+      "Content-Length: " + std::to_string(upload.size()) + "\r\n";
+  for (const std::string& head : {kUnframed, kClosing, kOldUnframed}) {
+    CAPTURE(head);
+    const Step early = {.bytes = head + "\r\npart", .ends_early = true};
+    GatewayFixture once({{early}});
+    once.Send("POST /book/x", "good", length);
+    once.WaitFor([&] { return once.is_connected(); });
+    once.Write(upload);
+    once.WaitForAnswer("answer_lost");
+    CHECK(once.answer.starts_with("HTTP/1.1 502"));
+    GatewayFixture other({{early}, {{.bytes = kCompleteAnswer}}});
+    other.Send("PUT /read/x", "good", length);
+    other.WaitFor([&] { return other.is_connected(); });
+    other.Write(upload);
+    other.WaitForAnswer("done");
+    CHECK(other.endpoints[1]->requests().size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace bramleybank
