HTTP client: refuse answers whose status line is invalid

Cause: libcurl takes any three digits for a status and knows more versions; HttpClient checked neither.

Change: a transfer with an invalid status line fails, by the rule that the gateway's scanner applies (http1_status), and so does one that is answered with 101.

Evidence: "an answer with an invalid status line is incomplete" failed before for 600, 999, 101 and HTTP/2, and passes now. libcurl itself refuses 000, 099, 20 and HTTP/7.3.

--- a/src/http1_message_scanner.cc
+++ b/src/http1_message_scanner.cc
@@ -7,6 +7,8 @@
 #include <charconv>
 #include <limits>
 
+#include "http1_status.h"
+
 namespace bramleybank {
 namespace {
 
@@ -21,24 +23,6 @@
   return byte != '\t' && std::iscntrl(static_cast<unsigned char>(byte)) != 0;
 }
 
-/// @returns whether a response may have this byte at an offset of its first
-/// line, such as "HTTP/1.1 200 OK". Bytes of the reason phrase are not checked.
-bool MayStandInStatusLine(char byte, size_t offset) {
-  constexpr std::string_view kPrefix = "HTTP/1.";
-  constexpr size_t kStatusOffset = kPrefix.size() + 2;
-  constexpr size_t kStatusDigits = 3;
-  if (offset < kPrefix.size()) {
-    return byte == kPrefix[offset];
-  }
-  if (offset == kStatusOffset - 1 || offset == kStatusOffset + kStatusDigits) {
-    return byte == ' ';
-  }
-  if (offset == kStatusOffset) {
-    return byte >= '1' && byte <= '5';
-  }
-  return std::isdigit(static_cast<unsigned char>(byte)) != 0;
-}
-
 }  // namespace
 
 size_t Http1MessageScanner::Scan(std::string_view bytes) {
@@ -131,7 +115,7 @@
   if (m_rules == Http1LineRules::kRequest) {
     return byte == '\t' ? State::kInvalid : State::kStartLine;
   }
-  if (m_start_line_bytes > kStatusLineBytes) {
+  if (m_start_line_bytes > kMinStatusLineBytes) {
     return State::kStartLine;
   }
   return MayStandInStatusLine(byte, m_start_line_bytes++) ? State::kStartLine
@@ -167,7 +151,7 @@
       return m_state;
     case State::kStartLine:
       return m_rules == Http1LineRules::kResponse &&
-                     m_start_line_bytes < kStatusLineBytes
+                     m_start_line_bytes < kMinStatusLineBytes
                  ? State::kInvalid
                  : State::kLineStart;
     case State::kValue:
--- a/src/http1_message_scanner.h
+++ b/src/http1_message_scanner.h
@@ -73,12 +73,9 @@
   State EndLine();
   bool AcceptsBareLineFeed() const;
 
-  /// Length of "HTTP/1.1 200".
-  static constexpr size_t kStatusLineBytes = 12;
-
   Http1LineRules m_rules;
   State m_state = State::kBeforeStartLine;
-  // Bytes of the start line so far, up to kStatusLineBytes.
+  // Bytes of the start line so far, as far as they are checked.
   size_t m_start_line_bytes = 0;
   // Whether the previous byte was a carriage return.
   bool m_after_cr = false;
--- a/src/http1_parser.cc
+++ b/src/http1_parser.cc
@@ -17,7 +17,6 @@
 // Counted for each start line, so that interim responses without headers are
 // bounded too.
 constexpr size_t kMinStartLineBytes = 15;
-constexpr unsigned kStatusSwitchingProtocols = 101;
 constexpr unsigned kMinFinalStatus = 200;
 
 }  // namespace
--- a/src/http1_status.h
+++ b/src/http1_status.h
@@ -2,10 +2,24 @@
 #ifndef BRAMLEYBANK_SRC_HTTP1_STATUS_H_
 #define BRAMLEYBANK_SRC_HTTP1_STATUS_H_
 
+#include <cstddef>
 #include <string_view>
 
 namespace bramleybank {
 
+/// Length of a status line without a reason phrase, such as "HTTP/1.1 200".
+inline constexpr size_t kMinStatusLineBytes = 12;
+
+/// @returns whether the status line of a response may have this byte at this
+/// offset: version 1 and a status of three digits from 100 to 599. The reason
+/// phrase is not checked.
+bool MayStandInStatusLine(char byte, size_t offset);
+/// @returns whether all bytes of a line, given without its end, are such bytes.
+bool IsValidStatusLine(std::string_view line);
+
+/// No request of this project asks for another protocol.
+inline constexpr int kStatusSwitchingProtocols = 101;
+
 /// @returns the standard reason phrase, or "Status" for an unknown code.
 std::string_view ReasonPhrase(int status);
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -12,11 +12,13 @@
 
 #include "bramleybank/limits.h"
 #include "event_loop.h"
+#include "http1_status.h"
 
 namespace bramleybank {
 namespace {
 
 constexpr long kMaxIdleConnections = 256;
+constexpr long kMinFinalStatus = 200;
 
 std::string_view TrimSpace(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
@@ -118,7 +120,7 @@
     if (line.starts_with("HTTP/")) {
       // A new status line: discard the headers of an interim response.
       transfer->outcome.headers.clear();
-      return length;
+      return IsValidStatusLine(line) ? length : 0;
     }
     if (line.empty()) {
       return ReportHeaders(transfer) ? length : 0;
@@ -134,8 +136,8 @@
   static bool ReportHeaders(Transfer* transfer) {
     long status = 0;
     curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-    if (status < 200) {
-      return true;
+    if (status < kMinFinalStatus) {
+      return status != kStatusSwitchingProtocols;
     }
     transfer->outcome.status = static_cast<int>(status);
     transfer->has_head = true;
--- a/tests/unit_http_client_answers.cc
+++ b/tests/unit_http_client_answers.cc
@@ -101,6 +101,36 @@
   CHECK_FALSE(FindHeader(outcome->headers, "X-Late"));
 }
 
+HttpOutcome Fetch(EventLoop* loop, const HttpClientRequest& request) {
+  HttpClient client(loop);
+  std::optional<HttpOutcome> outcome;
+  client.Start(request, {.on_headers = nullptr,
+                         .on_data = nullptr,
+                         .on_done = [&](const HttpOutcome& result) {
+                           outcome = result;
+                         }});
+  WaitFor(loop, [&] { return outcome.has_value(); });
+  return outcome.value_or(HttpOutcome());
+}
+
+// Guards against callers that get an answer without a meaning.
+TEST_CASE("an answer with an invalid status line is incomplete") {
+  for (const std::string start :
+       {"HTTP/1.1 000 X", "HTTP/1.1 099 X", "HTTP/1.1 20 X", "HTTP/1.1 600 X",
+        "HTTP/1.1 999 X", "HTTP/1.1 101 X", "HTTP/7.3 200 OK", "HTTP/2 200 OK",
+        "HTTP/1.1 0200 OK", "X 200 OK"}) {
+    CAPTURE(start);
+    EventLoop loop;
+    FakeEndpoint server(&loop,
+                        {{.bytes = start + "\r\nContent-Length: 1\r\n\r\na"}});
+    HttpClientRequest request = Get(server.address(), "/");
+    request.total_timeout = std::chrono::seconds(2);
+    const HttpOutcome outcome = Fetch(&loop, request);
+    CHECK_FALSE(outcome.complete);
+    CHECK_FALSE(outcome.timed_out);
+  }
+}
+
 /// A server that keeps connections open and writes its previous answer on a
 /// connection once more before the next one.
 class RepeatingServer {
