HTTP client: an answer that ends before its request has arrived is incomplete

A service that answers an upload at once without a length, closes its side and resets the connection while the upload is still being written had a part of its answer passed on as a whole one.

Cause: libcurl ends such a transfer with success at the end of the server's side.

Change: if only the end of the connection ends the answer, the transfer is complete only if libcurl has sent the whole body and the operating system of the server has received it. HasStatedEnd() moves to http_types, since the streams of the gateway ask the same.

--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -24,12 +24,6 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-/// @returns whether the end of the connection alone does not end the answer.
-bool HasStatedEnd(const Http1Head& head) {
-  return FindHeader(head.headers, "Transfer-Encoding").has_value() ||
-         FindHeader(head.headers, "Content-Length").has_value();
-}
-
 }  // namespace
 
 bool GatewayExchange::SupportsBackup() const {
@@ -157,7 +151,7 @@
   // Only a resumed stream may have no event left, if its end was stated.
   const bool is_resumed = m_last_event_id.value_or(0) > 0;
   if (!m_current->has_event &&
-      (!is_resumed || !HasStatedEnd(m_current->head))) {
+      (!is_resumed || !HasStatedEnd(m_current->head.headers))) {
     FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
                 "stream ended before its first event");
     return;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -2,6 +2,8 @@
 #include "http_client.h"
 
 #include <curl/curl.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <cassert>
@@ -31,6 +33,19 @@
   return text;
 }
 
+/// @returns the bytes written to a socket that its peer has not acknowledged; 0
+/// if that is not known.
+int UndeliveredBytes(curl_socket_t fd) {
+  int bytes = 0;
+  return fd != CURL_SOCKET_TIMEOUT && ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes
+                                                                       : 0;
+}
+
+/// @returns whether only the end of the connection ends the answer.
+bool EndsWithConnection(const HttpOutcome& outcome) {
+  return !HasNoBody(outcome.status) && !HasStatedEnd(outcome.headers);
+}
+
 }  // namespace
 
 struct HttpClient::Impl {
@@ -169,10 +184,12 @@
 
   void RunSocketAction(curl_socket_t fd, int flags) {
     int running = 0;
+    undelivered_bytes = UndeliveredBytes(fd);
     ++callback_depth;
     curl_multi_socket_action(multi, fd, flags, &running);
     --callback_depth;
     FinishCompleted();
+    undelivered_bytes = 0;
   }
 
   void FinishCompleted() {
@@ -212,10 +229,18 @@
     curl_easy_getinfo(transfer->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
     outcome.request_bytes_sent =
         static_cast<uint64_t>(request_size) + static_cast<uint64_t>(uploaded);
-    outcome.complete = result == CURLE_OK;
+    // A server that closes before it has received the request may have broken
+    // off its answer.
+    const bool is_cut_off =
+        EndsWithConnection(outcome) &&
+        (static_cast<size_t>(uploaded) < transfer->body.size() ||
+         undelivered_bytes > 0);
+    outcome.complete = result == CURLE_OK && !is_cut_off;
     outcome.timed_out = result == CURLE_OPERATION_TIMEDOUT;
     if (result != CURLE_OK) {
       outcome.error = curl_easy_strerror(result);
+    } else if (is_cut_off) {
+      outcome.error = "the server closed before it had received the request";
     }
     const auto on_done = std::move(transfer->callbacks.on_done);
     Remove(id);
@@ -308,6 +333,8 @@
   // removed and their end is reported only at depth 0, because libcurl forbids
   // removing handles inside a callback.
   int callback_depth = 0;
+  // Of the socket whose event is being handled, when the event occurred.
+  int undelivered_bytes = 0;
   uint64_t next_id = 1;
   std::unordered_map<uint64_t, std::unique_ptr<Transfer>> transfers;
   std::vector<uint64_t> cancelled_ids;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -34,7 +34,8 @@
 
 /// Result of a transfer.
 struct HttpOutcome {
-  /// Whether the complete response has arrived.
+  /// Whether the complete response has arrived. A response that ends with its
+  /// connection is complete only if the server has received the request before.
   bool complete = false;
   /// HTTP status; 0 if no status line arrived.
   int status = 0;
--- a/src/http_types.cc
+++ b/src/http_types.cc
@@ -23,6 +23,11 @@
   return it->second;
 }
 
+bool HasStatedEnd(const HttpHeaders& headers) {
+  return FindHeader(headers, "Transfer-Encoding").has_value() ||
+         FindHeader(headers, "Content-Length").has_value();
+}
+
 std::string PercentEncode(std::string_view text) {
   static constexpr char kDigits[] = "0123456789ABCDEF";
   std::string encoded;
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -19,6 +19,9 @@
 /// @returns the value of the first header with this name.
 std::optional<std::string> FindHeader(const HttpHeaders& headers,
                                       std::string_view name);
+/// @returns whether a message with these headers has an end of its own, so that
+/// it does not end with its connection.
+bool HasStatedEnd(const HttpHeaders& headers);
 
 /// @returns `text` with every byte outside the unreserved set of RFC 3986
 /// percent-encoded.
--- a/tests/unit_http_client_answers.cc
+++ b/tests/unit_http_client_answers.cc
@@ -131,6 +131,27 @@
   }
 }
 
+// Guards against a part of an answer that is taken for a whole one, since the
+// server stopped in the middle of an upload.
+TEST_CASE("an answer that is cut off beside an upload is incomplete") {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  for (const std::string fields : {"", "Connection: close\r\n"}) {
+    for (const bool ends_early : {false, true}) {
+      CAPTURE(fields);
+      CAPTURE(ends_early);
+      EventLoop loop;
+      FakeEndpoint server(&loop, {{.bytes = head + fields + "\r\npart",
+                                   .resets = !ends_early,
+                                   .ends_early = ends_early}});
+      HttpClientRequest request = Get(server.address(), "/");
+      request.method = "POST";
+      request.body = std::string(3'000'000, 'u');
+      request.single_attempt = true;
+      CHECK_FALSE(Fetch(&loop, request).complete);
+    }
+  }
+}
+
 /// A server that keeps connections open and writes its previous answer on a
 /// connection once more before the next one.
 class RepeatingServer {
