Count buffered answers with the memory that they take

Cause: an answer was collected in one string, and the budget counted its size. The string takes up to twice its size, and three times while it is copied to grow.

Change: an answer is collected in blocks of at most 64 KB that are never reallocated, and the budget counts their capacity before it is allocated. A body that is passed on is written block by block instead of copied into one more string.

"a buffered answer reserves the memory that it takes" checks the sum. WireDeployment::PutRow replaces three copies.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -245,6 +245,10 @@
 inline constexpr std::chrono::milliseconds kEndpointConnectTimeout{300};
 inline constexpr size_t kMaxEndpointHeadBytes = 32 * 1024;
 inline constexpr size_t kMaxWholeAnswerBytes = 16 * 1024 * 1024;
+/// Blocks in which a buffered answer grows. The largest ones are small enough
+/// for the heap to reuse them.
+inline constexpr size_t kMinAnswerBlockBytes = 1024;
+inline constexpr size_t kMaxAnswerBlockBytes = 64 * 1024;
 /// Size of one stream event. An engine's event with several tokens has a few
 /// hundred bytes.
 inline constexpr size_t kMaxEventBytes = 256 * 1024;
--- a/src/answer_buffer.h
+++ b/src/answer_buffer.h
@@ -5,15 +5,15 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
-
-#include "bramleybank/limits.h"
-#include "memory_budget.h"
-#include "release_memory.h"
+#include <vector>
 
 namespace bramleybank {
 
+class MemoryBudget;
+
 /// Collects one body. Its size is limited per body, and the budget limits the
-/// sum of all buffered bodies.
+/// memory of all buffered bodies. A body is kept in blocks: one string would be
+/// copied as it grows, and would take up to three times the body meanwhile.
 class AnswerBuffer {
  public:
   /// @param budget outlives this object.
@@ -22,26 +22,24 @@
   AnswerBuffer(const AnswerBuffer&) = delete;
   AnswerBuffer& operator=(const AnswerBuffer&) = delete;
 
-  /// @returns false, leaving the buffer unchanged, when `data` would exceed one
-  /// of the limits.
-  bool Append(std::string_view data) {
-    if (m_bytes.size() + data.size() > kMaxWholeAnswerBytes ||
-        !m_budget->ReserveAnswer(data.size())) {
-      return false;
-    }
-    m_bytes.append(data);
-    return true;
-  }
-  void Clear() {
-    m_budget->ReleaseAnswer(m_bytes.size());
-    ReleaseMemory(&m_bytes);
-  }
-  const std::string& bytes() const { return m_bytes; }
+  /// @returns false when `data` would exceed one of the limits. A part of it
+  /// may have been appended.
+  bool Append(std::string_view data);
+  void Clear();
+  /// The body, in order.
+  const std::vector<std::string>& blocks() const { return m_blocks; }
 
  private:
+  bool AddBlock(size_t wanted);
+
   MemoryBudget* m_budget;
-  // Invariant: the size of m_bytes is reserved in the budget.
-  std::string m_bytes;
+  // Invariant: no block is reallocated.
+  std::vector<std::string> m_blocks;
+  // Capacity of the last block as reserved. That of the string may be larger.
+  size_t m_block_capacity = 0;
+  size_t m_size = 0;
+  // Memory that is reserved in the budget: the capacities of all blocks.
+  size_t m_reserved = 0;
 };
 
 }  // namespace bramleybank
--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -30,6 +30,14 @@
   return body;
 }
 
+size_t TotalSize(std::span<const std::string> parts) {
+  size_t size = 0;
+  for (const std::string& part : parts) {
+    size += part.size();
+  }
+  return size;
+}
+
 std::string FormatSeconds(Duration duration) {
   char text[32];
   std::snprintf(text, sizeof(text), "%.2f",
@@ -264,27 +272,40 @@
 
 void GatewayCaller::Answer(int status,
                            const HttpHeaders& headers,
-                           std::string_view body) {
+                           std::span<const std::string> body) {
   if (m_closed) {
     return;
   }
   std::string message = RenderHead(status, headers);
   // A response that never has a body must not state the length of one.
   if (!HasNoBody(status)) {
-    message.append("Content-Length: ").append(std::to_string(body.size()));
+    message.append("Content-Length: ").append(std::to_string(TotalSize(body)));
     message.append(kLineEnd);
   }
   message.append(kLineEnd);
-  if (!m_state.omits_body) {
-    message.append(body);
+  if (m_state.omits_body) {
+    body = {};
+  }
+  if (!body.empty()) {
+    message.append(body.front());
+    body = body.subspan(1);
   }
   m_connection->Write(message);
+  for (const std::string& part : body) {
+    m_connection->Write(part);
+  }
   FinishAnswer();
 }
 
 void GatewayCaller::Refuse(ResultCode code, Duration retry_after) {
-  Answer(InfoOf(code).http_status, RefusalHeaders(retry_after),
-         RefusalBody(code));
+  AnswerRefusal(InfoOf(code).http_status, code, retry_after);
+}
+
+void GatewayCaller::AnswerRefusal(int status,
+                                  ResultCode code,
+                                  Duration retry_after) {
+  const std::string body = RefusalBody(code);
+  Answer(status, RefusalHeaders(retry_after), {&body, 1});
 }
 
 void GatewayCaller::RefuseAndClose(int status,
@@ -292,7 +313,7 @@
                                    Duration retry_after) {
   m_hooks->on_refused(code);
   m_state.keep_alive = false;
-  Answer(status, RefusalHeaders(retry_after), RefusalBody(code));
+  AnswerRefusal(status, code, retry_after);
 }
 
 void GatewayCaller::StartStream(int status, const HttpHeaders& headers) {
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -82,7 +83,10 @@
   void Start(int fd);
 
   /// Sends a complete answer. Content-Length is added here.
-  void Answer(int status, const HttpHeaders& headers, std::string_view body);
+  /// @param body in parts.
+  void Answer(int status,
+              const HttpHeaders& headers,
+              std::span<const std::string> body);
   /// Answers with an error of the gateway itself.
   /// @param retry_after value of Retry-After; zero sends no such header.
   void Refuse(ResultCode code, Duration retry_after);
@@ -152,6 +156,7 @@
   void RefuseAndClose(int status,
                       ResultCode code,
                       Duration retry_after = Duration{0});
+  void AnswerRefusal(int status, ResultCode code, Duration retry_after);
   void FinishAnswer();
   void ArmTimer();
   void OnTimer();
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -335,7 +335,7 @@
   }
   m_caller->Answer(m_current->head.status,
                    RemoveHopByHopHeaders(m_current->head.headers),
-                   m_current->body.bytes());
+                   m_current->body.blocks());
   Finish();
 }
 
--- a/tests/process_odd_input.cc
+++ b/tests/process_odd_input.cc
@@ -107,19 +107,11 @@
   CheckServes(deployment);
 }
 
-void PutRow(const std::string& table,
-            const std::string& key,
-            const std::string& value) {
-  REQUIRE(Send("PUT",
-               "http://" + LoopbackIp(1) + ":7500/standin/operator?table=" +
-                   table + "&key=" + PercentEncode(key),
-               {}, value)
-              .status == 200);
-}
-
 /// Entries of `service` that name no server to use, and odd rows of the tables
 /// that gateways read.
-void PutOddRows(const std::string& service, const std::string& mark) {
+void PutOddRows(const WireDeployment& site,
+                const std::string& service,
+                const std::string& mark) {
   const json good = {{"service", service},   {"address", "127.0.0.1:9"},
                      {"zone", "domain-0"},   {"version", "v1"},
                      {"slots", 8},           {"state", "ready"},
@@ -156,18 +148,18 @@
     }
   }
   for (size_t i = 0; i < values.size(); ++i) {
-    PutRow("servers", mark + std::to_string(i), values[i]);
+    site.PutRow("servers", mark + std::to_string(i), values[i]);
   }
-  PutRow("servers", mark + " \r\nX: y", good.dump());
+  site.PutRow("servers", mark + " \r\nX: y", good.dump());
   for (size_t i = 0; i < 5; ++i) {
-    PutRow("op", mark + std::to_string(i), values[i]);
-    PutRow("op", "rollout/" + mark + std::to_string(i), values[i]);
-    PutRow("gateways", mark + std::to_string(i), values[i]);
-    PutRow("rollouts", "apps/" + mark + std::to_string(i), values[i]);
-    PutRow("prompts", mark + std::to_string(i), values[i]);
+    site.PutRow("op", mark + std::to_string(i), values[i]);
+    site.PutRow("op", "rollout/" + mark + std::to_string(i), values[i]);
+    site.PutRow("gateways", mark + std::to_string(i), values[i]);
+    site.PutRow("rollouts", "apps/" + mark + std::to_string(i), values[i]);
+    site.PutRow("prompts", mark + std::to_string(i), values[i]);
   }
-  PutRow("op", "rollout/apps",
-         R"({"service":"apps","to":7,"duration_s":1e400})");
+  site.PutRow("op", "rollout/apps",
+              R"({"service":"apps","to":7,"duration_s":1e400})");
 }
 
 /// Checks that every gateway serves the route that only this configuration has,
@@ -206,11 +198,11 @@
 
 void CheckOddRows(const WireDeploymentOptions& options) {
   WireDeployment site(options);
-  PutOddRows("apps", "odd");
+  PutOddRows(site, "apps", "odd");
   CheckFollowed(site, 5);
   CheckNewServersUsed(site, "v1");
   for (const std::string service : {"apps", "engines"}) {
-    PutOddRows(service, "later-" + service);
+    PutOddRows(site, service, "later-" + service);
   }
   CheckFollowed(site, 6);
   const auto stream = site.Stream(0, "stream-1");
--- a/tests/unit_gateway_broken_answer.cc
+++ b/tests/unit_gateway_broken_answer.cc
@@ -149,6 +149,18 @@
   }
 }
 
+// Guards against parts of a long answer that are lost or exchanged.
+TEST_CASE("a long answer is passed on as it is") {
+  std::string body;
+  for (int i = 0; body.size() < 1'000'000; ++i) {
+    body += std::to_string(i) + ",";
+  }
+  GatewayFixture fixture({{{.bytes = WithLength("200 OK", body)}}});
+  fixture.Send("POST /book/x");
+  fixture.WaitFor([&] { return fixture.answer.size() > body.size(); });
+  CHECK(fixture.answer.ends_with("\r\n\r\n" + body));
+}
+
 // Guards against a status that is no answer: the request must go to another
 // endpoint at once, and the caller must not get it.
 TEST_CASE("an answer with an invalid status is not forwarded") {
--- a/tests/unit_memory_budget.cc
+++ b/tests/unit_memory_budget.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "answer_buffer.h"
 #include "bramleybank/limits.h"
 #include "memory_account.h"
 #include "memory_budget.h"
@@ -36,6 +37,49 @@
 
 using Owners = std::vector<MemoryBudget::OwnerId>;
 
+// Guards against answers that take more memory than the budget has granted.
+TEST_CASE("a buffered answer reserves the memory that it takes") {
+  for (const size_t piece : {size_t{1}, size_t{700}, size_t{16'384}, 3 * kMb}) {
+    CAPTURE(piece);
+    Fixture f;
+    AnswerBuffer buffer(&f.budget);
+    std::string sent;
+    for (char letter = 'a'; sent.size() < 64 * piece; ++letter) {
+      const std::string data(piece, letter == 'z' ? letter = 'a' : letter);
+      if (!buffer.Append(data)) {
+        break;
+      }
+      sent += data;
+      size_t taken = 0;
+      for (const std::string& block : buffer.blocks()) {
+        taken += block.capacity();
+      }
+      REQUIRE(taken <= f.budget.held_bytes());
+    }
+    std::string kept;
+    for (const std::string& block : buffer.blocks()) {
+      kept += block;
+    }
+    CHECK(kept.starts_with(sent));
+    CHECK(f.budget.held_bytes() <= kMaxWholeAnswerBytes);
+    buffer.Clear();
+    CHECK(f.budget.held_bytes() == 0);
+  }
+}
+
+TEST_CASE("a small VM buffers one answer of the largest size") {
+  Fixture f;
+  AnswerBuffer buffer(&f.budget);
+  const std::string data(kMaxWholeAnswerBytes / 1000, 'x');
+  size_t size = 0;
+  while (size + data.size() <= kMaxWholeAnswerBytes) {
+    REQUIRE(buffer.Append(data));
+    size += data.size();
+  }
+  CHECK(buffer.Append(std::string(kMaxWholeAnswerBytes - size, 'x')));
+  CHECK_FALSE(buffer.Append("x"));
+}
+
 TEST_CASE("one owner of the largest body is served when nothing else is held") {
   Fixture f;
   const auto owner = f.Add();
--- a/tests/wire_deployment.cc
+++ b/tests/wire_deployment.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "http_types.h"
 #include "store_rows.h"
 #include "wire_names.h"
 
@@ -204,11 +205,7 @@
                                   int duration_s) const {
   const json order = {
       {"service", "apps"}, {"to", version}, {"duration_s", duration_s}};
-  REQUIRE(Send("PUT",
-               Url(kStoreAddress, kStorePort,
-                   "/standin/operator?table=op&key=rollout%2Fapps"),
-               {}, order.dump())
-              .status == 200);
+  PutRow("op", "rollout/apps", order.dump());
 }
 
 std::string WireDeployment::RolloutState() const {
@@ -285,10 +282,17 @@
   if (!m_options.limits.empty()) {
     config["limits"] = m_options.limits;
   }
+  PutRow("op", "config", config.dump());
+}
+
+void WireDeployment::PutRow(const std::string& table,
+                            const std::string& key,
+                            const std::string& value) const {
   REQUIRE(Send("PUT",
                Url(kStoreAddress, kStorePort,
-                   "/standin/operator?table=op&key=config"),
-               {}, config.dump())
+                   "/standin/operator?table=" + table +
+                       "&key=" + PercentEncode(key)),
+               {}, value)
               .status == 200);
 }
 
--- a/tests/wire_deployment.h
+++ b/tests/wire_deployment.h
@@ -70,6 +70,10 @@
   void PublishConfig(uint64_t version,
                      const std::string& key = "key-1",
                      const std::string& extra_route = {}) const;
+  /// Writes a row as another writer than the gateways would.
+  void PutRow(const std::string& table,
+              const std::string& key,
+              const std::string& value) const;
   /// Orders a rollout of the applications to another version.
   void OrderRollout(const std::string& version, int duration_s) const;
   /// @returns the rollout state in the status row; empty when there is none
