--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -244,6 +244,8 @@
 /// Covers two round trips between regions and the accept of the connection.
 inline constexpr std::chrono::milliseconds kEndpointConnectTimeout{300};
 inline constexpr size_t kMaxEndpointHeadBytes = 32 * 1024;
+/// A field takes far more memory than its bytes if it is short.
+inline constexpr size_t kMaxEndpointHeaderFields = 256;
 inline constexpr size_t kMaxWholeAnswerBytes = 16 * 1024 * 1024;
 /// Blocks in which a buffered answer grows. The largest ones are small enough
 /// for the heap to reuse them.
--- a/src/http1_parser.cc
+++ b/src/http1_parser.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleybank/limits.h"
 #include "http1_status.h"
 #include "release_memory.h"
 
@@ -55,6 +56,10 @@
     Message& message = self->m_message;
     if (message.in_value) {
       self->FinishHeader();
+      if (self->HasTooManyFields()) {
+        self->m_error = Http1ParseError::kHeadTooLarge;
+        return 1;
+      }
     }
     if (!message.in_trailer) {
       message.field.append(at, size);
@@ -178,6 +183,11 @@
   m_message.in_value = false;
 }
 
+bool Http1Parser::HasTooManyFields() const {
+  return m_direction == Direction::kResponses &&
+         m_message.head.headers.size() >= kMaxEndpointHeaderFields;
+}
+
 void Http1Parser::Feed(std::string_view bytes) {
   if (m_error != Http1ParseError::kNone) {
     return;
--- a/src/http1_parser.h
+++ b/src/http1_parser.h
@@ -107,6 +107,9 @@
   size_t Execute(std::string_view bytes);
   void Fail(Http1ParseError error);
   void FinishHeader();
+  /// Whether a further field exceeds the limit. That of requests is the number
+  /// of their bytes.
+  bool HasTooManyFields() const;
 
   const Direction m_direction;
   const size_t m_max_head_bytes;
--- a/tests/unit_http1_parser.cc
+++ b/tests/unit_http1_parser.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "bramleybank/limits.h"
 #include "http1_parser.h"
 
 namespace bramleybank {
@@ -370,6 +371,21 @@
   }
 }
 
+// Guards against a response whose list of fields takes far more memory than its
+// bytes.
+TEST_CASE("a response with too many fields is refused") {
+  for (const size_t extra : {0, 1}) {
+    Recorder recorder(Http1Parser::Direction::kResponses);
+    recorder.parser.Feed("HTTP/1.1 200 OK\r\n");
+    for (size_t i = 0; i < kMaxEndpointHeaderFields - 1 + extra; ++i) {
+      recorder.parser.Feed("a:\r\n");
+    }
+    recorder.parser.Feed("Content-Length: 0\r\n\r\n");
+    CHECK(recorder.complete == 1 - static_cast<int>(extra));
+    CHECK((recorder.parser.error() == Http1ParseError::kNone) == (extra == 0));
+  }
+}
+
 // Guards against passing on headers that the caller reads differently, for
 // example a second length, and against a body that is not the endpoint's.
 TEST_CASE("a response that parsers interpret differently is refused") {
