Count unfinished events in the memory budget

That is more than three quarters of the smallest VM (120 MB, a budget of 30).

Cause: the bytes of an unfinished event, up to 256 KB a stream, were not counted in the budget at all, and the buffer kept the size of the longest read.

Change: EventSplitter reserves its buffer in the budget before it grows and gives it back once the event is complete; a stream whose event does not fit is ended as one with too long an event is. A read is split in parts of 2 KB, so that complete events are passed on instead of buffered. Answers and events that hold up to 4 KB have a reserve of a quarter of the budget, so that those of other callers get through beside large ones.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -254,6 +254,8 @@
 /// Size of one stream event. An engine's event with several tokens has a few
 /// hundred bytes.
 inline constexpr size_t kMaxEventBytes = 256 * 1024;
+/// Memory that an open stream keeps for the event that is arriving.
+inline constexpr size_t kEventBufferBytes = 2 * 1024;
 /// Longest pause between two events, and target for the first one, on routes
 /// that name none.
 inline constexpr std::chrono::milliseconds kDefaultEventGap{700};
@@ -333,6 +335,8 @@
 /// together. The rest is for ordinary requests.
 inline constexpr double kLargeOwnerShare = 0.75;
 inline constexpr size_t kMaxSmallOwnerBytes = 64 * 1024;
+/// Answers of endpoints that hold no more have a reserve of their own.
+inline constexpr size_t kMaxSmallAnswerBytes = 4 * 1024;
 /// A connection is closed for others only after this time without progress, as
 /// long as the budget is not exceeded.
 inline constexpr std::chrono::milliseconds kMinStall{1000};
--- a/src/answer_buffer.cc
+++ b/src/answer_buffer.cc
@@ -33,7 +33,7 @@
   const size_t capacity =
       std::min({std::max({wanted, 2 * m_block_capacity, kMinAnswerBlockBytes}),
                 kMaxAnswerBlockBytes, kMaxWholeAnswerBytes - m_size});
-  if (!m_budget->ReserveAnswer(capacity)) {
+  if (!m_budget->ReserveAnswer(capacity, m_reserved + capacity)) {
     return false;
   }
   m_reserved += capacity;
--- a/src/event_splitter.cc
+++ b/src/event_splitter.cc
@@ -1,7 +1,12 @@
 // An event ends with an empty line; lines end with LF or CR LF.
 #include "event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
+
+#include "bramleybank/limits.h"
+#include "memory_budget.h"
 
 namespace bramleybank {
 namespace {
@@ -26,10 +31,36 @@
 
 }  // namespace
 
-void EventSplitter::Feed(std::string_view bytes) {
+EventSplitter::~EventSplitter() {
+  m_budget->ReleaseAnswer(m_reserved);
+}
+
+bool EventSplitter::Feed(std::string_view bytes) {
+  const size_t needed = pending_bytes() + bytes.size();
+  if (needed > m_reserved) {
+    const size_t doubled = std::min(2 * m_reserved, kMaxEventBytes);
+    if (!Resize(std::max({needed, doubled, kEventBufferBytes}))) {
+      return false;
+    }
+  }
   m_buffer.erase(0, m_start);
   m_start = 0;
   m_buffer.append(bytes);
+  return true;
+}
+
+bool EventSplitter::Resize(size_t capacity) {
+  // Both buffers exist for a moment.
+  if (!m_budget->ReserveAnswer(capacity, capacity)) {
+    return false;
+  }
+  std::string buffer;
+  buffer.reserve(capacity);
+  buffer.append(m_buffer, m_start);
+  m_buffer = std::move(buffer);
+  m_start = 0;
+  m_budget->ReleaseAnswer(std::exchange(m_reserved, capacity));
+  return true;
 }
 
 std::optional<RawEvent> EventSplitter::Next() {
@@ -52,6 +83,10 @@
       event.id = ParseId(line.substr(kIdField.size()));
     }
   }
+  // The events of one read may take far more than the rest of the last one.
+  if (m_reserved > kEventBufferBytes && pending_bytes() <= kEventBufferBytes) {
+    Resize(kEventBufferBytes);
+  }
   return std::nullopt;
 }
 
--- a/src/exchange_attempt.h
+++ b/src/exchange_attempt.h
@@ -19,8 +19,9 @@
 
 /// State of one attempt of an exchange.
 struct ExchangeAttempt {
-  /// @param memory budget for the buffered answer.
-  explicit ExchangeAttempt(MemoryBudget* memory) : body(memory) {}
+  /// @param memory budget for the answer or its unfinished event.
+  explicit ExchangeAttempt(MemoryBudget* memory)
+      : body(memory), events(memory) {}
 
   /// Number of the send within its exchange.
   int number = 0;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -273,8 +273,18 @@
     }
     return;
   }
-  m_current->events.Feed(data);
-  ForwardEvents();
+  // Complete events are passed on before more is buffered.
+  const ExchangeAttempt* attempt = m_current.get();
+  while (!data.empty() && m_current.get() == attempt && attempt->connection) {
+    const std::string_view part = data.substr(0, kEventBufferBytes);
+    data.remove_prefix(part.size());
+    if (!m_current->events.Feed(part)) {
+      FailAttempt(EndpointOutcome::kFailed, RetryReason::kTooLarge,
+                  "event exceeds the memory budget");
+      return;
+    }
+    ForwardEvents();
+  }
 }
 
 void GatewayExchange::OnAttemptEnd(AttemptEnd end) {
--- a/src/memory_budget.cc
+++ b/src/memory_budget.cc
@@ -76,9 +76,12 @@
   m_owners.at(owner).progress_at = m_clock();
 }
 
-bool MemoryBudget::ReserveAnswer(size_t bytes) {
+bool MemoryBudget::ReserveAnswer(size_t bytes, size_t total) {
   // A single answer of the largest size is accepted on small VMs too.
-  const size_t limit = std::max(m_capacity / 2, kMaxWholeAnswerBytes);
+  size_t limit = std::max(m_capacity / 2, kMaxWholeAnswerBytes);
+  if (total <= kMaxSmallAnswerBytes) {
+    limit += m_capacity / 4;
+  }
   if (m_answers + bytes > limit) {
     return false;
   }
--- a/src/memory_budget.h
+++ b/src/memory_budget.h
@@ -63,8 +63,10 @@
   /// The owner's peer has sent or read something.
   void OnProgress(OwnerId owner);
 
-  /// Asks for memory for the answer of an endpoint.
-  bool ReserveAnswer(size_t bytes);
+  /// Asks for memory for the answer of an endpoint. Answers that hold little
+  /// have a reserve of their own, so that they get through beside large ones.
+  /// @param total what this answer holds then.
+  bool ReserveAnswer(size_t bytes, size_t total);
   void ReleaseAnswer(size_t bytes);
 
   /// Evicts owners and lets others continue, as far as needed now.
