--- a/src/http1_parser.cc
+++ b/src/http1_parser.cc
@@ -18,7 +18,6 @@
 // Counted for each start line, so that interim responses without headers are
 // bounded too.
 constexpr size_t kMinStartLineBytes = 15;
-constexpr unsigned kMinFinalStatus = 200;
 
 }  // namespace
 
@@ -93,7 +92,7 @@
           http_method_str(static_cast<http_method>(parser->method));
     } else {
       message.head.status = static_cast<int>(parser->status_code);
-      message.is_interim = parser->status_code < kMinFinalStatus;
+      message.is_interim = message.head.status < kMinFinalStatus;
     }
     if (message.head.status == kStatusSwitchingProtocols) {
       // No request asks for another protocol, whose bytes would follow.
--- a/src/http1_status.h
+++ b/src/http1_status.h
@@ -17,6 +17,8 @@
 /// @returns whether all bytes of a line, given without its end, are such bytes.
 bool IsValidStatusLine(std::string_view line);
 
+/// Responses with a smaller status are interim.
+inline constexpr int kMinFinalStatus = 200;
 /// No request of this project asks for another protocol.
 inline constexpr int kStatusSwitchingProtocols = 101;
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -20,7 +20,6 @@
 namespace {
 
 constexpr long kMaxIdleConnections = 256;
-constexpr long kMinFinalStatus = 200;
 
 std::string_view TrimSpace(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
