--- a/tests/process_flooding_server.cc
+++ b/tests/process_flooding_server.cc
@@ -2,9 +2,11 @@
 // all, run out of memory and end the requests of other callers with it.
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "crowd.h"
@@ -44,6 +46,13 @@
 /// the flooding one.
 class FloodedDeployment {
  public:
+  static WireDeploymentOptions Options() {
+    WireDeploymentOptions options;
+    options.domains = 1;
+    options.gateway_settings = "[memory]\nbudget_mb = 24\n";
+    return options;
+  }
+
   FloodedDeployment(const std::string& start, const std::string& repeated)
       : m_site(Options()),
         m_server(LoopbackIp(kServerHost) + kServerPort, start, repeated) {
@@ -101,13 +110,6 @@
  private:
   static constexpr size_t kBlockBytes = 64 * 1024;
 
-  static WireDeploymentOptions Options() {
-    WireDeploymentOptions options;
-    options.domains = 1;
-    options.gateway_settings = "[memory]\nbudget_mb = 24\n";
-    return options;
-  }
-
   WireDeployment m_site;
   FloodingServer m_server;
 };
@@ -181,5 +183,24 @@
   Check("/streams/x", "", "\n");
 }
 
+// KNOWN-RED.txt, entry 22.
+TEST_CASE("rows of the store without end" * doctest::skip()) {
+  WireDeployment site(FloodedDeployment::Options());
+  site.store().Kill();
+  const FloodingServer store(
+      LoopbackIp(1) + ":7500",
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+      "{\"ver\":7,\"rows\":[",
+      R"({"key":"k","value":"","ver":5},)");
+  ChildProcess& gateway = site.gateway(0);
+  for (int second = 0; second < 4; ++second) {
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    CHECK(site.Call(0, "GET", "/reads/x", "beside-" + std::to_string(second))
+              .status == 200);
+  }
+  REQUIRE(gateway.is_running());
+  CHECK(PeakMemoryKb(gateway.pid()) < kMaxMemoryKb);
+}
+
 }  // namespace
 }  // namespace bramleybank::testing
