One check of undelivered output, one use of SIOCOUTQ

GatewayAttempt::WasReceived() repeated the check of GatewayCaller, and HttpClient the ioctl of TcpConnection. Both now stand in tcp_connection.

--- a/src/gateway_attempt.cc
+++ b/src/gateway_attempt.cc
@@ -54,8 +54,7 @@
 }
 
 bool GatewayAttempt::WasReceived() const {
-  return m_connection && m_connection->unsent_bytes() == 0 &&
-         m_connection->delivered_bytes() == m_connection->sent_bytes();
+  return m_connection && !m_connection->has_undelivered_output();
 }
 
 void GatewayAttempt::SetReading(bool reading) {
--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -392,8 +392,7 @@
 }
 
 bool GatewayCaller::HasUndeliveredOutput() const {
-  return m_connection->unsent_bytes() > 0 ||
-         m_connection->delivered_bytes() < m_connection->sent_bytes();
+  return m_connection->has_undelivered_output();
 }
 
 bool GatewayCaller::AwaitsFirstRequest() const {
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -2,8 +2,6 @@
 #include "http_client.h"
 
 #include <curl/curl.h>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <cassert>
@@ -15,6 +13,7 @@
 #include "bramleybank/limits.h"
 #include "event_loop.h"
 #include "http1_status.h"
+#include "tcp_connection.h"
 
 namespace bramleybank {
 namespace {
@@ -32,14 +31,6 @@
   return text;
 }
 
-/// @returns the bytes written to a socket that its peer has not acknowledged; 0
-/// if that is not known.
-int UndeliveredBytes(curl_socket_t fd) {
-  int bytes = 0;
-  return fd != CURL_SOCKET_TIMEOUT && ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes
-                                                                       : 0;
-}
-
 /// @returns whether only the end of the connection ends the answer.
 bool EndsWithConnection(const HttpOutcome& outcome) {
   return !HasNoBody(outcome.status) && !HasStatedEnd(outcome.headers);
@@ -183,7 +174,8 @@
 
   void RunSocketAction(curl_socket_t fd, int flags) {
     int running = 0;
-    undelivered_bytes = UndeliveredBytes(fd);
+    // Not known for CURL_SOCKET_TIMEOUT, which is no socket.
+    undelivered_bytes = UnacknowledgedBytes(fd).value_or(0);
     ++callback_depth;
     curl_multi_socket_action(multi, fd, flags, &running);
     --callback_depth;
@@ -333,7 +325,7 @@
   // removing handles inside a callback.
   int callback_depth = 0;
   // Of the socket whose event is being handled, when the event occurred.
-  int undelivered_bytes = 0;
+  size_t undelivered_bytes = 0;
   uint64_t next_id = 1;
   std::unordered_map<uint64_t, std::unique_ptr<Transfer>> transfers;
   std::vector<uint64_t> cancelled_ids;
--- a/src/tcp_connection.cc
+++ b/src/tcp_connection.cc
@@ -48,6 +48,13 @@
 
 }  // namespace
 
+std::optional<size_t> UnacknowledgedBytes(int fd) {
+  int bytes = 0;
+  return ioctl(fd, SIOCOUTQ, &bytes) == 0
+             ? std::optional(static_cast<size_t>(bytes))
+             : std::nullopt;
+}
+
 TcpConnection::TcpConnection(EventLoop* loop, int fd, TcpCallbacks callbacks)
     : m_loop(loop), m_fd(fd), m_callbacks(std::move(callbacks)) {}
 
@@ -203,11 +210,7 @@
   if (m_fd < 0) {
     return m_delivered_at_end;
   }
-  int in_kernel = 0;
-  if (ioctl(m_fd, SIOCOUTQ, &in_kernel) != 0) {
-    return m_total_sent;
-  }
-  return m_total_sent - static_cast<uint64_t>(in_kernel);
+  return m_total_sent - UnacknowledgedBytes(m_fd).value_or(0);
 }
 
 void TcpConnection::ShutDownWriteIfDrained() {
--- a/src/tcp_connection.h
+++ b/src/tcp_connection.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -56,6 +57,10 @@
   std::function<void(size_t unsent)> on_closed;
 };
 
+/// @returns the bytes written to a socket that its peer has not acknowledged;
+/// nothing if that is not known.
+std::optional<size_t> UnacknowledgedBytes(int fd);
+
 /// One TCP connection over IPv4. It stays alive while one of its callbacks
 /// runs, even if the owner releases its pointer inside the callback.
 class TcpConnection : public std::enable_shared_from_this<TcpConnection> {
@@ -101,6 +106,10 @@
   /// this one if that is not known. After the end of the connection: until
   /// then.
   uint64_t delivered_bytes() const;
+  /// Whether the peer's operating system has yet to receive output.
+  bool has_undelivered_output() const {
+    return unsent_bytes() > 0 || delivered_bytes() < sent_bytes();
+  }
   bool is_open() const { return m_fd >= 0; }
 
  private:
