--- a/src/metadata_store.h
+++ b/src/metadata_store.h
@@ -79,6 +79,17 @@
   friend bool operator==(const StoreWrite&, const StoreWrite&) = default;
 };
 
+/// @returns all rows on which a write depends, the written one first.
+inline std::vector<StoreCondition> ConditionsOf(const StoreWrite& write) {
+  std::vector<StoreCondition> conditions;
+  if (write.expected_version) {
+    conditions.push_back({write.table, write.key, *write.expected_version});
+  }
+  conditions.insert(conditions.end(), write.conditions.begin(),
+                    write.conditions.end());
+  return conditions;
+}
+
 /// Asynchronous calls to the store. Each callback runs exactly once, in a later
 /// turn of the event loop.
 class MetadataStore {
--- a/tests/rollout_fleet.h
+++ b/tests/rollout_fleet.h
@@ -53,16 +53,13 @@
   }
 
   StoreResult Apply(const StoreWrite& write) {
-    StoreRow& row = m_rows[{write.table, write.key}];
-    if (write.expected_version && !Matches(*write.expected_version, row)) {
-      return StoreResult::kConflict;
-    }
-    for (const auto& [table, key, version] : write.conditions) {
+    for (const auto& [table, key, version] : ConditionsOf(write)) {
       if (!Matches(version, m_rows[{table, key}])) {
         return StoreResult::kConflict;
       }
     }
-    row = {.key = write.key, .value = write.value, .version = ++m_version};
+    m_rows[{write.table, write.key}] = {
+        .key = write.key, .value = write.value, .version = ++m_version};
     history.push_back(write);
     return StoreResult::kOk;
   }
