Smaller repeats: one Fetch() in the tests of HttpClient, one check of a status line

Four tests sent a request and waited for its outcome with the same lines. Their assertions are unchanged; that an outcome arrives is checked by WaitFor(). The scanner decided a second time which bytes of a start line are not checked. The reserve of small answers has a name.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -335,8 +335,10 @@
 /// together. The rest is for ordinary requests.
 inline constexpr double kLargeOwnerShare = 0.75;
 inline constexpr size_t kMaxSmallOwnerBytes = 64 * 1024;
-/// Answers of endpoints that hold no more have a reserve of their own.
+/// Answers of endpoints that hold no more have a reserve of their own, this
+/// fraction of the budget.
 inline constexpr size_t kMaxSmallAnswerBytes = 4 * 1024;
+inline constexpr size_t kSmallAnswerDivisor = 4;
 /// A connection is closed for others only after this time without progress, as
 /// long as the budget is not exceeded.
 inline constexpr std::chrono::milliseconds kMinStall{1000};
--- a/src/http1_message_scanner.cc
+++ b/src/http1_message_scanner.cc
@@ -115,9 +115,6 @@
   if (m_rules == Http1LineRules::kRequest) {
     return byte == '\t' ? State::kInvalid : State::kStartLine;
   }
-  if (m_start_line_bytes > kMinStatusLineBytes) {
-    return State::kStartLine;
-  }
   return MayStandInStatusLine(byte, m_start_line_bytes++) ? State::kStartLine
                                                           : State::kInvalid;
 }
--- a/src/http1_message_scanner.h
+++ b/src/http1_message_scanner.h
@@ -75,7 +75,7 @@
 
   Http1LineRules m_rules;
   State m_state = State::kBeforeStartLine;
-  // Bytes of the start line so far, as far as they are checked.
+  // Bytes of a response's start line so far.
   size_t m_start_line_bytes = 0;
   // Whether the previous byte was a carriage return.
   bool m_after_cr = false;
--- a/src/memory_budget.cc
+++ b/src/memory_budget.cc
@@ -80,7 +80,7 @@
   // A single answer of the largest size is accepted on small VMs too.
   size_t limit = std::max(m_capacity / 2, kMaxWholeAnswerBytes);
   if (total <= kMaxSmallAnswerBytes) {
-    limit += m_capacity / 4;
+    limit += m_capacity / kSmallAnswerDivisor;
   }
   if (m_answers + bytes > limit) {
     return false;
--- a/tests/unit_http_client_answers.cc
+++ b/tests/unit_http_client_answers.cc
@@ -45,6 +45,20 @@
   return request;
 }
 
+/// Sends a request with `client` and waits for its outcome.
+HttpOutcome Fetch(EventLoop* loop,
+                  HttpClient* client,
+                  const HttpClientRequest& request) {
+  std::optional<HttpOutcome> outcome;
+  client->Start(request, {.on_headers = nullptr,
+                          .on_data = nullptr,
+                          .on_done = [&](const HttpOutcome& result) {
+                            outcome = result;
+                          }});
+  WaitFor(loop, [&] { return outcome.has_value(); });
+  return outcome.value_or(HttpOutcome());
+}
+
 TEST_CASE("a transfer ends when its answer exceeds a limit") {
   const std::string head = "HTTP/1.1 200 OK\r\n";
   const std::string line = "X: " + std::string(3000, 'y') + "\r\n";
@@ -64,17 +78,10 @@
     EventLoop loop;
     FakeEndpoint server(&loop, {step});
     HttpClient client(&loop);
-    std::optional<HttpOutcome> outcome;
-    client.Start(
-        Get(server.address(), "/"),
-        {.on_headers = nullptr,
-         .on_data = nullptr,
-         .on_done = [&](const HttpOutcome& result) { outcome = result; }});
-    WaitFor(&loop, [&] { return outcome.has_value(); });
-    if (outcome) {
-      CHECK_FALSE(outcome->complete);
-      CHECK(outcome->body.size() <= kMaxClientBodyBytes);
-    }
+    const HttpOutcome outcome =
+        Fetch(&loop, &client, Get(server.address(), "/"));
+    CHECK_FALSE(outcome.complete);
+    CHECK(outcome.body.size() <= kMaxClientBodyBytes);
   }
 }
 
@@ -87,30 +94,11 @@
                         "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
                         "0\r\nHTTP/X: y\r\nX-Era: 2\r\nX-Late: 3\r\n\r\n"}});
   HttpClient client(&loop);
-  std::optional<HttpOutcome> outcome;
-  client.Start(
-      Get(server.address(), "/"),
-      {.on_headers = nullptr,
-       .on_data = nullptr,
-       .on_done = [&](const HttpOutcome& result) { outcome = result; }});
-  WaitFor(&loop, [&] { return outcome.has_value(); });
-  REQUIRE(outcome);
-  CHECK(outcome->complete);
-  CHECK(outcome->body == "ok");
-  CHECK(FindHeader(outcome->headers, "X-Era") == "1");
-  CHECK_FALSE(FindHeader(outcome->headers, "X-Late"));
-}
-
-HttpOutcome Fetch(EventLoop* loop, const HttpClientRequest& request) {
-  HttpClient client(loop);
-  std::optional<HttpOutcome> outcome;
-  client.Start(request, {.on_headers = nullptr,
-                         .on_data = nullptr,
-                         .on_done = [&](const HttpOutcome& result) {
-                           outcome = result;
-                         }});
-  WaitFor(loop, [&] { return outcome.has_value(); });
-  return outcome.value_or(HttpOutcome());
+  const HttpOutcome outcome = Fetch(&loop, &client, Get(server.address(), "/"));
+  CHECK(outcome.complete);
+  CHECK(outcome.body == "ok");
+  CHECK(FindHeader(outcome.headers, "X-Era") == "1");
+  CHECK_FALSE(FindHeader(outcome.headers, "X-Late"));
 }
 
 // Guards against callers that get an answer without a meaning.
@@ -125,7 +113,8 @@
                         {{.bytes = start + "\r\nContent-Length: 1\r\n\r\na"}});
     HttpClientRequest request = Get(server.address(), "/");
     request.total_timeout = std::chrono::seconds(2);
-    const HttpOutcome outcome = Fetch(&loop, request);
+    HttpClient client(&loop);
+    const HttpOutcome outcome = Fetch(&loop, &client, request);
     CHECK_FALSE(outcome.complete);
     CHECK_FALSE(outcome.timed_out);
   }
@@ -147,7 +136,8 @@
       request.method = "POST";
       request.body = std::string(3'000'000, 'u');
       request.single_attempt = true;
-      CHECK_FALSE(Fetch(&loop, request).complete);
+      HttpClient client(&loop);
+      CHECK_FALSE(Fetch(&loop, &client, request).complete);
     }
   }
 }
@@ -246,14 +236,7 @@
         Get("127.0.0.1:" + std::to_string(m_port), "/svc/desk" + path);
     request.method = method;
     request.single_attempt = true;
-    std::optional<HttpOutcome> outcome;
-    m_caller.Start(request, {.on_headers = nullptr,
-                             .on_data = nullptr,
-                             .on_done = [&](const HttpOutcome& result) {
-                               outcome = result;
-                             }});
-    WaitFor(m_loop, [&] { return outcome.has_value(); });
-    return outcome.value_or(HttpOutcome());
+    return Fetch(m_loop, &m_caller, request);
   }
 
  private:
