Review: stand-ins with slots, a silent server that needs a step to go on

Formatted; servers refuse when their slots are taken, say in their reports that a preempted request waits, and take a whole step after a silence.

--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -23,17 +23,17 @@
   std::map<std::string, std::unique_ptr<Engine>> engines;
   for (const char* zone : {"zone-a", "zone-b", "zone-c"}) {
     for (int i = 0; i < kEnginesPerZone; ++i) {
-      auto engine = std::make_unique<Engine>(
-          std::string("i-") + zone + std::to_string(i), zone, &runs,
-          EngineTimes{});
+      auto engine =
+          std::make_unique<Engine>(std::string("i-") + zone + std::to_string(i),
+                                   zone, &runs, EngineTimes{});
       store.Put("servers", engine->id(), engine->Entry("guide"));
       engines.emplace(engine->id(), std::move(engine));
     }
   }
-  store.Put("op", "config",
-            MakeConfig(1, Json::array({GuideRoute()}),
-                       Json::array({GuideService()}))
-                .dump());
+  store.Put(
+      "op", "config",
+      MakeConfig(1, Json::array({GuideRoute()}), Json::array({GuideService()}))
+          .dump());
   int result = 0;
   {
     Gateway gateway("front-1", "zone-a", store.address());
@@ -52,8 +52,8 @@
             engine->next_prefill_ms = kReadMs;
           }
         }
-        clients.push_back(std::make_unique<StreamClient>(
-            gateway, id, i == 2 ? 14400 : 8000));
+        clients.push_back(
+            std::make_unique<StreamClient>(gateway, id, i == 2 ? 14400 : 8000));
         WaitFor([&] { return runs.Latest(id) != nullptr; }, 3000);
         const auto run = runs.Latest(id);
         places.push_back(run ? run->server : "");
@@ -99,12 +99,13 @@
               earlier->server != later->server &&
               (earlier->end == 0 || earlier->end > later->start + kSlackMs)) {
             ++twice;
-            Log().Line("TWICE %s: at %s from %.3f; still worked on at %s, which "
-                       "was sound, until %.3f",
-                       id.c_str(), later->server.c_str(),
-                       static_cast<double>(later->start) / 1000,
-                       earlier->server.c_str(),
-                       static_cast<double>(earlier->end) / 1000);
+            Log().Line(
+                "TWICE %s: at %s from %.3f; still worked on at %s, which "
+                "was sound, until %.3f",
+                id.c_str(), later->server.c_str(),
+                static_cast<double>(later->start) / 1000,
+                earlier->server.c_str(),
+                static_cast<double>(earlier->end) / 1000);
           }
         }
       }
@@ -114,10 +115,10 @@
       result = 2;
     } else {
       result = twice > 0 ? 1 : 0;
-      Finish(twice > 0,
-             std::to_string(twice) + " requests at a sound server went on at "
-             "another one while it worked on, in " + std::to_string(played) +
-             " rounds");
+      Finish(twice > 0, std::to_string(twice) +
+                            " requests at a sound server went on at "
+                            "another one while it worked on, in " +
+                            std::to_string(played) + " rounds");
     }
     if (const char* path = std::getenv("GATEWAY_LOG")) {
       std::ofstream(path) << gateway.log();
--- a/review/standin-3/lab.h
+++ b/review/standin-3/lab.h
@@ -16,6 +16,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <fcntl.h>
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -24,7 +25,6 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
-#include <fcntl.h>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -52,7 +52,8 @@
 }
 
 inline void SleepMs(int64_t ms) {
-  std::this_thread::sleep_for(std::chrono::milliseconds(std::max<int64_t>(0, ms)));
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(std::max<int64_t>(0, ms)));
 }
 
 inline bool IsTroubled() {
@@ -284,8 +285,9 @@
   for (size_t i = 0; i < text.size(); i += 3) {
     uint32_t group = 0;
     for (size_t j = 0; j < 3; ++j) {
-      group = group << 8 |
-              (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0);
+      group =
+          group << 8 |
+          (i + j < text.size() ? static_cast<unsigned char>(text[i + j]) : 0);
     }
     for (size_t j = 0; j < 4; ++j) {
       out += i + j <= text.size() ? kDigits[group >> (18 - 6 * j) & 63] : '=';
@@ -381,9 +383,10 @@
 
   std::string Feed(const std::string& target) {
     const std::string table = Param(target, "table");
-    const uint64_t after = std::strtoull(Param(target, "after").c_str(), nullptr, 10);
-    const auto wait = std::chrono::milliseconds(
-        std::atoi(Param(target, "wait_ms").c_str()));
+    const uint64_t after =
+        std::strtoull(Param(target, "after").c_str(), nullptr, 10);
+    const auto wait =
+        std::chrono::milliseconds(std::atoi(Param(target, "wait_ms").c_str()));
     std::unique_lock lock(m_mutex);
     std::vector<std::pair<uint64_t, Json>> found;
     const auto collect = [&] {
@@ -531,12 +534,13 @@
             (earlier->end == 0 || earlier->end > later->start + slack_ms);
         if (overlaps) {
           ++count;
-          Log().Line("TWICE %s: at %s from %.3f, event %d; still worked on at "
-                     "%s until %.3f",
-                     later->id.c_str(), later->server.c_str(),
-                     static_cast<double>(later->start) / 1000, later->first,
-                     earlier->server.c_str(),
-                     static_cast<double>(earlier->end) / 1000);
+          Log().Line(
+              "TWICE %s: at %s from %.3f, event %d; still worked on at "
+              "%s until %.3f",
+              later->id.c_str(), later->server.c_str(),
+              static_cast<double>(later->start) / 1000, later->first,
+              earlier->server.c_str(),
+              static_cast<double>(earlier->end) / 1000);
         }
       }
     }
@@ -553,6 +557,8 @@
   int event_ms = 30;
   int prefill_ms = 300;
   int id_step = 1;
+  // Requests that it runs at once; it refuses further ones as full.
+  int slots = 24;
 };
 
 // A model server. Unless `drops_on_close` is set, it finishes a run also when
@@ -570,10 +576,11 @@
   const std::string& zone() const { return m_zone; }
   std::string address() const { return m_listener.address(); }
   std::string Entry(const std::string& service) const {
-    return Json{{"service", service}, {"address", address()}, {"zone", m_zone},
-                {"version", "v1"}, {"slots", 24}, {"state", "ready"},
-                {"cold_left_ms", 0}, {"stage", "both"},
-                {"models", Models()}, {"call_seq", 1}, {"born", kBorn}}
+    return Json{
+        {"service", service}, {"address", address()},   {"zone", m_zone},
+        {"version", "v1"},    {"slots", m_times.slots}, {"state", "ready"},
+        {"cold_left_ms", 0},  {"stage", "both"},        {"models", Models()},
+        {"call_seq", 1},      {"born", kBorn}}
         .dump();
   }
 
@@ -598,7 +605,8 @@
   static constexpr int64_t kBorn = 1700000000000;
 
   static Json Models() {
-    return Json::array({{{"name", "m"}, {"version", 1}, {"adapters", Json::array()}}});
+    return Json::array(
+        {{{"name", "m"}, {"version", 1}, {"adapters", Json::array()}}});
   }
 
   std::string Report() {
@@ -608,19 +616,29 @@
         list.push_back({run->id, 8000, run->last.load() / m_times.id_step, 5});
       }
     }
-    return Json{{"stage", "both"},       {"models", Models()},
-                {"busy", false},         {"call_seq", 1},
-                {"queued", 0},           {"running", list.size()},
-                {"kv_used", 8000 * list.size()}, {"kv_total", 88000},
-                {"handles", 0},          {"state", "ready"},
-                {"runs", list},          {"born", kBorn}}
+    return Json{{"stage", "both"},
+                {"models", Models()},
+                {"busy", false},
+                {"call_seq", 1},
+                {"queued", NowMs() < pause_until ? 1 : 0},
+                {"running", list.size()},
+                {"kv_used", 8000 * list.size()},
+                {"kv_total", 88000},
+                {"handles", 0},
+                {"state", "ready"},
+                {"runs", list},
+                {"born", kBorn}}
         .dump();
   }
 
-  void WaitWhileDark() const {
+  // Returns whether the server was dark.
+  bool WaitWhileDark() const {
+    bool was_dark = false;
     while (is_dark) {
+      was_dark = true;
       SleepMs(5);
     }
+    return was_dark;
   }
 
   // Whether the other side has closed the connection.
@@ -669,10 +687,25 @@
     if (sheds.exchange(false)) {
       Log().Line("%s refuses %s%s", m_id.c_str(), id.c_str(),
                  shed_fields.empty() ? "" : ", with Retry-After");
-      conn->Send(Response(503, "{}", named + "Not-Executed: 1\r\n" + shed_fields));
+      conn->Send(
+          Response(503, "{}", named + "Not-Executed: 1\r\n" + shed_fields));
       ++shed_count;
       return;
     }
+    if (m_running.fetch_add(1) >= m_times.slots) {
+      --m_running;
+      Log().Line("%s is full and refuses %s", m_id.c_str(), id.c_str());
+      conn->Send(Response(503, "{}", named + "Not-Executed: 1\r\n"));
+      return;
+    }
+    RunRequest(conn, head, id, named);
+    --m_running;
+  }
+
+  void RunRequest(const std::shared_ptr<Conn>& conn,
+                  const Head& head,
+                  const std::string& id,
+                  const std::string& named) {
     const int after = std::atoi(head.Get("Last-Event-Id").c_str());
     const auto run = m_runs->Start(m_id, id, after);
     Log().Line("%s runs %s after event %d%s", m_id.c_str(), id.c_str(), after,
@@ -683,13 +716,14 @@
     WaitWhileDark();
     bool is_open = conn->Send(
         "HTTP/1.1 200 OK\r\n" + named + "Response-Seal: seal." + m_id +
-        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n");
     const int last = m_times.events * m_times.id_step;
     for (int event = after + m_times.id_step; event <= last;
          event += m_times.id_step) {
-      const std::string text =
-          "id: " + std::to_string(event) + "\ndata: " + id + "-" +
-          std::to_string(event) + "\n\n";
+      const std::string text = "id: " + std::to_string(event) +
+                               "\ndata: " + id + "-" + std::to_string(event) +
+                               "\n\n";
       char size[16];
       std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
       run->last = event;
@@ -710,7 +744,10 @@
           break;
         }
       }
-      WaitWhileDark();
+      if (WaitWhileDark()) {
+        // The next event takes a whole step.
+        SleepMs(m_times.event_ms);
+      }
     }
     if (is_open) {
       conn->Send("0\r\n\r\n");
@@ -724,6 +761,7 @@
   const std::string m_zone;
   Runs* m_runs;
   const EngineTimes m_times;
+  std::atomic<int> m_running = 0;
   Listener m_listener;
 };
 
@@ -736,35 +774,50 @@
 };
 
 inline Json GuideRoute() {
-  return {{"name", "r-guide"}, {"host", "site.example"}, {"prefix", "/guide/"},
-          {"kind", "streaming"}, {"timeout_ms", 25000},
-          {"target_latency_ms", 4500}, {"priority", 1},
-          {"service", "guide"}, {"max_attempts", 5}, {"anonymous", false},
-          {"sticky", true}, {"resumable", true}, {"target_gap_ms", 700}};
+  return {{"name", "r-guide"},   {"host", "site.example"},
+          {"prefix", "/guide/"}, {"kind", "streaming"},
+          {"timeout_ms", 25000}, {"target_latency_ms", 4500},
+          {"priority", 1},       {"service", "guide"},
+          {"max_attempts", 5},   {"anonymous", false},
+          {"sticky", true},      {"resumable", true},
+          {"target_gap_ms", 700}};
 }
 
 inline Json GuideService() {
-  return {{"name", "guide"}, {"health_path", "/health"}, {"max_conns", 210},
-          {"protocol", "h1"}, {"tls", false},
+  return {{"name", "guide"},
+          {"health_path", "/health"},
+          {"max_conns", 210},
+          {"protocol", "h1"},
+          {"tls", false},
           {"engine",
-           {{"slots", 24}, {"kv_capacity_tokens", 88000},
-            {"kv_token_bytes", 18432}, {"link_mbps", 370000.0},
-            {"moves", true}, {"backups", true}, {"stride", 8}, {"most", 12},
-            {"pin_ms", 4000.0}, {"hold_ms", 2000.0}, {"handle_s", 4.0},
+           {{"slots", 24},
+            {"kv_capacity_tokens", 88000},
+            {"kv_token_bytes", 18432},
+            {"link_mbps", 370000.0},
+            {"moves", true},
+            {"backups", true},
+            {"stride", 8},
+            {"most", 12},
+            {"pin_ms", 4000.0},
+            {"hold_ms", 2000.0},
+            {"handle_s", 4.0},
             {"models", Json::array({{{"name", "m"}}})}}}};
 }
 
-inline Json MakeConfig(uint64_t version, const Json& routes, const Json& services) {
+inline Json MakeConfig(uint64_t version,
+                       const Json& routes,
+                       const Json& services) {
   return {{"version", version},
           {"routes", routes},
           {"services", services},
           {"limits",
-           {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304},
-            {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
-          {"tenants",
-           Json::array({{{"name", "tenant-1"},
-                         {"api_keys", Json::array({"key-1"})},
-                         {"priority", 1}}})}};
+           {{"max_header_bytes", 16384},
+            {"max_body_bytes", 4194304},
+            {"header_timeout_ms", 3000},
+            {"idle_timeout_ms", 15000}}},
+          {"tenants", Json::array({{{"name", "tenant-1"},
+                                    {"api_keys", Json::array({"key-1"})},
+                                    {"priority", 1}}})}};
 }
 
 // One gateway, started as deploy/system.toml says, with the template filled in.
@@ -807,15 +860,14 @@
         _exit(2);
       }
       const std::string log = m_folder + "/log";
-      const int out =
-          open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+      const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(out, 1);
       dup2(out, 2);
       const std::string argument = "--config=" + Path();
       const std::string variable = "BRAMLEYBANK_SETTINGS=" + Path();
       const char* argv[] = {"target/bramleybankd", argument.c_str(), nullptr};
-      const char* envp[] = {"PATH=/usr/bin:/bin", "HOME=/tmp",
-                            variable.c_str(), nullptr};
+      const char* envp[] = {"PATH=/usr/bin:/bin", "HOME=/tmp", variable.c_str(),
+                            nullptr};
       execve(argv[0], const_cast<char**>(argv), const_cast<char**>(envp));
       _exit(127);
     }
@@ -873,7 +925,8 @@
     Fill("{{ip}}:{{port_range.1}}", ip + std::to_string(m_peer));
     Fill("{{platform.address}}", m_store);
     Fill("{{bounds.contact_ms}}", std::to_string(m_bounds.contact_ms));
-    Fill("{{bounds.config_apply_ms}}", std::to_string(m_bounds.config_apply_ms));
+    Fill("{{bounds.config_apply_ms}}",
+         std::to_string(m_bounds.config_apply_ms));
     Fill("{{bounds.drain_ms}}", std::to_string(m_bounds.drain_ms));
     Fill("{{bounds.grace_s}}", std::to_string(m_bounds.grace_s));
     Fill("{{bounds.retry_budget_ratio}}", "0.8");
@@ -976,24 +1029,26 @@
   }
   result.ended = NowMs();
   Log().Line("client %s: status %d, %zu events, %s", id.c_str(), result.status,
-             result.events.size(),
-             result.is_complete ? "complete" : "cut off");
+             result.events.size(), result.is_complete ? "complete" : "cut off");
   return result;
 }
 
 // Sends a stream on a connection of its own and reads its answer on a thread.
 class StreamClient {
  public:
-  StreamClient(const Gateway& gateway, const std::string& id, int prompt_tokens = 8000)
+  StreamClient(const Gateway& gateway,
+               const std::string& id,
+               int prompt_tokens = 8000)
       : m_id(id) {
     Log().Line("client sends %s", id.c_str());
-    m_thread = std::thread([this, id, prompt_tokens, port = gateway.front_port()] {
-      const auto conn = Dial(port);
-      if (conn && conn->Send(StreamRequest(id, prompt_tokens))) {
-        m_result = ReadStream(id, conn.get());
-      }
-      m_done = true;
-    });
+    m_thread =
+        std::thread([this, id, prompt_tokens, port = gateway.front_port()] {
+          const auto conn = Dial(port);
+          if (conn && conn->Send(StreamRequest(id, prompt_tokens))) {
+            m_result = ReadStream(id, conn.get());
+          }
+          m_done = true;
+        });
   }
   ~StreamClient() { Join(); }
   const StreamResult& Join() {
