--- a/review/standin-3/lab.h
+++ b/review/standin-3/lab.h
@@ -25,6 +25,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -827,8 +828,13 @@
           const std::string& zone,
           const std::string& store,
           const Bounds& bounds = {}) {
-    char folder[] = "/tmp/review-3-XXXXXX";
-    m_folder = mkdtemp(folder);
+    std::string folder =
+        std::filesystem::temp_directory_path() / "review-3-XXXXXX";
+    if (mkdtemp(folder.data()) == nullptr) {
+      std::fprintf(stderr, "no temporary folder\n");
+      std::exit(2);
+    }
+    m_folder = folder;
     m_name = name;
     m_zone = zone;
     m_store = store;
@@ -865,9 +871,10 @@
       dup2(out, 2);
       const std::string argument = "--config=" + Path();
       const std::string variable = "BRAMLEYBANK_SETTINGS=" + Path();
+      const std::string home = "HOME=" + m_folder;
       const char* argv[] = {"target/bramleybankd", argument.c_str(), nullptr};
-      const char* envp[] = {"PATH=/usr/bin:/bin", "HOME=/tmp", variable.c_str(),
-                            nullptr};
+      const char* envp[] = {"PATH=/usr/bin:/bin", home.c_str(),
+                            variable.c_str(), nullptr};
       execve(argv[0], const_cast<char**>(argv), const_cast<char**>(envp));
       _exit(127);
     }
