--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -67,7 +67,8 @@
           std::ranges::all_of(places, [](const std::string& place) {
             return place.starts_with("i-zone-a");
           });
-      if (different.size() == 3 && is_one_zone) {
+      const bool is_as_planned = different.size() == 3 && is_one_zone;
+      if (is_as_planned || !is_troubled) {
         ++played;
         Log().Line("round %d: %s reads, %s and %s %s", round, places[2].c_str(),
                    places[0].c_str(), places[1].c_str(),
