Gateway: a silent attempt stays open until its successor has accepted

Cause: ReplaceSilentAttempt() ended the silent attempt when an endpoint seemed able to take its request, before that one had accepted it. A refusal could not be undone.

Change: the request is sent to the successor beside the silent attempt, which ends when the successor's answer begins or when it has not refused for 150 ms. After a refusal or a loss the next successor is asked, after them, each second, those that have refused. An event of the silent attempt cancels the successor.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -289,6 +289,12 @@
 /// and the one for successors that only need a permit.
 inline constexpr std::chrono::milliseconds kSilenceRecheckInterval{1000};
 inline constexpr std::chrono::milliseconds kPermitRecheckInterval{100};
+/// A silent attempt ends when the endpoint that is to replace it has not
+/// refused for this long; connecting and refusing take 80 ms between regions.
+/// An endpoint that has become suspect meanwhile is given up after the longer
+/// time unless its answer begins.
+inline constexpr std::chrono::milliseconds kAcceptanceTime{150};
+inline constexpr std::chrono::milliseconds kMaxAcceptanceTime{450};
 /// Earliest time after the first event at which the engine sends the first part
 /// of a copy.
 inline constexpr std::chrono::milliseconds kMinBackupAge{250};
--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -201,9 +201,7 @@
   record->open_attempts = std::max(0, record->open_attempts - 1);
   switch (outcome) {
     case EndpointOutcome::kAnswered:
-      record->consecutive_losses = 0;
-      record->reported_losses = 0;
-      record->suspect_until.reset();
+      ForgetLosses(record);
       record->failure_share *= 1 - kFailureWeight;
       break;
     case EndpointOutcome::kFailed:
@@ -223,6 +221,24 @@
   }
 }
 
+void EndpointDirectory::OnSilence(std::string_view id) {
+  if (EndpointRecord* record = FindMutable(id)) {
+    RecordLoss(record);
+  }
+}
+
+void EndpointDirectory::OnSign(std::string_view id) {
+  if (EndpointRecord* record = FindMutable(id)) {
+    ForgetLosses(record);
+  }
+}
+
+void EndpointDirectory::ForgetLosses(EndpointRecord* record) {
+  record->consecutive_losses = 0;
+  record->reported_losses = 0;
+  record->suspect_until.reset();
+}
+
 void EndpointDirectory::OnReportedLoss(EngineKey key) {
   const auto id = m_ids_by_key.find(key);
   EndpointRecord* record =
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -100,6 +100,11 @@
 
   void OnAttemptStarted(std::string_view id);
   void OnAttemptEnded(std::string_view id, EndpointOutcome outcome);
+  /// An attempt there is silent and is to be replaced. Counts as a loss until
+  /// OnSign().
+  void OnSilence(std::string_view id);
+  /// A silent attempt has made progress.
+  void OnSign(std::string_view id);
   /// Another gateway has lost the endpoint with this key. Other endpoints are
   /// preferred for a while, unless the loss is known already.
   void OnReportedLoss(EngineKey key);
@@ -170,6 +175,7 @@
   void ReinstateAt(const std::string& address);
   bool IsRestoreRecent() const;
   void RecordLoss(EndpointRecord* record);
+  static void ForgetLosses(EndpointRecord* record);
   /// Prefers other endpoints, for longer with each loss that went before.
   void Suspect(EndpointRecord* record, int earlier_losses);
   /// Erases records some time after their entries were removed.
--- a/src/exchange_attempt.h
+++ b/src/exchange_attempt.h
@@ -44,6 +44,8 @@
   bool has_begun = false;
   /// The attempt was silent and could not be replaced; for the log.
   bool is_kept = false;
+  /// The silence of the attempt has been reported as a loss of its endpoint.
+  bool is_reported_silent = false;
   /// Entry in the ledger of loads, or 0.
   uint64_t load_entry = 0;
 };
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -18,6 +18,7 @@
 #include "gateway_codec.h"
 #include "gateway_config.h"
 #include "gateway_headers.h"
+#include "http1_status.h"
 #include "log_event.h"
 #include "metric_registry.h"
 #include "prompt_locator.h"
@@ -26,18 +27,6 @@
 #include "stream_silence_monitor.h"
 
 namespace bramleybank {
-namespace {
-
-constexpr int kMinSuccessStatus = 200;
-constexpr int kMinRedirectStatus = 300;
-constexpr int kMinServerErrorStatus = 500;
-
-bool IsSuccess(int status) {
-  return status >= kMinSuccessStatus && status < kMinRedirectStatus;
-}
-
-}  // namespace
-
 GatewayExchange::GatewayExchange(const ExchangeContext* context,
                                  uint64_t number,
                                  std::shared_ptr<GatewayCaller> caller,
@@ -57,6 +46,7 @@
 GatewayExchange::~GatewayExchange() {
   m_context->loop->Cancel(m_timer);
   m_context->loop->Cancel(m_attempt_timer);
+  m_context->loop->Cancel(m_acceptance_timer);
 }
 
 bool GatewayExchange::is_stream() const {
@@ -99,6 +89,7 @@
     Refuse(ResultCode::kUnknownPath, Duration{0});
     return false;
   }
+  m_max_sends = m_route->max_attempts + kMaxExtraSends;
   return true;
 }
 
@@ -148,17 +139,19 @@
 
 void GatewayExchange::StartAttempt(const EndpointRecord& endpoint,
                                    bool from_backup) {
+  SetCurrent(SendTo(endpoint, from_backup));
+}
+
+std::unique_ptr<ExchangeAttempt> GatewayExchange::SendTo(
+    const EndpointRecord& endpoint,
+    bool from_backup) {
   auto attempt = PrepareAttempt(endpoint);
   std::string message = RenderRequest(endpoint, from_backup, attempt.get());
   m_permit_wait_end.reset();
-  SetCurrent(std::move(attempt));
-  OnSend(endpoint, from_backup);
+  OnSend(endpoint, from_backup, attempt.get());
   m_has_fresh_loads = false;
-  if (is_stream()) {
-    MonitorSilence();
-  }
-  Connect(m_current.get(), std::move(message));
-  ArmAttemptTimer();
+  Connect(attempt.get(), std::move(message));
+  return attempt;
 }
 
 std::unique_ptr<ExchangeAttempt> GatewayExchange::PrepareAttempt(
@@ -181,13 +174,29 @@
 }
 
 void GatewayExchange::SetCurrent(std::unique_ptr<ExchangeAttempt> attempt) {
+  if (m_current->backup) {
+    m_current->backup->Abandon();
+  }
   std::swap(m_current, attempt);
-  // Freed later, because this may run inside a callback of the former attempt.
+  FreeLater(std::move(attempt));
+  if (is_stream()) {
+    MonitorSilence(m_current->started_at);
+    if (SupportsBackup() && !m_metadata.prompt_parts.empty()) {
+      m_context->prompts->OnStreamStarted(m_metadata.prompt_parts,
+                                          m_current->endpoint.id);
+    }
+  }
+  ArmAttemptTimer();
+}
+
+void GatewayExchange::FreeLater(std::unique_ptr<ExchangeAttempt> attempt) {
   m_context->loop->Post(
       [former = std::shared_ptr<ExchangeAttempt>(std::move(attempt))] {});
 }
 
-void GatewayExchange::OnSend(const EndpointRecord& endpoint, bool from_backup) {
+void GatewayExchange::OnSend(const EndpointRecord& endpoint,
+                             bool from_backup,
+                             ExchangeAttempt* attempt) {
   m_tried_endpoints.push_back(endpoint.entry.id);
   if (endpoint.rate_limit) {
     m_context->metrics->Count("bramleybank_sends_to_limited_total", "attempt",
@@ -198,7 +207,7 @@
   if (m_placement) {
     const bool has_prompt =
         from_backup || endpoint.entry.id == m_prompt_endpoint_id;
-    m_current->load_entry = m_context->loads->OnSent(
+    attempt->load_entry = m_context->loads->OnSent(
         endpoint.entry, m_placement->size, !has_prompt);
   }
   if (!is_stream()) {
@@ -210,13 +219,9 @@
       .Field("open_here", endpoint.open_attempts)
       .Field("restores", from_backup ? 1 : 0)
       .Field("prompt_at", m_prompt_endpoint_id)
-      .Field("backup", m_current->backup ? m_current->backup->holder_id() : "")
+      .Field("backup", attempt->backup ? attempt->backup->holder_id() : "")
       .Field("after_event",
              static_cast<long long>(m_last_event_id.value_or(0)));
-  if (SupportsBackup() && !m_metadata.prompt_parts.empty()) {
-    m_context->prompts->OnStreamStarted(m_metadata.prompt_parts,
-                                        endpoint.entry.id);
-  }
 }
 
 void GatewayExchange::Connect(ExchangeAttempt* attempt, std::string message) {
@@ -224,9 +229,18 @@
       m_context->loop, attempt->endpoint.address, std::move(message),
       m_request.method == "HEAD",
       AttemptCallbacks{
-          .on_head = [this](const Http1Head& head) { OnHead(head); },
-          .on_body = [this](std::string_view data) { OnBody(data); },
-          .on_end = [this](AttemptEnd end) { OnAttemptEnd(end); }});
+          .on_head =
+              [this, attempt](const Http1Head& head) {
+                IsSuccessor(attempt) ? OnSuccessorHead(head) : OnHead(head);
+              },
+          .on_body =
+              [this, attempt](std::string_view data) {
+                IsSuccessor(attempt) ? OnSuccessorBody(data) : OnBody(data);
+              },
+          .on_end =
+              [this, attempt](AttemptEnd end) {
+                IsSuccessor(attempt) ? OnSuccessorEnd(end) : OnAttemptEnd(end);
+              }});
 }
 
 std::string GatewayExchange::RenderRequest(const EndpointRecord& endpoint,
@@ -253,12 +267,33 @@
 }
 
 void GatewayExchange::OnHead(const Http1Head& head) {
-  m_current->head = head;
-  m_current->answer =
+  ReadHead(head, m_current.get());
+  // A stream may still be silent after its head.
+  if (!is_stream() && IsUsableAnswer(*m_current)) {
+    EndSilence();
+  }
+}
+
+bool GatewayExchange::IsUsableAnswer(const ExchangeAttempt& attempt) const {
+  const int status = attempt.head.status;
+  const AnswerMetadata& answer = attempt.answer;
+  if (answer.not_run || answer.misdirected || answer.has_other_request_id) {
+    return false;
+  }
+  if (IsSuccess(status)) {
+    return answer.has_seal;
+  }
+  return !m_stream_started && !IsServerError(status);
+}
+
+void GatewayExchange::ReadHead(const Http1Head& head,
+                               ExchangeAttempt* attempt) {
+  attempt->head = head;
+  attempt->answer =
       m_context->codec->decode_answer(head, m_metadata.request_id);
-  if (!m_current->answer.misdirected) {
-    m_context->prober->OnSign(m_current->endpoint.id);
-    UpdateEndpointState();
+  if (!attempt->answer.misdirected) {
+    m_context->prober->OnSign(attempt->endpoint.id);
+    UpdateEndpointState(*attempt);
   }
 }
 
@@ -327,13 +362,18 @@
                 "answer does not continue the stream");
     return;
   }
-  const bool failed = m_current->head.status >= kMinServerErrorStatus;
-  EndAttempt(failed ? EndpointOutcome::kFailed : EndpointOutcome::kAnswered);
+  const bool failed = IsServerError(m_current->head.status);
+  EndAttempt(m_current.get(),
+             failed ? EndpointOutcome::kFailed : EndpointOutcome::kAnswered);
   if (!failed) {
     RecordAnswerTime();
   }
   ++m_possible_runs;
-  ReportVersionOutcome(failed);
+  ReportVersionOutcome(*m_current, failed);
+  if (failed && m_successor) {
+    SetCurrent(TakeSuccessor());
+    return;
+  }
   if (failed && FindSuccessor() && TryAcquireRetry(RetryReason::kErrorEvent)) {
     StartNextAttempt();
     return;
@@ -351,14 +391,12 @@
 
 void GatewayExchange::OnTimeout() {
   m_timer = TimerHandle();
-  const bool may_have_run =
-      m_possible_runs > 0 ||
-      (m_current->connection && m_current->connection->was_sent());
+  const bool may_have_run = MayHaveRun();
   if (m_current->connection) {
     if (may_have_run) {
-      ReportVersionOutcome(/*failed=*/true);
+      ReportVersionOutcome(*m_current, /*failed=*/true);
     }
-    EndAttempt(EndpointOutcome::kCancelled);
+    EndAttempt(m_current.get(), EndpointOutcome::kCancelled);
   }
   if (m_stream_started) {
     GiveUp(ResultCode::kTimedOut);
@@ -373,7 +411,7 @@
       .Field("id", m_metadata.request_id)
       .Field("events", static_cast<long long>(m_events_forwarded));
   if (m_current->connection) {
-    EndAttempt(EndpointOutcome::kCancelled);
+    EndAttempt(m_current.get(), EndpointOutcome::kCancelled);
   }
   Finish();
 }
@@ -402,6 +440,7 @@
     return;
   }
   m_is_finished = true;
+  CancelSuccessor();
   if (m_current->backup) {
     m_current->backup->Close();
   }
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -109,6 +109,13 @@
     /// Nothing may be sent there yet.
     bool needs_permit = false;
   };
+  /// Why the current attempt is to be replaced.
+  struct Silence {
+    /// For the log.
+    std::string_view detail;
+    /// The endpoint itself may take the request on another connection.
+    bool may_ask_again = false;
+  };
 
   bool FindRoute();
   bool FindCustomer();
@@ -154,17 +161,29 @@
   bool EndIfQuarantined();
   void OnTrialAnswer(bool granted);
   void RefuseQuarantined(const std::vector<PromptPartHash>& blocking);
-  /// The endpoint has cut off the current attempt.
-  void ReportCrash();
+  /// The endpoint has cut off an attempt.
+  void ReportCrash(const ExchangeAttempt& attempt);
+  /// Starts the next attempt; the current one has ended.
   void StartAttempt(const EndpointRecord& endpoint, bool from_backup);
+  /// Sends the request to an endpoint.
+  /// @param from_backup whether it resumes from the backup of the current
+  /// attempt, which is then used up.
+  std::unique_ptr<ExchangeAttempt> SendTo(const EndpointRecord& endpoint,
+                                          bool from_backup);
   std::unique_ptr<ExchangeAttempt> PrepareAttempt(
       const EndpointRecord& endpoint);
+  /// Replaces the current attempt, which has ended.
   void SetCurrent(std::unique_ptr<ExchangeAttempt> attempt);
-  /// Records that the current attempt is about to be sent.
-  void OnSend(const EndpointRecord& endpoint, bool from_backup);
+  /// Frees an attempt later, because this may run inside a callback of it.
+  void FreeLater(std::unique_ptr<ExchangeAttempt> attempt);
+  /// Records that an attempt is about to be sent.
+  void OnSend(const EndpointRecord& endpoint,
+              bool from_backup,
+              ExchangeAttempt* attempt);
   void Connect(ExchangeAttempt* attempt, std::string message);
-  /// @param from_backup whether the attempt resumes from the backup of the
-  /// current one, which is then used up.
+  bool IsSuccessor(const ExchangeAttempt* attempt) const {
+    return attempt == m_successor.get();
+  }
   AttemptMetadata DescribeAttempt(const EndpointRecord& endpoint,
                                   bool from_backup,
                                   ExchangeAttempt* attempt);
@@ -174,12 +193,18 @@
   bool SupportsBackup() const;
   /// @returns the engine whose backup the stream can be resumed from, or null.
   const EndpointRecord* UsableBackupHolder() const;
-  void MonitorSilence();
+  /// @param since when the silence of the current attempt began.
+  void MonitorSilence(TimePoint since);
 
   void OnHead(const Http1Head& head);
+  /// Takes the head of an attempt's answer and what it says about its endpoint.
+  void ReadHead(const Http1Head& head, ExchangeAttempt* attempt);
+  /// @returns whether the answer that begins with this head can end the
+  /// request, or continue the stream.
+  bool IsUsableAnswer(const ExchangeAttempt& attempt) const;
   /// Updates the directory with what the answer says about its endpoint.
-  void UpdateEndpointState();
-  void UpdateRateLimit();
+  void UpdateEndpointState(const ExchangeAttempt& attempt);
+  void UpdateRateLimit(const ExchangeAttempt& attempt);
   void OnBody(std::string_view data);
   void OnAttemptEnd(AttemptEnd end);
   void OnAnswerComplete();
@@ -195,23 +220,61 @@
   void FailAttempt(EndpointOutcome outcome,
                    RetryReason reason,
                    std::string_view detail);
-  /// Ends a silent attempt and starts the next one if a retry is allowed and an
-  /// endpoint is there to take it. If not, its answer is awaited further.
-  /// @returns when to ask again; empty if the next attempt was started.
-  std::optional<Duration> ReplaceSilentAttempt(std::string_view detail);
+  /// Looks for an endpoint that takes the request from the silent current
+  /// attempt, which ends only when that one has accepted it.
+  void ReplaceSilentAttempt(const Silence& silence);
+  /// Sends the request to a successor if a retry is allowed and an endpoint is
+  /// there to take it.
+  /// @returns when to ask again if there is no successor until then.
+  Duration TryReplaceSilentAttempt();
+  /// Asks again after `wait`.
+  void ScheduleReplacement(Duration wait);
   /// @returns `wait`.
   Duration KeepSilentAttempt(std::string_view reason, Duration wait);
+  /// Other endpoints are preferred to that of the silent attempt, and other
+  /// gateways learn of it.
+  void ReportSilence();
+  /// Lets endpoints that refused the request be picked again.
+  void ReadmitRefusingEndpoints();
   /// @returns the endpoint that would take the request from a silent one; empty
   /// if there is none that seems sound. Requests a permit if only that is
   /// missing.
   std::optional<Successor> FindSuccessor() const;
+  /// @returns the endpoint of the silent attempt, if another connection to it
+  /// may help; used when no other endpoint takes the request.
+  std::optional<Successor> FindSilentEndpoint() const;
+  void StartSuccessor(const Successor& next);
+  void OnSuccessorHead(const Http1Head& head);
+  void OnSuccessorBody(std::string_view data);
+  void OnSuccessorEnd(AttemptEnd end);
+  /// The successor has not refused the request for a while.
+  void OnAcceptanceTimeout();
+  /// @returns whether an endpoint that has not refused by now has accepted.
+  bool IsAcceptanceLikely() const;
+  void ArmAcceptanceTimer();
+  /// Ends a failed successor and looks for another one.
+  void FailSuccessor(EndpointOutcome outcome,
+                     RetryReason reason,
+                     std::string_view detail);
+  /// Ends the silent attempt; its successor becomes the current one.
+  /// @param result for the metric.
+  void SwitchToSuccessor(std::string_view result);
+  /// The current attempt does not need its successor any more.
+  void CancelSuccessor();
+  std::unique_ptr<ExchangeAttempt> TakeSuccessor();
+  void CountSuccessor(std::string_view result) const;
   /// Ends a failed attempt, with its line in the log.
-  void EndFailedAttempt(EndpointOutcome outcome,
+  void EndFailedAttempt(ExchangeAttempt* attempt,
+                        EndpointOutcome outcome,
                         RetryReason reason,
                         std::string_view detail);
-  void EndAttempt(EndpointOutcome outcome);
-  /// Reports the outcome of the current attempt to the rollouts.
-  void ReportVersionOutcome(bool failed);
+  void EndAttempt(ExchangeAttempt* attempt, EndpointOutcome outcome);
+  /// @returns whether an endpoint may have run the request.
+  bool MayHaveRun() const;
+  /// The current attempt has made progress.
+  void EndSilence();
+  /// Reports the outcome of an attempt to the rollouts.
+  void ReportVersionOutcome(const ExchangeAttempt& attempt, bool failed);
   /// @returns whether the request may be sent once more, the retry budget
   /// aside.
   bool MayRetry() const;
@@ -252,15 +315,26 @@
 
   // The current attempt, or the last one. Never null.
   std::unique_ptr<ExchangeAttempt> m_current;
+  // Attempt that replaces the silent current one when its endpoint has accepted
+  // the request; null if there is none. Nothing of it has been forwarded.
+  std::unique_ptr<ExchangeAttempt> m_successor;
+  TimerHandle m_acceptance_timer;
+  // The last silence of the current attempt.
+  Silence m_silence;
 
   // Ids of the endpoints that this request has been sent to.
   std::vector<std::string> m_tried_endpoints;
   // Those of them that were left only because they were silent. They get the
   // request again when no other endpoint takes it.
   std::vector<std::string> m_silent_endpoints;
+  // Those that refused the request. A kept attempt asks them again after a
+  // while.
+  std::vector<std::string> m_refusing_endpoints;
   // Number of attempts that may have run the request.
   int m_possible_runs = 0;
   int m_sends = 0;
+  // Upper bound on m_sends.
+  int m_max_sends = 0;
   // When the request stops waiting for a permit; empty if it has not waited
   // since its last attempt.
   std::optional<TimePoint> m_permit_wait_end;
--- a/src/gateway_exchange_endpoint.cc
+++ b/src/gateway_exchange_endpoint.cc
@@ -193,8 +193,6 @@
                           .priority = EnginePriority()};
   if (from_backup) {
     attempt.restore = m_current->backup->Name();
-  }
-  if (m_current->backup) {
     m_current->backup->Abandon();
   }
   const EndpointRecord* prompt_endpoint = FindPromptEndpoint();
@@ -212,55 +210,52 @@
   return attempt;
 }
 
-void GatewayExchange::UpdateEndpointState() {
+void GatewayExchange::UpdateEndpointState(const ExchangeAttempt& attempt) {
   EndpointDirectory* directory = m_context->directory;
-  if (m_current->answer.is_leaving &&
-      directory->OnLeaving(m_current->endpoint.id)) {
+  if (attempt.answer.is_leaving && directory->OnLeaving(attempt.endpoint.id)) {
     LogLine(LogEventId::kEndpointLeaving)
-        .Field("endpoint", m_current->endpoint.id)
+        .Field("endpoint", attempt.endpoint.id)
         .Field("id", m_metadata.request_id);
     m_context->metrics->Count("bramleybank_endpoints_leaving_total");
   }
-  if (m_current->answer.retry_after) {
-    directory->OnPause(m_current->endpoint.id, *m_current->answer.retry_after);
+  if (attempt.answer.retry_after) {
+    directory->OnPause(attempt.endpoint.id, *attempt.answer.retry_after);
     LogLine(LogEventId::kEndpointPaused)
-        .Field("endpoint", m_current->endpoint.id)
+        .Field("endpoint", attempt.endpoint.id)
         .Field("id", m_metadata.request_id)
-        .Field("pause_ms", ToMilliseconds(*m_current->answer.retry_after));
+        .Field("pause_ms", ToMilliseconds(*attempt.answer.retry_after));
     m_context->metrics->Count("bramleybank_endpoint_pauses_total");
   }
-  UpdateRateLimit();
+  UpdateRateLimit(attempt);
 }
 
-void GatewayExchange::UpdateRateLimit() {
+void GatewayExchange::UpdateRateLimit(const ExchangeAttempt& attempt) {
   EndpointDirectory* directory = m_context->directory;
   // A late second answer may be older than the limit, and an answer without the
   // endpoint's own mark may come from elsewhere.
-  const bool is_current =
-      (m_current->answer.has_seal || m_current->answer.not_run) &&
-      !m_current->answer.has_other_request_id;
+  const bool is_current = (attempt.answer.has_seal || attempt.answer.not_run) &&
+                          !attempt.answer.has_other_request_id;
   bool changed = false;
-  if (m_current->answer.rate_limit) {
-    changed = directory->OnRateLimit(m_current->endpoint.id,
-                                     *m_current->answer.rate_limit,
-                                     m_context->loop->Now());
-  } else if (!m_current->answer.states_rate_limit && is_current) {
+  if (attempt.answer.rate_limit) {
     changed =
-        directory->OnNoRateLimit(m_current->endpoint.id, m_current->started_at);
+        directory->OnRateLimit(attempt.endpoint.id, *attempt.answer.rate_limit,
+                               m_context->loop->Now());
+  } else if (!attempt.answer.states_rate_limit && is_current) {
+    changed = directory->OnNoRateLimit(attempt.endpoint.id, attempt.started_at);
   }
   if (!changed) {
     return;
   }
   LogLine(LogEventId::kEndpointLimited)
-      .Field("endpoint", m_current->endpoint.id)
+      .Field("endpoint", attempt.endpoint.id)
       .Field("id", m_metadata.request_id)
-      .Field("limited", m_current->answer.rate_limit ? 1 : 0)
+      .Field("limited", attempt.answer.rate_limit ? 1 : 0)
       .Field("per_second",
-             std::to_string(m_current->answer.rate_limit.value_or(0)));
+             std::to_string(attempt.answer.rate_limit.value_or(0)));
   m_context->metrics->Count("bramleybank_endpoint_limits_total", "change",
-                            m_current->answer.rate_limit ? "stated" : "ended");
-  const EndpointRecord* record = directory->Find(m_current->endpoint.id);
-  if (!m_current->answer.rate_limit && record != nullptr) {
+                            attempt.answer.rate_limit ? "stated" : "ended");
+  const EndpointRecord* record = directory->Find(attempt.endpoint.id);
+  if (!attempt.answer.rate_limit && record != nullptr) {
     m_context->limiter->OnLimitEnded(*record);
   }
 }
--- a/src/gateway_exchange_quarantine.cc
+++ b/src/gateway_exchange_quarantine.cc
@@ -76,10 +76,11 @@
   if (blocking.empty()) {
     return;
   }
+  CancelSuccessor();
   if (m_current->connection->was_sent()) {
     ++m_possible_runs;
   }
-  EndAttempt(EndpointOutcome::kCancelled);
+  EndAttempt(m_current.get(), EndpointOutcome::kCancelled);
   m_context->metrics->Count("bramleybank_quarantined_attempts_total");
   RefuseQuarantined(blocking);
 }
@@ -96,12 +97,12 @@
              .value_or(kBusyRetryAfter));
 }
 
-void GatewayExchange::ReportCrash() {
-  m_context->quarantine->OnLost(m_service, m_current->endpoint.address);
-  if (is_stream() && !m_current->has_begun) {
+void GatewayExchange::ReportCrash(const ExchangeAttempt& attempt) {
+  m_context->quarantine->OnLost(m_service, attempt.endpoint.address);
+  if (is_stream() && !attempt.has_begun) {
     m_context->quarantine->OnCrash(m_service, m_metadata.shared_parts,
-                                   m_current->endpoint.address,
-                                   m_current->head.status != 0);
+                                   attempt.endpoint.address,
+                                   attempt.head.status != 0);
   }
 }
 
--- a/src/gateway_exchange_retry.cc
+++ b/src/gateway_exchange_retry.cc
@@ -20,35 +20,52 @@
 
 namespace bramleybank {
 
-void GatewayExchange::EndAttempt(EndpointOutcome outcome) {
-  m_context->silence->Remove(m_number);
-  m_context->directory->OnAttemptEnded(m_current->endpoint.id, outcome);
+void GatewayExchange::EndAttempt(ExchangeAttempt* attempt,
+                                 EndpointOutcome outcome) {
+  if (attempt == m_current.get()) {
+    m_context->silence->Remove(m_number);
+  }
+  m_context->directory->OnAttemptEnded(attempt->endpoint.id, outcome);
   if (m_context->loads != nullptr) {
-    m_context->loads->OnEnded(std::exchange(m_current->load_entry, 0));
+    m_context->loads->OnEnded(std::exchange(attempt->load_entry, 0));
     if (m_placement && (outcome == EndpointOutcome::kLost ||
                         outcome == EndpointOutcome::kMisdirected)) {
-      m_context->loads->OnLost(m_current->endpoint);
+      m_context->loads->OnLost(attempt->endpoint);
     }
   }
-  if (!m_current->connection) {
+  if (!attempt->connection) {
     return;
   }
-  m_current->connection->Cancel();
+  attempt->connection->Cancel();
   // Deleted later, because the attempt may be inside its own callback.
-  m_context->loop->Post([attempt = std::shared_ptr<GatewayAttempt>(
-                             std::move(m_current->connection))] {});
+  m_context->loop->Post([connection = std::shared_ptr<GatewayAttempt>(
+                             std::move(attempt->connection))] {});
+}
+
+bool GatewayExchange::MayHaveRun() const {
+  const auto was_sent = [](const ExchangeAttempt* attempt) {
+    return attempt != nullptr && attempt->connection &&
+           attempt->connection->was_sent();
+  };
+  return m_possible_runs > 0 || was_sent(m_current.get()) ||
+         was_sent(m_successor.get());
 }
 
-void GatewayExchange::ReportVersionOutcome(bool failed) {
+void GatewayExchange::ReportVersionOutcome(const ExchangeAttempt& attempt,
+                                           bool failed) {
   m_context->rollouts->Observe(m_service, m_route->name,
-                               m_current->endpoint.version, failed,
-                               m_context->loop->Now() - m_current->started_at);
+                               attempt.endpoint.version, failed,
+                               m_context->loop->Now() - attempt.started_at);
 }
 
 void GatewayExchange::FailAttempt(EndpointOutcome outcome,
                                   RetryReason reason,
                                   std::string_view detail) {
-  EndFailedAttempt(outcome, reason, detail);
+  EndFailedAttempt(m_current.get(), outcome, reason, detail);
+  if (m_successor) {
+    SetCurrent(TakeSuccessor());
+    return;
+  }
   if (m_possible_runs == 0 && !MayStillSend()) {
     GiveUpForStop();
     return;
@@ -61,35 +78,39 @@
                              : ResultCode::kOverloaded);
 }
 
-void GatewayExchange::EndFailedAttempt(EndpointOutcome outcome,
+void GatewayExchange::EndFailedAttempt(ExchangeAttempt* attempt,
+                                       EndpointOutcome outcome,
                                        RetryReason reason,
                                        std::string_view detail) {
-  const bool may_have_run = m_current->connection &&
-                            m_current->connection->was_sent() &&
+  const bool may_have_run = attempt->connection &&
+                            attempt->connection->was_sent() &&
                             outcome != EndpointOutcome::kRefused &&
                             outcome != EndpointOutcome::kMisdirected;
-  EndAttempt(outcome);
+  EndAttempt(attempt, outcome);
+  if (outcome == EndpointOutcome::kRefused) {
+    m_refusing_endpoints.push_back(attempt->endpoint.id);
+  }
   if (outcome == EndpointOutcome::kLost && reason == RetryReason::kEarlyEnd) {
-    ReportCrash();
+    ReportCrash(*attempt);
   }
   if (may_have_run) {
     m_is_trial = false;
     ++m_possible_runs;
-    ReportVersionOutcome(/*failed=*/true);
+    ReportVersionOutcome(*attempt, /*failed=*/true);
   }
   LogLine(LogEventId::kAttemptEnded)
       .Field("id", m_metadata.request_id)
-      .Field("endpoint", m_current->endpoint.id)
-      .Field("address", m_current->endpoint.address)
+      .Field("endpoint", attempt->endpoint.id)
+      .Field("address", attempt->endpoint.address)
       .Field("reason", NameOf(reason))
       .Field("detail", detail)
       .Field("may_have_run", may_have_run ? 1 : 0)
-      .Field("head", m_current->head.status != 0 ? 1 : 0)
-      .Field("begun", m_current->has_event ? 1 : 0)
+      .Field("head", attempt->head.status != 0 ? 1 : 0)
+      .Field("begun", attempt->has_event ? 1 : 0)
       .Field("parts", FormatParts(m_metadata.shared_parts))
       .Field("last_event", static_cast<long long>(m_last_event_id.value_or(0)))
       .Field("attempt_ms",
-             ToMilliseconds(m_context->loop->Now() - m_current->started_at));
+             ToMilliseconds(m_context->loop->Now() - attempt->started_at));
   m_context->metrics->Count("bramleybank_attempts_lost_total", "reason",
                             NameOf(reason));
 }
@@ -104,8 +125,7 @@
   if (runs > 0 && (!m_route->IsIdempotent() || runs >= m_route->max_attempts)) {
     return false;
   }
-  return m_sends < m_route->max_attempts + kMaxExtraSends &&
-         TimeLeft() > Duration{0} && MayStillSend();
+  return m_sends < m_max_sends && TimeLeft() > Duration{0} && MayStillSend();
 }
 
 bool GatewayExchange::ChargeRetry(RetryReason reason) {
--- a/src/gateway_exchange_silence.cc
+++ b/src/gateway_exchange_silence.cc
@@ -1,14 +1,17 @@
-// The part of an exchange that handles silent attempts. An attempt is ended
-// because of its silence only when another endpoint is there to take the
-// request; until then it may still end the request.
+// The part of an exchange that handles silent attempts. A silent attempt ends
+// only when another endpoint has accepted the request; until then it may still
+// end the request.
 #include <algorithm>
 #include <optional>
 #include <string_view>
 #include <utility>
 
 #include "bramleybank/limits.h"
+#include "endpoint_directory.h"
 #include "endpoint_limiter.h"
 #include "endpoint_picker.h"
+#include "endpoint_prober.h"
+#include "engine_loads.h"
 #include "event_loop.h"
 #include "exchange_attempt.h"
 #include "gateway_config.h"
@@ -38,14 +41,11 @@
   if (!is_silent || TimeLeft() <= m_route->latency_target) {
     return;
   }
-  const auto wait = ReplaceSilentAttempt("no answer within the latency target");
-  if (wait) {
-    m_attempt_timer =
-        m_context->loop->Schedule(*wait, [this] { OnAttemptTimeout(); });
-  }
+  ReplaceSilentAttempt(
+      {.detail = "no answer within the latency target", .may_ask_again = true});
 }
 
-void GatewayExchange::MonitorSilence() {
+void GatewayExchange::MonitorSilence(TimePoint since) {
   const SilentRun run{
       .request_id = m_metadata.request_id,
       .endpoint_start_ms = m_current->endpoint.start_time_ms,
@@ -57,7 +57,7 @@
                           {.service = m_service,
                            .failure_domain = m_current->endpoint.failure_domain,
                            .endpoint_id = m_current->endpoint.id},
-                          run, m_context->loop->Now());
+                          run, since);
   m_context->on_monitored();
 }
 
@@ -65,17 +65,41 @@
   if (!m_current->connection) {
     return;
   }
-  if (const auto wait = ReplaceSilentAttempt(NameOf(verdict))) {
-    m_context->silence->Postpone(m_number, m_context->loop->Now() + *wait);
+  const auto& answer_valid_until =
+      m_context->prober->Find(m_current->endpoint.id).answer_valid_until;
+  ReplaceSilentAttempt(
+      {.detail = NameOf(verdict),
+       .may_ask_again =
+           answer_valid_until && *answer_valid_until > m_context->loop->Now()});
+}
+
+void GatewayExchange::ReplaceSilentAttempt(const Silence& silence) {
+  if (m_successor) {
+    return;
+  }
+  m_silence = silence;
+  ReadmitRefusingEndpoints();
+  ScheduleReplacement(TryReplaceSilentAttempt());
+}
+
+void GatewayExchange::ScheduleReplacement(Duration wait) {
+  if (is_stream()) {
+    m_context->silence->Postpone(m_number, m_context->loop->Now() + wait);
+    return;
   }
+  m_context->loop->Cancel(m_attempt_timer);
+  m_attempt_timer =
+      m_context->loop->Schedule(wait, [this] { OnAttemptTimeout(); });
 }
 
-std::optional<Duration> GatewayExchange::ReplaceSilentAttempt(
-    std::string_view detail) {
+Duration GatewayExchange::TryReplaceSilentAttempt() {
   if (!MayRetry()) {
     return KeepSilentAttempt("not_allowed", kSilenceRecheckInterval);
   }
   std::optional<Successor> next = FindSuccessor();
+  if (!next) {
+    next = FindSilentEndpoint();
+  }
   if (!next) {
     return KeepSilentAttempt("no_endpoint", kSilenceRecheckInterval);
   }
@@ -85,15 +109,14 @@
   if (!ChargeRetry(RetryReason::kStalled)) {
     return KeepSilentAttempt("no_budget", kSilenceRecheckInterval);
   }
-  m_silent_endpoints.push_back(m_current->endpoint.id);
-  EndFailedAttempt(EndpointOutcome::kLost, RetryReason::kStalled, detail);
-  // The loss may have made the domain of that endpoint suspect.
+  ReportSilence();
+  // The loss may have made the domain of the silent endpoint suspect.
   const std::optional<Successor> better = FindSuccessor();
   if (better && !better->needs_permit) {
     next = better;
   }
-  StartAttempt(*next->endpoint, next->from_backup);
-  return std::nullopt;
+  StartSuccessor(*next);
+  return kSilenceRecheckInterval;
 }
 
 Duration GatewayExchange::KeepSilentAttempt(std::string_view reason,
@@ -111,6 +134,32 @@
   return wait;
 }
 
+void GatewayExchange::ReportSilence() {
+  if (std::exchange(m_current->is_reported_silent, true)) {
+    return;
+  }
+  m_context->directory->OnSilence(m_current->endpoint.id);
+  if (m_placement) {
+    m_context->loads->OnLost(m_current->endpoint);
+  }
+}
+
+void GatewayExchange::EndSilence() {
+  CancelSuccessor();
+  if (std::exchange(m_current->is_reported_silent, false)) {
+    m_context->directory->OnSign(m_current->endpoint.id);
+  }
+}
+
+void GatewayExchange::ReadmitRefusingEndpoints() {
+  for (const std::string& id : std::exchange(m_refusing_endpoints, {})) {
+    if (id != m_current->endpoint.id) {
+      std::erase(m_tried_endpoints, id);
+    }
+  }
+  m_max_sends = std::max(m_max_sends, m_sends + kMaxExtraSends);
+}
+
 std::optional<GatewayExchange::Successor> GatewayExchange::FindSuccessor()
     const {
   if (!FindBlockingParts().empty()) {
@@ -136,4 +185,19 @@
       .needs_permit = !m_context->limiter->MaySend(*choice.needs_permit)};
 }
 
+std::optional<GatewayExchange::Successor> GatewayExchange::FindSilentEndpoint()
+    const {
+  const std::string& id = m_current->endpoint.id;
+  const EndpointRecord* record = m_context->directory->Find(id);
+  const bool is_last_resort =
+      !m_refusing_endpoints.empty() &&
+      std::ranges::find(m_refusing_endpoints, id) == m_refusing_endpoints.end();
+  if (!is_last_resort || !m_silence.may_ask_again || record == nullptr ||
+      !m_context->directory->IsUsable(*record) ||
+      !m_context->limiter->MaySend(*record)) {
+    return std::nullopt;
+  }
+  return Successor{.endpoint = record};
+}
+
 }  // namespace bramleybank
--- a/src/gateway_exchange_stop.cc
+++ b/src/gateway_exchange_stop.cc
@@ -41,11 +41,9 @@
   if (m_is_finished || m_stream_started) {
     return;
   }
-  const bool may_have_run =
-      m_possible_runs > 0 ||
-      (m_current->connection && m_current->connection->was_sent());
+  const bool may_have_run = MayHaveRun();
   if (m_current->connection) {
-    EndAttempt(EndpointOutcome::kCancelled);
+    EndAttempt(m_current.get(), EndpointOutcome::kCancelled);
   }
   Refuse(may_have_run ? ResultCode::kAnswerLost : ResultCode::kDraining,
          may_have_run ? Duration{0} : Duration(kDrainRetryAfter));
--- a/src/gateway_exchange_stream.cc
+++ b/src/gateway_exchange_stream.cc
@@ -79,7 +79,7 @@
     m_caller->SetDrainedHandler([this] {
       if (m_current->connection) {
         m_current->connection->SetReading(true);
-        MonitorSilence();
+        MonitorSilence(m_context->loop->Now());
       }
     });
   }
@@ -117,9 +117,10 @@
                                      m_placement->size, m_current->started_at);
     }
     m_prompt_endpoint_id = m_current->endpoint.id;
-    ReportVersionOutcome(/*failed=*/false);
+    ReportVersionOutcome(*m_current, /*failed=*/false);
   }
   if (event.has_content) {
+    EndSilence();
     RecordEventTiming();
   }
   m_caller->WriteStream(event.bytes);
@@ -156,7 +157,7 @@
                 "stream ended before its first event");
     return;
   }
-  EndAttempt(EndpointOutcome::kAnswered);
+  EndAttempt(m_current.get(), EndpointOutcome::kAnswered);
   if (!m_stream_started) {
     m_caller->StartStream(m_current->head.status,
                           RemoveHopByHopHeaders(m_current->head.headers));
--- a/src/http1_status.h
+++ b/src/http1_status.h
@@ -22,6 +22,15 @@
 /// No request of this project asks for another protocol.
 inline constexpr int kStatusSwitchingProtocols = 101;
 
+/// @returns whether the status is 2xx.
+constexpr bool IsSuccess(int status) {
+  return status / 100 == 2;
+}
+/// @returns whether the status is 5xx.
+constexpr bool IsServerError(int status) {
+  return status / 100 == 5;
+}
+
 /// @returns the standard reason phrase, or "Status" for an unknown code.
 std::string_view ReasonPhrase(int status);
 
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -61,6 +61,8 @@
     {kAttemptKept, "attempt_kept", kInfo,
      "An endpoint is silent and no other can take its request; its answer is "
      "awaited further."},
+    {kSuccessorCancelled, "successor_cancelled", kInfo,
+     "A silent attempt goes on or has ended; the one beside it is cancelled."},
     {kCallGivenUp, "call_given_up", kInfo,
      "A non-idempotent call was given up before it was sent."},
     {kCallOutcomeUnknown, "call_outcome_unknown", kWarning,
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -37,6 +37,7 @@
   kStreamReattached = 308,
   kBackupReplaced = 309,
   kAttemptKept = 310,
+  kSuccessorCancelled = 311,
   kCallGivenUp = 401,
   kCallOutcomeUnknown = 402,
   kCallRecordAbandoned = 403,
--- a/tests/unit_gateway_silence.cc
+++ b/tests/unit_gateway_silence.cc
@@ -20,6 +20,8 @@
 // Idempotent requests pass the latency target of 100 ms, streams the time
 // between two events.
 constexpr milliseconds kSilence{700};
+// Streams without a probe are moved after kDefaultEventGap.
+constexpr milliseconds kLongSilence{1300};
 constexpr char kSilenceConfig[] = R"({"version":3,"routes":[
 {"name":"read","host":"h.example","prefix":"/read/","kind":"safe",
  "timeout_ms":4000,"target_latency_ms":100,"service":"app",
@@ -111,6 +113,50 @@
   CHECK(fixture.endpoints[1]->requests().size() == 1);
 }
 
+// Guards against a sound stream that is ended for a successor that does not
+// take it.
+TEST_CASE(
+    "a silent stream goes on at its endpoint when the successor refuses") {
+  const std::vector<State> successors = {
+      {.name = "full", .answer = kNotRunAnswer},
+      {.name = "failing", .answer = kServerError},
+      {.name = "closing", .answer = ""}};
+  for (const State& successor : successors) {
+    CAPTURE(successor.name);
+    Step slow = SlowStream();
+    slow.interval = kLongSilence;
+    const std::vector<Step> refusing = {{.bytes = successor.answer}};
+    GatewayFixture fixture({{slow}, refusing, refusing}, kSilenceConfig);
+    CheckSlowStream(&fixture);
+    CHECK(fixture.endpoints[0]->requests().size() == 1);
+    CHECK(fixture.endpoints[1]->requests().size() == 1);
+    CHECK(fixture.endpoints[2]->requests().size() == 1);
+  }
+}
+
+// Guards against a stream at a dead endpoint that is never resumed because the
+// other endpoints were full at first.
+TEST_CASE("a silent stream asks again when the successors were full") {
+  GatewayFixture fixture(
+      {{{.bytes = kStreamHead + Chunk(Event(1)), .closes = false}},
+       {{.bytes = NotRun("")},
+        {.bytes = kStreamHead + Chunk(Event(2)) + kStreamEnd}},
+       {{.bytes = NotRun("")},
+        {.bytes = kStreamHead + Chunk(Event(2)) + kStreamEnd}}},
+      kSilenceConfig);
+  CheckSlowStream(&fixture);
+  CHECK(fixture.CountRequests() == 4);
+}
+
+// The same for idempotent requests.
+TEST_CASE("a slow answer is passed on when the successor refuses") {
+  GatewayFixture fixture({{SlowAnswer(), kSilent},
+                          {{.bytes = kNotRunAnswer}},
+                          {{.bytes = kServerError}}},
+                         kSilenceConfig);
+  CheckSlowAnswer(&fixture);
+}
+
 // Guards against a stream that is aborted because the successor of a silent
 // endpoint refuses when the retry budget is used up.
 TEST_CASE("a refusing successor does not end a stream without a retry budget" *
