Gateway: a stream that has begun waits when all endpoints are full

Callers saw: a stream whose server was lost while all others were full was closed in the middle at once, also in a planned stop, though slots came free seconds later and the caller would have waited.

Cause: FailAttempt() and StartNextAttempt() treated "all have refused" and "no retry in the budget" as final, also for a stream whose caller has a part.

Change: such a stream waits 250 ms to 1 s and asks two endpoints again, until its deadline, its caller's close or the last part of a stop. A stream that reaches no endpoint is cut as before. A retry that was granted and not sent is kept.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -311,6 +311,13 @@
 /// Sends of a request beyond its route's limit on attempts, as long as no
 /// attempt has run.
 inline constexpr int kMaxExtraSends = 3;
+/// Sends that a request may make after each wait, when all endpoints have
+/// refused it.
+inline constexpr int kSendsPerWait = 2;
+/// A stream that has begun and finds no endpoint asks again after this time,
+/// which doubles up to the longer one.
+inline constexpr std::chrono::milliseconds kMinEndpointWait{250};
+inline constexpr std::chrono::milliseconds kMaxEndpointWait{1000};
 /// Retry-After for streams that reach a stopping daemon. It is short because
 /// the retry reaches another daemon.
 inline constexpr std::chrono::milliseconds kDrainRetryAfter{50};
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -47,6 +47,7 @@
   m_context->loop->Cancel(m_timer);
   m_context->loop->Cancel(m_attempt_timer);
   m_context->loop->Cancel(m_acceptance_timer);
+  m_context->loop->Cancel(m_endpoint_timer);
 }
 
 bool GatewayExchange::is_stream() const {
@@ -158,6 +159,7 @@
     const EndpointRecord& endpoint) {
   auto attempt = std::make_unique<ExchangeAttempt>(m_context->memory);
   attempt->number = ++m_sends;
+  m_has_granted_retry = false;
   attempt->endpoint = endpoint.entry;
   attempt->started_at = m_context->loop->Now();
   attempt->must_follow = m_events_forwarded > 0;
@@ -448,6 +450,7 @@
   m_timer = TimerHandle();
   m_context->loop->Cancel(m_attempt_timer);
   m_attempt_timer = TimerHandle();
+  m_context->loop->Cancel(std::exchange(m_endpoint_timer, TimerHandle()));
   m_caller->SetDisconnectHandler(nullptr);
   if (m_sends > 0) {
     LogLine(LogEventId::kRequestEnded)
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -234,7 +234,8 @@
   /// Other endpoints are preferred to that of the silent attempt, and other
   /// gateways learn of it.
   void ReportSilence();
-  /// Lets endpoints that refused the request be picked again.
+  /// Lets endpoints that refused the request be picked again, and allows some
+  /// more sends.
   void ReadmitRefusingEndpoints();
   /// @returns the endpoint that would take the request from a silent one; empty
   /// if there is none that seems sound. Requests a permit if only that is
@@ -281,6 +282,12 @@
   /// @returns whether the retry budget grants a retry, which it then counts.
   bool ChargeRetry(RetryReason reason);
   bool TryAcquireRetry(RetryReason reason);
+  /// Starts the next attempt, waits for an endpoint, or ends the request.
+  void RetryOrGiveUp(RetryReason reason);
+  /// @returns whether the request is a stream that has begun and may go on
+  /// later, when an endpoint has room for it or the retry budget grants a send.
+  bool MayWaitForEndpoint() const;
+  void WaitForEndpoint(RetryReason reason);
 
   void OnTimeout();
   void ArmAttemptTimer();
@@ -335,6 +342,13 @@
   int m_sends = 0;
   // Upper bound on m_sends.
   int m_max_sends = 0;
+  // A retry has been granted, and nothing has been sent since.
+  bool m_has_granted_retry = false;
+  // Since the last event: whether an endpoint has refused the request, and how
+  // often the stream has waited for one.
+  bool m_was_refused = false;
+  int m_endpoint_waits = 0;
+  TimerHandle m_endpoint_timer;
   // When the request stops waiting for a permit; empty if it has not waited
   // since its last attempt.
   std::optional<TimePoint> m_permit_wait_end;
--- a/src/gateway_exchange_endpoint.cc
+++ b/src/gateway_exchange_endpoint.cc
@@ -105,6 +105,10 @@
     StartAttempt(*RequestBetter(choice), /*from_backup=*/false);
     return;
   }
+  if (MayWaitForEndpoint()) {
+    WaitForEndpoint(RetryReason::kRefusedByEndpoint);
+    return;
+  }
   if (m_context->limiter->RemainingWait(m_service) &&
       !m_context->directory->RemainingPause(m_service)) {
     GiveUp(ResultCode::kEndpointsLimited);
--- a/src/gateway_exchange_retry.cc
+++ b/src/gateway_exchange_retry.cc
@@ -1,5 +1,6 @@
 // The part of an exchange that ends attempts and decides whether the request is
 // sent once more.
+#include <algorithm>
 #include <memory>
 #include <string_view>
 #include <utility>
@@ -70,14 +71,58 @@
     GiveUpForStop();
     return;
   }
+  RetryOrGiveUp(reason);
+}
+
+void GatewayExchange::RetryOrGiveUp(RetryReason reason) {
   if (TryAcquireRetry(reason)) {
     StartNextAttempt();
     return;
   }
+  if (MayWaitForEndpoint()) {
+    WaitForEndpoint(reason);
+    return;
+  }
   GiveUp(m_possible_runs > 0 ? ResultCode::kAnswerLost
                              : ResultCode::kOverloaded);
 }
 
+bool GatewayExchange::MayWaitForEndpoint() const {
+  if (!m_stream_started || m_position_is_unknown || !m_route->IsIdempotent() ||
+      m_possible_runs >= m_route->max_attempts) {
+    return false;
+  }
+  // If no endpoint can be reached, the caller may find one through another
+  // gateway.
+  const bool lacks_budget = MayRetry() && !m_has_granted_retry;
+  return (m_was_refused || lacks_budget) && TimeLeft() > Duration{0} &&
+         MayStillSend();
+}
+
+void GatewayExchange::WaitForEndpoint(RetryReason reason) {
+  const Duration wait = std::min<Duration>(
+      kMinEndpointWait * (1 << m_endpoint_waits), kMaxEndpointWait);
+  if (wait < kMaxEndpointWait) {
+    ++m_endpoint_waits;
+  }
+  LogLine(LogEventId::kStreamWaits)
+      .Field("id", m_metadata.request_id)
+      .Field("sends", m_sends)
+      .Field("reason", NameOf(reason))
+      .Field("wait_ms", ToMilliseconds(wait))
+      .Field("last_event", static_cast<long long>(m_last_event_id.value_or(0)));
+  m_context->metrics->Count("bramleybank_stream_waits_total", "reason",
+                            NameOf(reason));
+  m_has_fresh_loads = false;
+  m_context->loop->Cancel(m_endpoint_timer);
+  m_endpoint_timer = m_context->loop->Schedule(wait, [this, reason] {
+    m_endpoint_timer = TimerHandle();
+    ReadmitRefusingEndpoints();
+    ReadmitSilentEndpoints();
+    RetryOrGiveUp(reason);
+  });
+}
+
 void GatewayExchange::EndFailedAttempt(ExchangeAttempt* attempt,
                                        EndpointOutcome outcome,
                                        RetryReason reason,
@@ -89,6 +134,7 @@
   EndAttempt(attempt, outcome);
   if (outcome == EndpointOutcome::kRefused) {
     m_refusing_endpoints.push_back(attempt->endpoint.id);
+    m_was_refused = true;
   }
   if (outcome == EndpointOutcome::kLost && reason == RetryReason::kEarlyEnd) {
     ReportCrash(*attempt);
@@ -134,7 +180,11 @@
     // count against the retry budget.
     return true;
   }
+  if (m_has_granted_retry) {
+    return true;
+  }
   const bool granted = m_context->budget->TryRetry(m_service, reason);
+  m_has_granted_retry = granted;
   m_context->metrics->Count(granted ? "bramleybank_retries_total"
                                     : "bramleybank_retries_refused_total",
                             "reason", NameOf(reason));
--- a/src/gateway_exchange_silence.cc
+++ b/src/gateway_exchange_silence.cc
@@ -145,6 +145,8 @@
 }
 
 void GatewayExchange::EndSilence() {
+  m_was_refused = false;
+  m_endpoint_waits = 0;
   CancelSuccessor();
   if (std::exchange(m_current->is_reported_silent, false)) {
     m_context->directory->OnSign(m_current->endpoint.id);
@@ -153,11 +155,12 @@
 
 void GatewayExchange::ReadmitRefusingEndpoints() {
   for (const std::string& id : std::exchange(m_refusing_endpoints, {})) {
-    if (id != m_current->endpoint.id) {
+    const bool is_open = m_current->connection && id == m_current->endpoint.id;
+    if (!is_open) {
       std::erase(m_tried_endpoints, id);
     }
   }
-  m_max_sends = std::max(m_max_sends, m_sends + kMaxExtraSends);
+  m_max_sends = std::max(m_max_sends, m_sends + kSendsPerWait);
 }
 
 std::optional<GatewayExchange::Successor> GatewayExchange::FindSuccessor()
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -63,6 +63,9 @@
      "awaited further."},
     {kSuccessorCancelled, "successor_cancelled", kInfo,
      "A silent attempt goes on or has ended; the one beside it is cancelled."},
+    {kStreamWaits, "stream_waits", kInfo,
+     "A stream that has begun finds no endpoint for its rest and asks again "
+     "later."},
     {kCallGivenUp, "call_given_up", kInfo,
      "A non-idempotent call was given up before it was sent."},
     {kCallOutcomeUnknown, "call_outcome_unknown", kWarning,
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -38,6 +38,7 @@
   kBackupReplaced = 309,
   kAttemptKept = 310,
   kSuccessorCancelled = 311,
+  kStreamWaits = 312,
   kCallGivenUp = 401,
   kCallOutcomeUnknown = 402,
   kCallRecordAbandoned = 403,
--- a/tests/unit_gateway_silence.cc
+++ b/tests/unit_gateway_silence.cc
@@ -148,6 +148,42 @@
   CHECK(fixture.CountRequests() == 4);
 }
 
+// Guards against a stream that is cut because all other endpoints are full when
+// its own is lost, also in a planned stop.
+TEST_CASE("a stream whose endpoint is lost waits for a slot elsewhere") {
+  const std::vector<Step> full_at_first = {
+      {.bytes = NotRun("")},
+      {.bytes = NotRun("")},
+      {.bytes = kStreamHead + Chunk(Event(2)) + kStreamEnd}};
+  for (const bool stops : {false, true}) {
+    CAPTURE(stops);
+    GatewayFixture fixture({{{.bytes = kStreamHead + Chunk(Event(1))}},
+                            full_at_first,
+                            full_at_first},
+                           kSilenceConfig);
+    fixture.Send("POST /write/x");
+    if (stops) {
+      fixture.WaitForAnswer(Chunk(Event(1)));
+      fixture.Stop(std::chrono::seconds(8));
+    }
+    fixture.WaitFor([&] { return fixture.HasEnded(kStreamEnd); });
+    CHECK(fixture.answer.find(Chunk(Event(1)) + Chunk(Event(2)) + kStreamEnd) !=
+          std::string::npos);
+  }
+}
+
+// Guards against a stream that keeps its caller waiting at a gateway that
+// reaches no endpoint.
+TEST_CASE("a stream that reaches no endpoint is cut at once") {
+  GatewayFixture fixture({{{.bytes = kStreamHead + Chunk(Event(1))}},
+                          {{.bytes = "", .resets = true}}},
+                         kSilenceConfig);
+  fixture.Send("POST /write/x");
+  fixture.WaitFor([&] { return fixture.HasEnded(kStreamEnd); });
+  CHECK(fixture.closed);
+  CHECK(fixture.CountRequests() == 2);
+}
+
 // The same for idempotent requests.
 TEST_CASE("a slow answer is passed on when the successor refuses") {
   GatewayFixture fixture({{SlowAnswer(), kSilent},
