Gateway: a probe that is rejected at once shows that its engine works

Cause: a connection that an engine accepts and resets, since it is at its limit of connections, counted as no answer to the question for its report, and the engine as lost.

Connections that cannot be made and later ends count as before.

--- a/src/endpoint_evidence.h
+++ b/src/endpoint_evidence.h
@@ -16,7 +16,9 @@
   std::optional<TimePoint> unanswered_since;
   /// Start of the last probe.
   TimePoint probed_at;
-  /// Until when the last answer to a probe shows that the endpoint works.
+  /// Until when the last answer to a probe shows that the endpoint works. An
+  /// endpoint that accepts the connection of a probe and ends it at once works
+  /// as well; it is at its limit of connections.
   std::optional<TimePoint> answer_valid_until;
   /// The last report that the endpoint has sent, and when it arrived.
   std::optional<EngineReport> report;
--- a/src/endpoint_prober.cc
+++ b/src/endpoint_prober.cc
@@ -72,13 +72,19 @@
   Endpoint& endpoint = *m_endpoints.at(id);
   endpoint.call.reset();
   const bool answered = reply.is_complete();
+  const TimePoint now = m_loop->Now();
+  // An engine at its limit of connections ends further ones at once. A later
+  // end may come from the network.
+  const bool rejected = !answered && reply.was_closed_by_engine &&
+                        now - endpoint.evidence.probed_at < kProbeTimeout;
   m_metrics->Count("bramleybank_probes_total", "result",
-                   answered ? "answered" : "unanswered");
-  if (!answered) {
+                   answered   ? "answered"
+                   : rejected ? "rejected"
+                              : "unanswered");
+  if (!answered && !rejected) {
     endpoint.answers_in_a_row = 0;
     return;
   }
-  const TimePoint now = m_loop->Now();
   const Duration interval =
       Duration(kMinProbeInterval) * (1 << endpoint.answers_in_a_row);
   endpoint.answers_in_a_row =
@@ -86,8 +92,10 @@
   EndpointEvidence& evidence = endpoint.evidence;
   evidence.unanswered_since.reset();
   evidence.answer_valid_until = now + interval;
-  evidence.report = m_codec->decode_report(reply.body);
-  evidence.reported_at = now;
+  if (answered) {
+    evidence.report = m_codec->decode_report(reply.body);
+    evidence.reported_at = now;
+  }
   ScheduleNews(Duration{0});
 }
 
--- a/src/engine_call.cc
+++ b/src/engine_call.cc
@@ -20,7 +20,12 @@
           .on_head =
               [this](const Http1Head& head) { m_reply.status = head.status; },
           .on_body = [this](std::string_view data) { OnBody(data); },
-          .on_end = [this](AttemptEnd end) { Finish(end); }});
+          .on_end =
+              [this](AttemptEnd end) {
+                m_reply.was_closed_by_engine =
+                    m_attempt->was_closed_by_endpoint();
+                Finish(end);
+              }});
   m_timer = loop->Schedule(timeout, [this] { Finish(AttemptEnd::kBroken); });
 }
 
--- a/src/engine_call.h
+++ b/src/engine_call.h
@@ -22,6 +22,8 @@
   /// HTTP status; 0 if no head has arrived.
   int status = 0;
   std::string body;
+  /// The engine accepted the connection and ended it before `end`.
+  bool was_closed_by_engine = false;
 
   bool is_complete() const { return end == AttemptEnd::kComplete; }
 
--- a/src/gateway_attempt.cc
+++ b/src/gateway_attempt.cc
@@ -39,7 +39,10 @@
   m_connection = TcpConnection::Connect(
       loop, address, kEndpointConnectTimeout,
       {.on_connected =
-           [this] { m_connection->Write(std::exchange(m_message, {})); },
+           [this] {
+             m_is_connected = true;
+             m_connection->Write(std::exchange(m_message, {}));
+           },
        .on_data = [this](std::string_view data) { OnData(data); },
        .on_end = [this](TcpCloseReason end) { OnTcpEnd(end); },
        .on_drained = nullptr});
@@ -88,6 +91,7 @@
 }
 
 void GatewayAttempt::OnTcpEnd(TcpCloseReason end) {
+  m_was_closed_by_endpoint = m_is_connected;
   if (end == TcpCloseReason::kClosed && WasReceived()) {
     // End of file completes a response without a length; any other response
     // stays incomplete.
--- a/src/gateway_attempt.h
+++ b/src/gateway_attempt.h
@@ -57,6 +57,8 @@
   void SetReading(bool reading);
   /// Whether the endpoint may have received any byte of the request.
   bool was_sent() const;
+  /// Whether the endpoint accepted the connection and then closed or reset it.
+  bool was_closed_by_endpoint() const { return m_was_closed_by_endpoint; }
 
  private:
   void OnData(std::string_view data);
@@ -77,6 +79,8 @@
   bool m_ended = false;
   bool m_is_cancelled = false;
   bool m_was_sent = false;
+  bool m_is_connected = false;
+  bool m_was_closed_by_endpoint = false;
   // Posted callbacks hold a weak reference, which expires with this object.
   std::shared_ptr<GatewayAttempt*> m_alive;
 };
--- a/tests/unit_endpoint_prober.cc
+++ b/tests/unit_endpoint_prober.cc
@@ -71,6 +71,28 @@
   CHECK(fixture.news > 0);
 }
 
+// Guards against a sound engine at its limit of connections that is taken for
+// lost.
+TEST_CASE("an engine that resets the connections of probes is alive") {
+  Fixture fixture(kReport);
+  FakeEndpoint full{&fixture.loop, {{.bytes = "", .resets = true}}};
+  fixture.entry.address = full.address();
+  CHECK(fixture.WaitFor([&] {
+    fixture.prober.Probe(fixture.entry);
+    return fixture.prober.Find("e1").answer_valid_until.has_value();
+  }));
+  CHECK_FALSE(fixture.prober.Find("e1").unanswered_since);
+  CHECK_FALSE(fixture.prober.Find("e1").report);
+}
+
+TEST_CASE("an engine without a listener is not alive") {
+  Fixture fixture(kReport);
+  fixture.entry.address = "127.0.0.1:1";
+  fixture.ProbeFor(milliseconds(130));
+  CHECK(fixture.prober.Find("e1").unanswered_since);
+  CHECK_FALSE(fixture.prober.Find("e1").answer_valid_until);
+}
+
 TEST_CASE("an engine that does not answer has one open probe") {
   Fixture fixture("");
   fixture.ProbeFor(milliseconds(600));
--- a/tests/unit_gateway_silence.cc
+++ b/tests/unit_gateway_silence.cc
@@ -349,6 +349,17 @@
   }
 }
 
+// Guards against a stream that runs at two engines because the first one is at
+// its limit of connections and resets probes.
+TEST_CASE("a pausing stream stays at an engine that resets probes") {
+  GatewayFixture fixture({{SlowStream(), {.bytes = "", .resets = true}},
+                          {{.bytes = kStreamHead + kStreamEnd}}},
+                         kEngineSilenceConfig);
+  CheckSlowStream(&fixture);
+  CHECK(fixture.endpoints[0]->requests().size() > 1);
+  CHECK(fixture.endpoints[1]->requests().empty());
+}
+
 // Guards against streams that wait for an engine that is gone, or for events
 // that a dead connection holds back.
 TEST_CASE("a silent stream leaves an engine that has lost it") {
