Gateway: a silent endpoint is asked again only if its version and prompt allow it

Found by reading the diff: when all successors have refused, the silent endpoint itself may be asked again (FindSilentEndpoint()). Before, that choice went through the picker and the check for quarantined parts; now it passed by both, so a version that was rolled back, or a blocked prompt, could have been sent there. Both checks are back.

--- a/src/gateway_exchange_silence.cc
+++ b/src/gateway_exchange_silence.cc
@@ -18,6 +18,8 @@
 #include "gateway_exchange.h"
 #include "log_event.h"
 #include "metric_registry.h"
+#include "prompt_part.h"
+#include "rollout_controller.h"
 #include "silence_judgement.h"
 #include "stream_silence_monitor.h"
 
@@ -195,12 +197,15 @@
   const bool is_last_resort =
       !m_refusing_endpoints.empty() &&
       std::ranges::find(m_refusing_endpoints, id) == m_refusing_endpoints.end();
-  if (!is_last_resort || !m_silence.may_ask_again || record == nullptr ||
-      !m_context->directory->IsUsable(*record) ||
-      !m_context->limiter->MaySend(*record)) {
+  if (!is_last_resort || !m_silence.may_ask_again || record == nullptr) {
     return std::nullopt;
   }
-  return Successor{.endpoint = record};
+  const bool may_send = m_context->directory->IsUsable(*record) &&
+                        m_context->limiter->MaySend(*record) &&
+                        m_context->rollouts->RuleForRetry(m_service).Allows(
+                            record->entry.version) &&
+                        FindBlockingParts().empty();
+  return may_send ? std::optional(Successor{.endpoint = record}) : std::nullopt;
 }
 
 }  // namespace bramleybank
