Gateway: the ends of both kinds of attempts are judged by one function

OnSuccessorEnd() repeated the checks of OnAttemptEnd() and OnAnswerComplete() in another order: a refusal with the id of another request, such as a late second answer, counted as one of this request. The successor then counted as not run, and the request could run at more endpoints than max_attempts.

Change: FindFailure() judges the end of any attempt, ProvesNotRun() what an answer proves. An attempt tells itself whether it was sent.

--- a/src/exchange_attempt.h
+++ b/src/exchange_attempt.h
@@ -23,6 +23,10 @@
   explicit ExchangeAttempt(MemoryBudget* memory)
       : body(memory), events(memory) {}
 
+  /// Whether the attempt is open and its endpoint may have received any byte of
+  /// the request.
+  bool was_sent() const { return connection && connection->was_sent(); }
+
   /// Number of the send within its exchange.
   int number = 0;
   EndpointEntry endpoint;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "attempt_failure.h"
 #include "bramleybank/limits.h"
 #include "endpoint_adopter.h"
 #include "endpoint_limiter.h"
@@ -27,6 +28,7 @@
 #include "stream_silence_monitor.h"
 
 namespace bramleybank {
+
 GatewayExchange::GatewayExchange(const ExchangeContext* context,
                                  uint64_t number,
                                  std::shared_ptr<GatewayCaller> caller,
@@ -279,7 +281,7 @@
 bool GatewayExchange::IsUsableAnswer(const ExchangeAttempt& attempt) const {
   const int status = attempt.head.status;
   const AnswerMetadata& answer = attempt.answer;
-  if (answer.not_run || answer.misdirected || answer.has_other_request_id) {
+  if (ProvesNotRun(answer) || answer.has_other_request_id) {
     return false;
   }
   if (IsSuccess(status)) {
@@ -325,36 +327,26 @@
 }
 
 void GatewayExchange::OnAttemptEnd(AttemptEnd end) {
-  if (end == AttemptEnd::kNotSent) {
-    FailAttempt(EndpointOutcome::kLost, RetryReason::kConnectFailed,
-                "connect failed or closed before the request was sent");
-    return;
-  }
-  if (end == AttemptEnd::kBroken) {
-    FailAttempt(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
-                "answer incomplete: connection closed or malformed HTTP");
+  const auto failure = FindFailureOf(*m_current, end);
+  if (failure) {
+    FailAttempt(failure->outcome, failure->reason, failure->detail);
     return;
   }
   OnAnswerComplete();
 }
 
+std::optional<AttemptFailure> GatewayExchange::FindFailureOf(
+    const ExchangeAttempt& attempt,
+    AttemptEnd end) const {
+  const auto failure = FindFailure(end, attempt.head.status, attempt.answer);
+  if (failure && failure->outcome == EndpointOutcome::kMisdirected) {
+    m_context->adopter->OnMisdirected(attempt.endpoint,
+                                      attempt.answer.endpoint_id);
+  }
+  return failure;
+}
+
 void GatewayExchange::OnAnswerComplete() {
-  if (m_current->answer.has_other_request_id ||
-      (IsSuccess(m_current->head.status) && !m_current->answer.has_seal)) {
-    FailAttempt(EndpointOutcome::kFailed, RetryReason::kEarlyEnd,
-                "answer has another request id or a success without seal");
-    return;
-  }
-  if (m_current->answer.misdirected) {
-    m_context->adopter->OnMisdirected(m_current->endpoint,
-                                      m_current->answer.endpoint_id);
-  }
-  if (m_current->answer.not_run || m_current->answer.misdirected) {
-    FailAttempt(m_current->answer.misdirected ? EndpointOutcome::kMisdirected
-                                              : EndpointOutcome::kRefused,
-                RetryReason::kRefusedByEndpoint, "refused");
-    return;
-  }
   if (is_stream() && IsSuccess(m_current->head.status)) {
     OnStreamComplete();
     return;
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "attempt_failure.h"
 #include "bramleybank/handle.h"
 #include "bramleybank/result_code.h"
 #include "endpoint_directory.h"
@@ -207,6 +208,10 @@
   void UpdateRateLimit(const ExchangeAttempt& attempt);
   void OnBody(std::string_view data);
   void OnAttemptEnd(AttemptEnd end);
+  /// @returns why an ended attempt has not answered the request. Reports an
+  /// endpoint that another one has replaced at its address.
+  std::optional<AttemptFailure> FindFailureOf(const ExchangeAttempt& attempt,
+                                              AttemptEnd end) const;
   void OnAnswerComplete();
   void ForwardEvents();
   /// Forwards an event to the caller, unless the caller already has it.
--- a/src/gateway_exchange_successor.cc
+++ b/src/gateway_exchange_successor.cc
@@ -7,15 +7,12 @@
 #include <utility>
 
 #include "bramleybank/limits.h"
-#include "endpoint_adopter.h"
 #include "endpoint_directory.h"
 #include "event_loop.h"
 #include "exchange_attempt.h"
 #include "gateway_exchange.h"
 #include "log_event.h"
 #include "metric_registry.h"
-#include "silence_judgement.h"
-#include "stream_silence_monitor.h"
 
 namespace bramleybank {
 
@@ -46,7 +43,7 @@
 
 bool GatewayExchange::IsAcceptanceLikely() const {
   const EndpointEntry& endpoint = m_successor->endpoint;
-  if (!m_successor->connection->was_sent() || m_successor->head.status != 0) {
+  if (!m_successor->was_sent() || m_successor->head.status != 0) {
     return false;
   }
   if (endpoint.id == m_current->endpoint.id) {
@@ -73,25 +70,13 @@
 }
 
 void GatewayExchange::OnSuccessorEnd(AttemptEnd end) {
-  const AnswerMetadata& answer = m_successor->answer;
-  if (end == AttemptEnd::kNotSent) {
-    FailSuccessor(EndpointOutcome::kLost, RetryReason::kConnectFailed,
-                  "connect failed or closed before the request was sent");
-  } else if (end == AttemptEnd::kBroken) {
-    FailSuccessor(EndpointOutcome::kLost, RetryReason::kEarlyEnd,
-                  "answer incomplete: connection closed or malformed HTTP");
-  } else if (answer.misdirected) {
-    m_context->adopter->OnMisdirected(m_successor->endpoint,
-                                      answer.endpoint_id);
-    FailSuccessor(EndpointOutcome::kMisdirected,
-                  RetryReason::kRefusedByEndpoint, "refused");
-  } else if (answer.not_run) {
-    FailSuccessor(EndpointOutcome::kRefused, RetryReason::kRefusedByEndpoint,
-                  "refused");
-  } else {
-    FailSuccessor(EndpointOutcome::kFailed, RetryReason::kErrorEvent,
-                  "answer does not continue the request");
-  }
+  const AttemptFailure failure =
+      FindFailureOf(*m_successor, end)
+          .value_or(
+              AttemptFailure{.outcome = EndpointOutcome::kFailed,
+                             .reason = RetryReason::kErrorEvent,
+                             .detail = "answer does not continue the request"});
+  FailSuccessor(failure.outcome, failure.reason, failure.detail);
 }
 
 void GatewayExchange::FailSuccessor(EndpointOutcome outcome,
@@ -117,10 +102,7 @@
     return;
   }
   std::unique_ptr<ExchangeAttempt> cancelled = TakeSuccessor();
-  const bool may_have_run = cancelled->connection &&
-                            cancelled->connection->was_sent() &&
-                            !cancelled->answer.not_run;
-  if (may_have_run) {
+  if (cancelled->was_sent() && !ProvesNotRun(cancelled->answer)) {
     ++m_possible_runs;
   }
   EndAttempt(cancelled.get(), EndpointOutcome::kCancelled);
--- a/tests/unit_gateway_silence.cc
+++ b/tests/unit_gateway_silence.cc
@@ -222,6 +222,20 @@
   CHECK(fixture.answer.find(Chunk(Event(2)) + kStreamEnd) != std::string::npos);
 }
 
+// Guards against runs beyond max_attempts because the refusal of another
+// request is taken for that of the successor.
+TEST_CASE("a successor that refuses another request may have run this one") {
+  std::string config = kSilenceConfig;
+  config.replace(config.find("attempts\":4"), 11, "attempts\":2");
+  std::string other = kNotRunAnswer;
+  other.replace(other.find("r1"), 2, "r2");
+  GatewayFixture fixture(
+      {{SlowAnswer()}, {{.bytes = other}}, {{.bytes = kCompleteAnswer}}},
+      config);
+  CheckSlowAnswer(&fixture);
+  CHECK(fixture.CountRequests() == 2);
+}
+
 // Guards against ending the attempt at a silent endpoint when the only other
 // one can take no request.
 TEST_CASE("a silent attempt is kept while no other endpoint takes requests") {
