Gateway: one question whether an attempt was sent, one test body for two cases

The check of the connection and of what was sent stood in four further places; they use ExchangeAttempt::was_sent() now. Two tests of unit_gateway_silence that shared their body call one function, which makes all checks of both.

--- a/src/gateway_exchange_quarantine.cc
+++ b/src/gateway_exchange_quarantine.cc
@@ -77,7 +77,7 @@
     return;
   }
   CancelSuccessor();
-  if (m_current->connection->was_sent()) {
+  if (m_current->was_sent()) {
     ++m_possible_runs;
   }
   EndAttempt(m_current.get(), EndpointOutcome::kCancelled);
--- a/src/gateway_exchange_retry.cc
+++ b/src/gateway_exchange_retry.cc
@@ -44,12 +44,8 @@
 }
 
 bool GatewayExchange::MayHaveRun() const {
-  const auto was_sent = [](const ExchangeAttempt* attempt) {
-    return attempt != nullptr && attempt->connection &&
-           attempt->connection->was_sent();
-  };
-  return m_possible_runs > 0 || was_sent(m_current.get()) ||
-         was_sent(m_successor.get());
+  return m_possible_runs > 0 || m_current->was_sent() ||
+         (m_successor && m_successor->was_sent());
 }
 
 void GatewayExchange::ReportVersionOutcome(const ExchangeAttempt& attempt,
@@ -127,8 +123,7 @@
                                        EndpointOutcome outcome,
                                        RetryReason reason,
                                        std::string_view detail) {
-  const bool may_have_run = attempt->connection &&
-                            attempt->connection->was_sent() &&
+  const bool may_have_run = attempt->was_sent() &&
                             outcome != EndpointOutcome::kRefused &&
                             outcome != EndpointOutcome::kMisdirected;
   EndAttempt(attempt, outcome);
@@ -165,9 +160,7 @@
   if (m_position_is_unknown) {
     return false;
   }
-  const bool is_running =
-      m_current->connection && m_current->connection->was_sent();
-  const int runs = m_possible_runs + (is_running ? 1 : 0);
+  const int runs = m_possible_runs + (m_current->was_sent() ? 1 : 0);
   if (runs > 0 && (!m_route->IsIdempotent() || runs >= m_route->max_attempts)) {
     return false;
   }
--- a/tests/unit_gateway_silence.cc
+++ b/tests/unit_gateway_silence.cc
@@ -193,12 +193,12 @@
   CheckSlowAnswer(&fixture);
 }
 
-// Guards against a stream that is aborted because the successor of a silent
-// endpoint refuses when the retry budget is used up.
-TEST_CASE("a refusing successor does not end a stream without a retry budget") {
+/// Plays a stream whose first endpoint has sent one event and ends like
+/// `first`, with a retry budget of one. The second endpoint refuses.
+void CheckResumedWithOneRetry(const Step& first) {
   constexpr int kOneRetry = 100;  // Shared by the assumed gateways.
   GatewayFixture fixture(
-      {{{.bytes = kStreamHead + Chunk(Event(1)), .closes = false}},
+      {{first},
        {{.bytes = NotRun("")}},
        {{.bytes = kStreamHead + Chunk(Event(2)) + kStreamEnd}}},
       kSilenceConfig, kOneRetry);
@@ -208,18 +208,17 @@
   CHECK(fixture.endpoints[1]->requests().size() == 1);
 }
 
+// Guards against a stream that is aborted because the successor of a silent
+// endpoint refuses when the retry budget is used up.
+TEST_CASE("a refusing successor does not end a stream without a retry budget") {
+  CheckResumedWithOneRetry(
+      {.bytes = kStreamHead + Chunk(Event(1)), .closes = false});
+}
+
 // Guards against a stream that is cut because the retry budget is used up when
 // its endpoint is lost.
 TEST_CASE("a stream whose endpoint is lost has a reserve of the retry budget") {
-  constexpr int kOneRetry = 100;  // Shared by the assumed gateways.
-  GatewayFixture fixture(
-      {{{.bytes = kStreamHead + Chunk(Event(1))}},
-       {{.bytes = NotRun("")}},
-       {{.bytes = kStreamHead + Chunk(Event(2)) + kStreamEnd}}},
-      kSilenceConfig, kOneRetry);
-  fixture.Send("POST /write/x");
-  fixture.WaitFor([&] { return fixture.HasEnded(kStreamEnd); });
-  CHECK(fixture.answer.find(Chunk(Event(2)) + kStreamEnd) != std::string::npos);
+  CheckResumedWithOneRetry({.bytes = kStreamHead + Chunk(Event(1))});
 }
 
 // Guards against runs beyond max_attempts because the refusal of another
