TcpConnection: an established connection is not timed out by a busy loop

Cause: the reactor dispatches one event a call. With descriptors that are always readable, the event of a connection that is established waits for its turn, and the connect timer of 300 ms runs before it.

Change: the timer asks poll() before it gives the connection up.

Evidence: "a busy loop does not time out a connection that is established" failed with the former source and passes; it uses a timeout of zero and no load.

--- a/src/tcp_connection.cc
+++ b/src/tcp_connection.cc
@@ -6,6 +6,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -90,7 +91,7 @@
   }
   self->m_timer = loop->Schedule(timeout, [weak = self->weak_from_this()] {
     if (const auto connection = weak.lock()) {
-      connection->End(TcpCloseReason::kNotConnected);
+      connection->OnConnectTimeout();
     }
   });
   self->UpdateWatch();
@@ -285,6 +286,17 @@
   }
 }
 
+void TcpConnection::OnConnectTimeout() {
+  // In a busy loop the event of an established connection may still wait for
+  // its turn.
+  pollfd state{.fd = m_fd, .events = POLLOUT, .revents = 0};
+  if (poll(&state, 1, 0) > 0) {
+    OnConnectReady();
+  } else {
+    End(TcpCloseReason::kNotConnected);
+  }
+}
+
 void TcpConnection::OnConnectReady() {
   int error = 0;
   socklen_t length = sizeof(error);
--- a/src/tcp_connection.h
+++ b/src/tcp_connection.h
@@ -119,6 +119,7 @@
 
   void OnReady(bool readable, bool writable);
   void OnConnectReady();
+  void OnConnectTimeout();
   void ReadAvailable();
   void Flush();
   /// Sends directly as much as the operating system accepts.
