Silence: an engine that lists a run is waited for as long as callers wait

Cause: the limit was eight longest pauses, "callers give up then". The protocol has callers wait for the longest of two seconds, four targets and eight longest pauses; with a target of 4.5 s and pauses of 0.7 s that is 18 s.

Change: the limit is the one of the protocol.

Evidence: "an engine explains a pause as long as callers wait" failed with the former formula (5.6 s for 18 s, 0.8 s for 2 s) and passes.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -281,9 +281,12 @@
 inline constexpr std::chrono::milliseconds kMaxReportAge{500};
 /// Shortest silence after which a report may show that a run is lost.
 inline constexpr std::chrono::milliseconds kMinLostRunSilence{400};
-/// A stream whose engine answers probes is moved after a silence of this many
-/// longest pauses; callers give up then.
-inline constexpr int kMaxExplainedGaps = 8;
+/// Callers abandon a stream, also before its first event, after the longest of
+/// this time, this many latency targets and this many longest pauses. Until
+/// then the silence of a working engine is no reason to move the stream.
+inline constexpr std::chrono::seconds kMinCallerPatience{2};
+inline constexpr int kCallerPatienceTargets = 4;
+inline constexpr int kCallerPatienceGaps = 8;
 inline constexpr std::chrono::milliseconds kSilenceCheckInterval{50};
 /// Interval at which a successor is looked for while a silent attempt is kept,
 /// and the one for successors that only need a permit.
--- a/src/silence_judgement.cc
+++ b/src/silence_judgement.cc
@@ -125,7 +125,9 @@
       .event = event,
       .unprobed_first_event = target,
       .unprobed_event = gap,
-      .explained_event = gap * kMaxExplainedGaps};
+      .explained_event = std::max<Duration>({kMinCallerPatience,
+                                             target * kCallerPatienceTargets,
+                                             gap * kCallerPatienceGaps})};
 }
 
 SilenceVerdict JudgeSilence(const SilentRun& run,
