Silence: streams stay at an engine that has asked for no or few requests

Cause: such an engine is not probed, and its streams were judged by the longest pause of the route alone, like those of endpoints that send no reports.

Change: during the pause the stream is kept and no probe is sent; probes begin again when it has ended. An engine with a limited rate is probed with a permit.

--- a/src/endpoint_prober.cc
+++ b/src/endpoint_prober.cc
@@ -40,7 +40,7 @@
 
 EndpointProber::~EndpointProber() = default;
 
-void EndpointProber::Probe(const EndpointEntry& entry) {
+bool EndpointProber::Probe(const EndpointEntry& entry) {
   EvictIdle();
   const TimePoint now = m_loop->Now();
   auto& endpoint = m_endpoints[entry.id];
@@ -52,7 +52,7 @@
   const bool is_answer_valid =
       evidence.answer_valid_until && now < *evidence.answer_valid_until;
   if (endpoint->call || is_answer_valid || since_probe < kMinProbeInterval) {
-    return;
+    return false;
   }
   if (since_probe > kProbeStreakTime) {
     endpoint->answers_in_a_row = 0;
@@ -66,6 +66,7 @@
       kEngineReplyTimeout,
       [this, id = entry.id](const EngineReply& reply) { OnReply(id, reply); });
   ScheduleNews(kProbeTimeout);
+  return true;
 }
 
 void EndpointProber::OnReply(const std::string& id, const EngineReply& reply) {
--- a/src/endpoint_prober.h
+++ b/src/endpoint_prober.h
@@ -38,7 +38,8 @@
 
   /// Starts a probe unless the last one is open or recent, or its answer is
   /// still valid.
-  void Probe(const EndpointEntry& endpoint);
+  /// @returns whether a probe has been started.
+  bool Probe(const EndpointEntry& endpoint);
   /// The endpoint has sent an event or an answer.
   void OnSign(std::string_view endpoint_id);
 
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -110,9 +110,11 @@
   void OnPromptQuarantined();
   void ArmSilenceCheck();
   void CheckSilence();
-  /// Engines send reports; those that have asked for no requests are not
-  /// probed.
+  /// Engines send reports.
   bool IsProbeable(const EndpointRecord* endpoint) const;
+  /// Probes within what the endpoint has asked for: not during its pause, and
+  /// with a permit if its rate is limited.
+  void Probe(const EndpointRecord& endpoint);
   StopVerdict JudgeStop(const StopQuery& query) const;
   /// @param is_last whether the gateway stops right after this.
   void CloseIdleCallers(bool is_last);
--- a/src/gateway_supervision.cc
+++ b/src/gateway_supervision.cc
@@ -20,20 +20,33 @@
 }
 
 bool Gateway::Impl::IsProbeable(const EndpointRecord* endpoint) const {
-  if (endpoint == nullptr || !config || directory.IsRestricted(*endpoint)) {
+  if (endpoint == nullptr || !config) {
     return false;
   }
   const GatewayService* service = config->FindService(endpoint->entry.service);
   return service != nullptr && service->engine;
 }
 
+void Gateway::Impl::Probe(const EndpointRecord& endpoint) {
+  if (directory.IsPaused(endpoint)) {
+    return;
+  }
+  if (limiter.MaySend(endpoint)) {
+    if (prober.Probe(endpoint.entry)) {
+      limiter.OnSend(endpoint);
+    }
+  } else if (limiter.MayAsk(endpoint)) {
+    limiter.Request(endpoint, nullptr);
+  }
+}
+
 void Gateway::Impl::CheckSilence() {
   loop->Cancel(std::exchange(silence_timer, TimerHandle()));
   const SilenceFindings findings = silence.Check(loop->Now());
   for (const std::string& id : findings.endpoints_to_probe) {
     const EndpointRecord* endpoint = directory.Find(id);
     if (IsProbeable(endpoint)) {
-      prober.Probe(endpoint->entry);
+      Probe(*endpoint);
     }
   }
   for (const StreamLocation& place : findings.silent_domains) {
--- a/src/silence_judgement.cc
+++ b/src/silence_judgement.cc
@@ -150,7 +150,9 @@
   const bool has_answer =
       evidence.answer_valid_until && *evidence.answer_valid_until > now;
   if (!has_answer) {
-    return SilenceVerdict::kProbe;
+    // The endpoint may have asked for no requests, which ends probes.
+    return silence > run.limits.explained_event ? SilenceVerdict::kTooLong
+                                                : SilenceVerdict::kProbe;
   }
   return IsTooLong(run, evidence, silence) ? SilenceVerdict::kTooLong
                                            : SilenceVerdict::kWait;
--- a/src/silence_judgement.h
+++ b/src/silence_judgement.h
@@ -20,7 +20,8 @@
   /// Time after which a stream is moved whose endpoint cannot be probed.
   Duration unprobed_first_event{0};
   Duration unprobed_event{0};
-  /// Longest time between two events that a sound endpoint explains.
+  /// Longest time between two events that a sound endpoint, or one that has
+  /// asked for no requests, explains.
   Duration explained_event{0};
 
   friend bool operator==(const SilenceLimits&, const SilenceLimits&) = default;
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -117,23 +117,29 @@
   void Send(const std::string& method_and_path,
             const std::string& key = "good",
             const std::string& headers = "") {
-    m_client = TcpConnection::Connect(
-        &m_loop, "127.0.0.1:" + std::to_string(m_gateway.caller_port()),
-        std::chrono::seconds(5),
+    m_client = Connect(
         {.on_connected =
              [this, method_and_path, key, headers] {
                m_is_connected = true;
-               m_client->Write(method_and_path +
-                               " HTTP/1.1\r\nHost: h.example\r\n"
-                               "Request-Id: r1\r\nDeadline-Ms: 4000\r\n"
-                               "Tenant: forged\r\nAuthorization: Bearer " +
-                               key + "\r\n" + headers + "\r\n");
+               m_client->Write(MakeRequest(method_and_path, key, headers));
              },
          .on_data = [this](std::string_view data) { answer += data; },
          .on_end = [this](TcpCloseReason) { closed = true; },
          .on_drained = nullptr});
   }
 
+  /// Sends a request beside the last one and drops its answer.
+  void SendBeside(const std::string& method_and_path) {
+    m_other_client = Connect(
+        {.on_connected =
+             [this, method_and_path] {
+               m_other_client->Write(MakeRequest(method_and_path, "good", ""));
+             },
+         .on_data = [](std::string_view) {},
+         .on_end = [](TcpCloseReason) {},
+         .on_drained = nullptr});
+  }
+
   /// Whether the head of the last request has been sent.
   bool is_connected() const { return m_is_connected; }
 
@@ -210,9 +216,26 @@
     return settings;
   }
 
+  static std::string MakeRequest(const std::string& method_and_path,
+                                 const std::string& key,
+                                 const std::string& headers) {
+    return method_and_path +
+           " HTTP/1.1\r\nHost: h.example\r\n"
+           "Request-Id: r1\r\nDeadline-Ms: 4000\r\n"
+           "Tenant: forged\r\nAuthorization: Bearer " +
+           key + "\r\n" + headers + "\r\n";
+  }
+
+  std::shared_ptr<TcpConnection> Connect(TcpCallbacks callbacks) {
+    return TcpConnection::Connect(
+        &m_loop, "127.0.0.1:" + std::to_string(m_gateway.caller_port()),
+        std::chrono::seconds(5), std::move(callbacks));
+  }
+
   EventLoop m_loop;
   Gateway m_gateway;
   std::shared_ptr<TcpConnection> m_client;
+  std::shared_ptr<TcpConnection> m_other_client;
   bool m_is_connected = false;
 };
 
--- a/tests/unit_gateway_silence.cc
+++ b/tests/unit_gateway_silence.cc
@@ -373,6 +373,32 @@
   CHECK(fixture.endpoints[1]->requests().empty());
 }
 
+// Guards against a stream that runs at two engines because the first one is
+// full, asks for no or few requests and is not asked for its report.
+TEST_CASE("a pausing stream stays at an engine that has restricted requests") {
+  for (const std::string restriction :
+       {"Retry-After: 1\r\n", "Server-Limit: 20\r\n"}) {
+    CAPTURE(restriction);
+    Step step = SlowStream();
+    step.interval = milliseconds(1500);
+    const Step other = {.bytes = kStreamHead + Chunk(Event(1)) + kStreamEnd};
+    GatewayFixture fixture({{step, {.bytes = NotRun(restriction)}},
+                            {{.bytes = NotRun("")}, other, other}},
+                           kEngineSilenceConfig);
+    fixture.endpoints[0]->SetReport(Report(1));
+    fixture.Send("POST /write/x");
+    fixture.WaitForAnswer(Chunk(Event(1)));
+    fixture.SendBeside("POST /write/y");
+    fixture.WaitFor([&] { return fixture.HasEnded(kStreamEnd); });
+    CHECK(fixture.answer.find(Chunk(Event(2)) + kStreamEnd) !=
+          std::string::npos);
+    CHECK(fixture.endpoints[0]->requests().size() == 2);
+    for (const std::string& request : fixture.endpoints[1]->requests()) {
+      CHECK(request.find("Last-Event-Id") == std::string::npos);
+    }
+  }
+}
+
 // Guards against streams that wait for an engine that is gone, or for events
 // that a dead connection holds back.
 TEST_CASE("a silent stream leaves an engine that has lost it") {
--- a/tests/unit_silence_judgement.cc
+++ b/tests/unit_silence_judgement.cc
@@ -116,6 +116,11 @@
   CHECK(Judge(Run(limit), Listing(5)) == SilenceVerdict::kWait);
   CHECK(Judge(Run(limit + milliseconds(1)), Listing(5)) ==
         SilenceVerdict::kTooLong);
+  // Of an engine that has asked for no requests.
+  const EndpointEvidence unprobed;
+  CHECK(JudgeSilence(Run(limit), &unprobed, kNow) == SilenceVerdict::kProbe);
+  CHECK(JudgeSilence(Run(limit + milliseconds(1)), &unprobed, kNow) ==
+        SilenceVerdict::kTooLong);
   EndpointEvidence no_report = Answer(kIdle);
   no_report.report.reset();
   const SilentRun waiting = Run(milliseconds(2001), /*has_event=*/false);
