Silence: streams stay at a working engine of a domain that seems lost

Cause: the verdict on the domain was applied to all its streams, also to those whose engine had not been asked. A stream that waits for its first event gives no sign of its engine, which is asked only after half of the target.

Change: when two engines of a domain are silent, all engines with streams there are asked at once, and a stream moves with its domain only if its own engine has not answered for 100 ms. Engines that are all dark are asked at the same time as before, so the loss of a domain is found after the same time.

Evidence: "a stream stays at a working engine of a lost domain" failed before (all three streams were moved) and passes.

--- a/src/stream_silence_monitor.cc
+++ b/src/stream_silence_monitor.cc
@@ -28,10 +28,14 @@
 
 }  // namespace
 
-bool StreamSilenceMonitor::Domain::is_lost() const {
+bool StreamSilenceMonitor::Domain::is_suspicious() const {
   return silent_endpoints.size() >= kMinDomainLosses && !has_sign;
 }
 
+bool StreamSilenceMonitor::Domain::is_lost() const {
+  return unresponsive_endpoints.size() >= kMinDomainLosses && !has_sign;
+}
+
 StreamSilenceMonitor::StreamSilenceMonitor(EvidenceHook evidence)
     : m_evidence(std::move(evidence)) {}
 
@@ -89,11 +93,17 @@
     domain->has_sign = domain->has_sign || stream.run.has_event;
     return;
   }
-  const EndpointEvidence* evidence = m_evidence(stream.location.endpoint_id);
-  if (!IsUnresponsive(evidence, now)) {
-    domain->has_sign = domain->has_sign || HasAnswered(evidence, stream.run);
-  } else if (stream.run.has_event) {
-    domain->silent_endpoints.insert(stream.location.endpoint_id);
+  const std::string& endpoint = stream.location.endpoint_id;
+  const EndpointEvidence* evidence = m_evidence(endpoint);
+  const bool is_unresponsive = IsUnresponsive(evidence, now);
+  domain->has_sign = domain->has_sign ||
+                     (!is_unresponsive && HasAnswered(evidence, stream.run));
+  if (!stream.run.has_event) {
+    return;
+  }
+  domain->silent_endpoints.insert(endpoint);
+  if (is_unresponsive) {
+    domain->unresponsive_endpoints.insert(endpoint);
   }
 }
 
@@ -124,15 +134,17 @@
   }
   for (const auto& [id, stream] : m_streams) {
     const StreamLocation& location = stream.location;
-    SilenceVerdict verdict =
-        JudgeSilence(stream.run, m_evidence(location.endpoint_id), now);
-    if (verdict != SilenceVerdict::kWait) {
+    const Domain& domain =
+        domains.at({location.service, location.failure_domain});
+    const EndpointEvidence* evidence = m_evidence(location.endpoint_id);
+    SilenceVerdict verdict = JudgeSilence(stream.run, evidence, now);
+    if (verdict != SilenceVerdict::kWait || domain.is_suspicious()) {
       findings.endpoints_to_probe.insert(location.endpoint_id);
     }
     if (stream.postponed_until && now < *stream.postponed_until) {
       continue;
     }
-    if (domains.at({location.service, location.failure_domain}).is_lost()) {
+    if (domain.is_lost() && IsUnresponsive(evidence, now)) {
       verdict = SilenceVerdict::kEndpointLost;
     }
     if (IsLost(verdict)) {
--- a/src/stream_silence_monitor.h
+++ b/src/stream_silence_monitor.h
@@ -55,7 +55,8 @@
 /// be silent as well; see silence_judgement.h. If several endpoints of a
 /// failure domain are silent and do not answer, and no stream there has an
 /// event, the domain is lost. All its streams are moved then, also those that
-/// wait for their first event.
+/// wait for their first event, except from endpoints that have not been asked
+/// for long enough.
 class StreamSilenceMonitor {
  public:
   /// @returns what is known about an endpoint; null if it cannot be probed.
@@ -93,12 +94,17 @@
 
   /// State of the streams of one service in one failure domain.
   struct Domain {
+    // Those whose streams have begun and are silent.
     std::set<std::string_view> silent_endpoints;
+    // Those of them that do not answer.
+    std::set<std::string_view> unresponsive_endpoints;
     // Any of its endpoints has sent an event or answered a probe.
     bool has_sign = false;
     // Any stream of the domain.
     const Stream* sample = nullptr;
 
+    /// Whether all its endpoints are to be asked.
+    bool is_suspicious() const;
     bool is_lost() const;
   };
   using DomainKey = std::pair<std::string_view, std::string_view>;
--- a/tests/unit_stream_silence_monitor.cc
+++ b/tests/unit_stream_silence_monitor.cc
@@ -124,7 +124,7 @@
 // domain is lost.
 TEST_CASE("a domain whose engines all fall silent is lost") {
   Fixture fixture;
-  fixture.dark = {"a1", "a2"};
+  fixture.dark = {"a1", "a2", "a3"};
   fixture.Add(1, "a");
   fixture.Add(2, "a");
   fixture.Add(3, "a");
@@ -139,6 +139,20 @@
   CHECK(fixture.findings.silent_domains[0].failure_domain == "a");
 }
 
+// Guards against a request that runs at two engines because others of the
+// domain of its own, which was not asked, are lost.
+TEST_CASE("a stream stays at a working engine of a lost domain") {
+  Fixture fixture;
+  fixture.dark = {"a1", "a2"};
+  fixture.Add(1, "a");
+  fixture.Add(2, "a");
+  fixture.Run(milliseconds(100), {1, 2});
+  // It has no event yet.
+  fixture.Add(3, "a");
+  CHECK(fixture.Run(kGap, {}) == std::vector<uint64_t>{1, 2});
+  CHECK(fixture.findings.silent_domains.empty());
+}
+
 // Guards against giving up a domain in which an engine still answers.
 TEST_CASE("a domain with an engine that answers probes is not lost") {
   Fixture fixture;
