Drain: requests behind a refused one are refused as well

Cause: the stop refused the open requests and ended the event loop. A connection's next request is read in a task of the loop, of which only one more batch ran.

Change: the gateway refuses until no connection has a further request, for 100 ms at most (kDrainLastAnswersTime, a third of the margin before the kill), and then ends.

--- a/include/bramleybank/limits.h
+++ b/include/bramleybank/limits.h
@@ -543,6 +543,9 @@
 /// Reserved at the end of the drain time, so that the last bytes arrive.
 inline constexpr std::chrono::milliseconds kDrainMargin{300};
 inline constexpr std::chrono::milliseconds kDrainCheckInterval{100};
+/// Part of the margin in which requests are refused that wait behind others on
+/// their connections. It bounds the time that a caller can take by sending on.
+inline constexpr std::chrono::milliseconds kDrainLastAnswersTime{100};
 /// No request is sent within this time before the end of the drain. Also the
 /// reserve beyond the expected time of an idempotent request.
 inline constexpr std::chrono::milliseconds kDrainRefuseTime{1000};
--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -391,6 +391,11 @@
          m_parser.unparsed_bytes() == 0 && !HasUndeliveredOutput();
 }
 
+bool GatewayCaller::HasNextRequest() const {
+  return !m_closed && !m_is_busy && !m_waits_for_drain &&
+         m_parser.unparsed_bytes() > 0;
+}
+
 bool GatewayCaller::HasUndeliveredOutput() const {
   return m_connection->has_undelivered_output();
 }
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -112,6 +112,8 @@
   /// on the way.
   bool AwaitsFirstRequest() const;
   bool is_busy() const { return m_is_busy; }
+  /// Whether bytes of a further request are about to be parsed.
+  bool HasNextRequest() const;
   /// Whether the connection has been idle for so long that it may be closed to
   /// make room for another one.
   bool IsReplaceable() const;
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -120,6 +120,10 @@
   void CloseIdleCallers(bool is_last);
   GatewayDrainLoad DrainLoad() const;
   void ContinueDrain();
+  /// Refuses what is still open, then the requests behind it, and ends the
+  /// event loop.
+  void EndDrain();
+  bool HasWaitingRequests() const;
 
   EventLoop* loop;
   GatewaySettings settings;
@@ -317,6 +321,8 @@
   StopAdmission stop_admission;
   std::unique_ptr<GatewayDrain> drain;
   TimerHandle drain_timer;
+  // Set when the gateway only refuses what is left.
+  std::optional<TimePoint> drain_ends_by;
   TimePoint last_accept;
   TimerHandle memory_timer;
   TimePoint last_memory_check;
--- a/src/gateway_supervision.cc
+++ b/src/gateway_supervision.cc
@@ -2,6 +2,8 @@
 // and the steps of a planned stop.
 #include "gateway_p.h"
 
+#include <algorithm>
+
 #include "log_event.h"
 
 namespace bramleybank {
@@ -90,7 +92,7 @@
 }
 
 void Gateway::Impl::ContinueDrain() {
-  if (!drain) {
+  if (!drain || drain_ends_by) {
     return;
   }
   const GatewayDrainStep first = drain->Next(loop->Now(), DrainLoad());
@@ -98,21 +100,37 @@
     CloseIdleCallers(first.stop);
   }
   const GatewayDrainStep step = drain->Next(loop->Now(), DrainLoad());
+  loop->Cancel(drain_timer);
   if (step.stop) {
-    for (const auto& [number, exchange] : exchanges) {
-      exchange->RefuseForStop();
-    }
-    LogLine(LogEventId::kDrainEnded)
-        .Field("requests", static_cast<long long>(exchanges.size()))
-        .Field("connections", static_cast<long long>(callers.size()))
-        .Field("not_accepted",
-               static_cast<long long>(listener.pending_connections()));
-    loop->Stop();
+    drain_ends_by = loop->Now() + kDrainLastAnswersTime;
+    EndDrain();
     return;
   }
-  loop->Cancel(drain_timer);
   drain_timer =
       loop->Schedule(kDrainCheckInterval, [this] { ContinueDrain(); });
 }
 
+bool Gateway::Impl::HasWaitingRequests() const {
+  return std::ranges::any_of(callers, [](const auto& caller) {
+    return caller.second->HasNextRequest();
+  });
+}
+
+void Gateway::Impl::EndDrain() {
+  for (const auto& [number, exchange] : exchanges) {
+    exchange->RefuseForStop();
+  }
+  if (HasWaitingRequests() && loop->Now() < *drain_ends_by) {
+    // Callers read their next requests in tasks that are posted already.
+    loop->Post([this] { EndDrain(); });
+    return;
+  }
+  LogLine(LogEventId::kDrainEnded)
+      .Field("requests", static_cast<long long>(exchanges.size()))
+      .Field("connections", static_cast<long long>(callers.size()))
+      .Field("not_accepted",
+             static_cast<long long>(listener.pending_connections()));
+  loop->Stop();
+}
+
 }  // namespace bramleybank
--- a/tests/process_stop.cc
+++ b/tests/process_stop.cc
@@ -187,6 +187,31 @@
   site.application(0).Continue();
 }
 
+// Guards against requests behind the one that is open at the end of a stop,
+// which are read and dropped.
+TEST_CASE("pipelined requests get answers when a stop must end") {
+  constexpr int kPipelined = 5;
+  WireDeployment site(OneGateway());
+  for (size_t i = 0; i < kMinAnswerTimes; ++i) {
+    const std::string id = "known-" + std::to_string(i);
+    REQUIRE(site.Call(0, "POST", "/calls/x", id).status == 200);
+  }
+  RawCaller caller(site.caller_address(0));
+  site.gateway(0).Terminate();
+  WaitUntil("not ready",
+            [&] { return Send("GET", site.ready_url(0)).status != 200; });
+  site.application(0).Pause();
+  for (int i = 0; i < kPipelined; ++i) {
+    caller.Write(RawRequest("/calls/x", "call-" + std::to_string(i)));
+  }
+  CHECK(caller.ReadAnswer().status == 502);
+  for (int i = 1; i < kPipelined; ++i) {
+    CHECK(caller.ReadAnswer().status == 503);
+  }
+  CHECK(site.gateway(0).WaitExit() == 0);
+  site.application(0).Continue();
+}
+
 /// Reads an answer in blocks of at most 1 MB with pauses, so that it takes
 /// longer than the linger time.
 size_t ReadSlowly(RawCaller* caller) {
