Config: an empty list of customers knows no key

Cause: the adapter did not tell an empty list from an absent one, and the gateway asked for no key when there were no customers.

Change: GatewayConfigValues::requires_key says whether the list is there. One that cannot be read counts as there; without it no key is needed, as before.

--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -117,6 +117,9 @@
   std::vector<GatewayRoute> routes;
   std::vector<GatewayService> services;
   std::vector<GatewayCustomer> customers;
+  /// Whether the configuration contains a list of customers, which may be
+  /// empty. Requests then need a key.
+  bool requires_key = false;
   CallerLimits limits;
 
   friend bool operator==(const GatewayConfigValues&,
@@ -142,7 +145,7 @@
   bool HasPriorities(std::string_view service) const;
 
   uint64_t version() const { return m_values.version; }
-  bool has_customers() const { return !m_values.customers.empty(); }
+  bool requires_key() const { return m_values.requires_key; }
   const CallerLimits& limits() const { return m_values.limits; }
   const GatewayConfigValues& values() const { return m_values; }
 
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -97,7 +97,7 @@
 }
 
 bool GatewayExchange::FindCustomer() {
-  if (!m_config->has_customers()) {
+  if (!m_config->requires_key()) {
     return true;
   }
   const GatewayCustomer* customer =
--- a/tests/unit_gateway.cc
+++ b/tests/unit_gateway.cc
@@ -370,6 +370,26 @@
   CHECK(fixture.endpoints[0]->requests().empty());
 }
 
+// Guards against a service that is open to everybody because the operator has
+// removed the last customer.
+TEST_CASE("a configuration whose list of customers is empty knows no key") {
+  std::string config = kConfig;
+  config.resize(config.find("\"tenants\""));
+  const std::string without_list = config + R"("limits":{}})";
+  Fixture open({{{.bytes = kCompleteAnswer}}}, without_list);
+  open.Send("GET /read/x", "any");
+  open.WaitForAnswer("done");
+  for (const std::string list : {"[]", R"([{"name":"family"}])", "7"}) {
+    CAPTURE(list);
+    Fixture closed({{{.bytes = kCompleteAnswer}}},
+                   config + R"("tenants":)" + list + "}");
+    closed.Send("GET /read/x", "any");
+    closed.WaitForAnswer("\r\n\r\n");
+    CHECK(closed.answer.starts_with("HTTP/1.1 401"));
+    CHECK(closed.endpoints[0]->requests().empty());
+  }
+}
+
 // Guards against answering 404 or 401 before the first configuration is known.
 TEST_CASE("a gateway without a configuration answers that it is not ready") {
   Fixture fixture({}, /*config=*/"");
