GatewayCaller: the limits of the configuration hold from the next request on

Cause: a connection copied the limits when it was accepted and read them again only when its timer ran out, which each request starts anew.

Change: the limits are read when a request begins, also the parser's limit on heads.

--- a/src/gateway_caller.cc
+++ b/src/gateway_caller.cc
@@ -148,6 +148,7 @@
       m_message_bytes = 0;
       m_progress_mark = 0;
       m_account.OnProgress();
+      ApplyLimits();
       ArmTimer();
     }
     m_message_bytes += data.size();
@@ -166,6 +167,11 @@
   UpdateReading();
 }
 
+void GatewayCaller::ApplyLimits() {
+  m_limits = m_hooks->limits();
+  m_parser.set_max_head_bytes(m_limits.max_header_bytes);
+}
+
 void GatewayCaller::CheckFault() {
   if (m_closed || m_parser.error() == Http1ParseError::kNone || m_is_busy) {
     return;
--- a/src/gateway_caller.h
+++ b/src/gateway_caller.h
@@ -155,6 +155,8 @@
   void OnBody(std::string_view data);
   void OnRequestComplete();
   void CheckFault();
+  /// Sets the limits for the next request.
+  void ApplyLimits();
   void RefuseAndClose(int status,
                       ResultCode code,
                       Duration retry_after = Duration{0});
--- a/src/gateway_caller_memory.cc
+++ b/src/gateway_caller_memory.cc
@@ -125,6 +125,7 @@
   if (m_parser.unparsed_bytes() > 0) {
     m_message_start = m_pace_start = m_loop->Now();
     m_message_bytes = m_parser.unparsed_bytes();
+    ApplyLimits();
     if (!ReserveForParsing(m_parser.unparsed())) {
       return;
     }
--- a/src/http1_parser.h
+++ b/src/http1_parser.h
@@ -70,6 +70,9 @@
   /// not pass on what is parsed afterwards.
   void Discard();
 
+  /// Takes effect at once; to be called between messages.
+  void set_max_head_bytes(size_t bytes) { m_max_head_bytes = bytes; }
+
   /// The next final response answers a HEAD request, so it has no body.
   void ExpectNoBody() { m_expects_no_body = true; }
 
@@ -112,7 +115,7 @@
   bool HasTooManyFields() const;
 
   const Direction m_direction;
-  const size_t m_max_head_bytes;
+  size_t m_max_head_bytes;
   Callbacks m_callbacks;
   std::unique_ptr<HttpParserAdapter> m_adapter;
   // Invariant: replaced as a whole when a message begins, so that nothing of a
--- a/tests/unit_gateway_kept_connection.cc
+++ b/tests/unit_gateway_kept_connection.cc
@@ -39,6 +39,44 @@
         std::string::npos);
 }
 
+// Guards against refusing what the configuration allows because the connection
+// is older than the limits.
+TEST_CASE("new limits hold for the next request of a connection") {
+  const auto with_limits = [](int version, const std::string& limits) {
+    std::string config = kConfig;
+    config.replace(config.find("3"), 1, std::to_string(version));
+    return config.substr(0, config.size() - 1) + R"(,"limits":)" + limits + "}";
+  };
+  const std::string low = R"({"max_header_bytes":300,"max_body_bytes":10})";
+  const std::string high = R"({"max_header_bytes":9000,"max_body_bytes":900})";
+  const std::string large_body = Head("POST /book/2") +
+                                 "Content-Length: 500\r\n\r\n" +
+                                 std::string(500, 'b');
+  const std::string large_head =
+      Head("POST /book/2") + "X: " + std::string(500, 'h') + "\r\n\r\n";
+  for (const std::string& request : {large_body, large_head}) {
+    for (const bool rises : {true, false}) {
+      CAPTURE(rises);
+      Fixture fixture({{{.bytes = kCompleteAnswer}}},
+                      with_limits(3, rises ? low : high));
+      fixture.Send("POST /book/1");
+      fixture.WaitForAnswer("done");
+      fixture.answer.clear();
+      fixture.store.Answer(
+          "op", {.result = StoreResult::kOk,
+                 .rows = {{.key = "config",
+                           .value = with_limits(4, rises ? high : low),
+                           .version = 10}},
+                 .version = 10});
+      fixture.RunTurns(20);
+      fixture.Write(request);
+      fixture.WaitForAnswer("\r\n\r\n");
+      CHECK(fixture.answer.starts_with("HTTP/1.1 200") == rises);
+      CHECK(fixture.CountRequests() == (rises ? 2 : 1));
+    }
+  }
+}
+
 // Guards against passing on a request that its endpoint may read as two.
 TEST_CASE("a request with a malformed trailer is refused and not passed on") {
   for (const std::string field : {"X : a\r\n", "X: a\r\n b\r\n", "X: a\n"}) {
