EndpointDirectory: entries of services that are not configured supersede none

Cause: each new entry at an address took the older one out of use, without asking whether it names an endpoint.

Change: only entries of services that the configuration describes or routes to do so. When the services change, the entries are gone through again in the order in which they were read.

--- a/src/endpoint_directory.cc
+++ b/src/endpoint_directory.cc
@@ -63,23 +63,51 @@
   it->second.removed_at.reset();
   it->second.is_adopted = false;
   if (is_new) {
+    it->second.arrival = ++m_arrivals;
     SupersedeOlderEntry(it->second);
   }
 }
 
+bool EndpointDirectory::IsNamed(const std::string& service) const {
+  return !m_services || m_services->contains(service);
+}
+
+void EndpointDirectory::SetServices(
+    std::set<std::string, std::less<>> services) {
+  if (m_services == services) {
+    return;
+  }
+  m_services = std::move(services);
+  m_by_address.clear();
+  std::vector<EndpointRecord*> records;
+  for (auto& [id, record] : m_records) {
+    record.is_superseded = false;
+    if (!record.removed_at) {
+      records.push_back(&record);
+    }
+  }
+  std::ranges::sort(records, {}, &EndpointRecord::arrival);
+  for (EndpointRecord* record : records) {
+    SupersedeOlderEntry(*record);
+  }
+}
+
 void EndpointDirectory::SupersedeOlderEntry(EndpointRecord& record) {
+  if (!IsNamed(record.entry.service)) {
+    return;
+  }
   std::string& newest = m_by_address[record.entry.address];
   EndpointRecord* known = FindMutable(newest);
   const bool has_other = known != nullptr && known != &record &&
                          known->entry.address == record.entry.address;
   if (has_other && StartedBefore(record.entry, known->entry)) {
     // Entries need not arrive in the order in which their endpoints started.
-    record.is_misdirected = true;
+    record.is_superseded = true;
     return;
   }
   if (has_other) {
     // The older entry remains until it expires, but its endpoint is gone.
-    known->is_misdirected = true;
+    known->is_superseded = true;
   }
   newest = record.entry.id;
 }
@@ -123,15 +151,19 @@
   if (record != nullptr && !record->removed_at) {
     record->removed_at = m_clock();
     record->may_have_expired = IsOutageRecent();
-    ReinstateAt(record->entry.address);
+    if (IsNamed(record->entry.service)) {
+      ReinstateAt(record->entry.address);
+    }
   }
 }
 
 void EndpointDirectory::ReinstateAt(const std::string& address) {
   for (auto& [id, record] : m_records) {
     if (record.entry.address == address && !record.removed_at &&
-        record.is_misdirected) {
+        (record.is_misdirected || record.is_superseded) &&
+        IsNamed(record.entry.service)) {
       record.is_misdirected = false;
+      record.is_superseded = false;
       m_by_address[address] = id;
     }
   }
@@ -369,7 +401,7 @@
 
 bool EndpointDirectory::IsReachable(const EndpointRecord& record) const {
   return !record.removed_at && !record.is_misdirected &&
-         record.consecutive_losses == 0 &&
+         !record.is_superseded && record.consecutive_losses == 0 &&
          !IsDomainSuspect(record.entry.service, record.entry.failure_domain);
 }
 
@@ -390,7 +422,7 @@
 }
 
 bool EndpointDirectory::IsInService(const EndpointRecord& record) const {
-  if (record.is_misdirected || record.is_leaving ||
+  if (record.is_misdirected || record.is_superseded || record.is_leaving ||
       record.entry.state != EndpointState::kReady) {
     return false;
   }
--- a/src/endpoint_directory.h
+++ b/src/endpoint_directory.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -68,8 +69,12 @@
   /// entries. An entry that disappears at any other time means that the
   /// endpoint has left.
   bool may_have_expired = false;
-  /// Another endpoint has answered at the address, or a newer entry has it.
+  /// Another endpoint has answered at the address.
   bool is_misdirected = false;
+  /// A newer entry has the address.
+  bool is_superseded = false;
+  /// Increases in the order in which entries of new starts were read.
+  uint64_t arrival = 0;
   /// Reported by the endpoint itself while the store was unavailable.
   bool is_adopted = false;
   /// Moving average of the share of answers that were failures, 0 to 1.
@@ -81,6 +86,10 @@
  public:
   explicit EndpointDirectory(ClockHook clock);
 
+  /// Sets the services of the configuration. Entries of others may come from
+  /// another writer and name no endpoint. Before the first call all count.
+  void SetServices(std::set<std::string, std::less<>> services);
+
   /// Adds a new entry or replaces a changed one.
   void Update(const EndpointEntry& entry);
   /// Marks an endpoint whose entry is gone from the store. The record is kept
@@ -168,8 +177,9 @@
   bool IsHeldBack(const EndpointRecord& record) const;
   /// Sets the end of the time for all records that are held back now.
   void HoldBackUntil(TimePoint until);
-  /// Marks the older one of two records at the same address as misdirected.
+  /// Marks the older one of two records at the same address as superseded.
   void SupersedeOlderEntry(EndpointRecord& record);
+  bool IsNamed(const std::string& service) const;
   /// The entry of another endpoint at the address has disappeared: what
   /// remains there may be the one that answers.
   void ReinstateAt(const std::string& address);
@@ -191,7 +201,10 @@
   // When the store was last found to be restored from an older copy.
   std::optional<TimePoint> m_restored_at;
   TimePoint m_last_sweep;
-  // Id of the newest entry at each address.
+  // Empty before SetServices().
+  std::optional<std::set<std::string, std::less<>>> m_services;
+  uint64_t m_arrivals = 0;
+  // Id of the newest entry of a named service at each address.
   std::map<std::string, std::string, std::less<>> m_by_address;
   // Ids of endpoints by their keys, some of them of former incarnations.
   std::unordered_map<EngineKey, std::string> m_ids_by_key;
--- a/src/gateway_changes.cc
+++ b/src/gateway_changes.cc
@@ -37,6 +37,7 @@
     return;
   }
   config = std::make_shared<const GatewayConfig>(std::move(*values));
+  directory.SetServices(config->ServiceNames());
   config_value = row.value;
   LogLine(LogEventId::kConfigInForce)
       .Field("config", static_cast<long long>(config->version()))
--- a/src/gateway_config.cc
+++ b/src/gateway_config.cc
@@ -77,6 +77,19 @@
   return it == m_services.end() ? nullptr : it->second;
 }
 
+std::set<std::string, std::less<>> GatewayConfig::ServiceNames() const {
+  std::set<std::string, std::less<>> names;
+  for (const auto& [name, service] : m_services) {
+    names.insert(name);
+  }
+  for (const GatewayRoute& route : m_values.routes) {
+    for (const ServiceShare& share : route.services) {
+      names.insert(share.service);
+    }
+  }
+  return names;
+}
+
 bool GatewayConfig::HasPriorities(std::string_view service) const {
   return m_services_with_priorities.contains(service);
 }
--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -141,6 +141,8 @@
   /// @returns the customer that holds `key`, or null.
   const GatewayCustomer* FindCustomer(std::string_view key) const;
   const GatewayService* FindService(std::string_view name) const;
+  /// @returns the services that are described or that routes lead to.
+  std::set<std::string, std::less<>> ServiceNames() const;
   /// @returns whether requests to the service differ in their priority.
   bool HasPriorities(std::string_view service) const;
 
--- a/tests/unit_endpoint_directory.cc
+++ b/tests/unit_endpoint_directory.cc
@@ -69,6 +69,33 @@
   CHECK(fixture.Pick() == "new");
 }
 
+// Guards against entries of another writer that take live endpoints out of use.
+TEST_CASE("an entry of an unknown service supersedes no endpoint") {
+  EndpointEntry foreign = MakeEntry("foreign", "a", "a0:1");
+  foreign.service = "unknown";
+  foreign.start_time_ms = 9;
+  for (const bool comes_first : {false, true}) {
+    CAPTURE(comes_first);
+    Fixture fixture(1);
+    if (comes_first) {
+      fixture.directory.Update(foreign);
+    }
+    fixture.directory.SetServices({"writers"});
+    fixture.directory.Update(foreign);
+    CHECK(fixture.Pick() == "a0");
+    EndpointEntry next = MakeEntry("next", "a", "a0:1");
+    fixture.directory.Update(next);
+    CHECK(fixture.Pick() == "next");
+    fixture.directory.Remove("foreign");
+    CHECK_FALSE(fixture.directory.IsUsable(*fixture.directory.Find("a0")));
+    fixture.directory.Update(foreign);
+    fixture.directory.SetServices({"writers", "unknown"});
+    CHECK_FALSE(fixture.directory.IsUsable(*fixture.directory.Find("a0")));
+    fixture.directory.Remove("foreign");
+    CHECK(fixture.directory.IsUsable(*fixture.directory.Find("next")));
+  }
+}
+
 TEST_CASE("a restored entry does not return an endpoint that left to service") {
   Fixture fixture(1);
   EndpointDirectory& directory = fixture.directory;
