EventLoop: what is ready is dispatched before any timer that is due

Callers could see: in a busy loop, timers that judge what has arrived (probes, acceptance, silence checks, connects) act on the state before it was read.

Cause: a turn dispatches one event and then runs all due timers. Only timers over 5 ms late let the other events go first, which covers a paused process and not a busy one.

Change: each timer that is due waits for one round of the events that are ready, at most one a descriptor. An idle loop makes one more call of epoll_wait a timer.

Evidence: "a timer in time fires after what has arrived was dispatched" failed before (1 of 10 arrivals dispatched) and passes; unit_tests 671 pass.

--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -28,11 +28,6 @@
 // that fires 1 ms late would use up the 1 ms of latency that a daemon may add
 // to the first token.
 constexpr Duration kTimerFdThreshold = std::chrono::milliseconds(5);
-// What has arrived is dispatched before timers that are later than this. A
-// process that was paused would otherwise run into timeouts of answers that lie
-// in its sockets.
-constexpr Duration kLateTimerDelay = std::chrono::milliseconds(5);
-
 /// @returns the size of the reactor's descriptor table. ACE raises the soft
 /// limit of open files to this size and fails if the hard limit is lower.
 int MaxDescriptors() {
@@ -144,11 +139,8 @@
     timerfd_settime(timer_fd, 0, &spec, nullptr);
   }
 
-  /// @returns whether a timer is overdue because this process was busy or
-  /// paused.
-  bool IsLate() const {
-    return !timers.empty() &&
-           SteadyNow() - timers.begin()->first.first > kLateTimerDelay;
+  bool HasDueTimer() const {
+    return !timers.empty() && timers.begin()->first.first <= SteadyNow();
   }
 
   /// Dispatches events that are ready, at most one for each descriptor. The
@@ -294,7 +286,10 @@
 void EventLoop::RunOnce(Duration max_wait) {
   ACE_Time_Value wait = ToAceTime(m_impl->NextWait(max_wait));
   m_impl->reactor.handle_events(wait);
-  if (m_impl->IsLate()) {
+  // What has arrived is dispatched before timers. A process that is busy or was
+  // paused would otherwise run into timeouts of answers that lie in its
+  // sockets.
+  if (m_impl->HasDueTimer()) {
     m_impl->DispatchReady();
     m_impl->RunPosted();
   }
--- a/tests/unit_event_loop.cc
+++ b/tests/unit_event_loop.cc
@@ -71,8 +71,9 @@
   CHECK(fired == 1);
 }
 
-// Guards against timeouts of answers that arrived while the process was paused.
-TEST_CASE("a late timer fires after what has arrived was dispatched") {
+/// Checks that a timer fires after all that has arrived was dispatched.
+/// @param pause of the process, which makes the timer late.
+void CheckArrivalsBeforeTimer(useconds_t pause) {
   constexpr int kPairs = 10;
   EventLoop loop;
   std::vector<std::array<int, 2>> pairs(kPairs);
@@ -87,17 +88,28 @@
   }
   int received_before_timer = -1;
   loop.Schedule(Duration(0), [&] { received_before_timer = received; });
-  usleep(20'000);
+  usleep(pause);
   while (received_before_timer < 0) {
     loop.RunOnce(kMaxWait);
   }
   CHECK(received_before_timer == kPairs);
   for (const auto& pair : pairs) {
+    loop.Unwatch(pair[0]);
     close(pair[0]);
     close(pair[1]);
   }
 }
 
+// Guards against timeouts of answers that arrived while the process was paused.
+TEST_CASE("a late timer fires after what has arrived was dispatched") {
+  CheckArrivalsBeforeTimer(20'000);
+}
+
+// Guards against timeouts of answers that wait for their turn in a busy loop.
+TEST_CASE("a timer in time fires after what has arrived was dispatched") {
+  CheckArrivalsBeforeTimer(0);
+}
+
 TEST_CASE("a callback may end the watch of its own descriptor") {
   EventLoop loop;
   std::array<int, 2> fds{};
