--- a/tests/unit_tcp_connection.cc
+++ b/tests/unit_tcp_connection.cc
@@ -21,8 +21,8 @@
 
 constexpr Duration kMaxWait = std::chrono::milliseconds(50);
 
-// The loop dispatches one event a turn, so under load a connection may wait for
-// its turn for longer than its timeout.
+// Guards against judging a connection by its event, which may wait for its turn
+// in a busy loop for longer than the timeout.
 TEST_CASE("a busy loop does not time out a connection that is established") {
   constexpr int kBusyPairs = 20;
   EventLoop loop;
@@ -56,6 +56,7 @@
   }
 }
 
+// Guards against a connection that nobody accepts and that never ends.
 TEST_CASE("a connection that is not established in time has failed") {
   EventLoop loop;
   // A listener whose queue is full does not accept further connections.
