--- a/src/event_loop.cc
+++ b/src/event_loop.cc
@@ -28,6 +28,7 @@
 // that fires 1 ms late would use up the 1 ms of latency that a daemon may add
 // to the first token.
 constexpr Duration kTimerFdThreshold = std::chrono::milliseconds(5);
+
 /// @returns the size of the reactor's descriptor table. ACE raises the soft
 /// limit of open files to this size and fails if the hard limit is lower.
 int MaxDescriptors() {
--- a/tests/process_stop.cc
+++ b/tests/process_stop.cc
@@ -168,19 +168,25 @@
   CHECK(site.gateway(0).WaitExit() == 0);
 }
 
+/// Starts a stop in which calls are sent on, because their times are known, and
+/// get no answer, because the application is paused.
+void StopWithSilentApplication(WireDeployment* site) {
+  for (size_t i = 0; i < kMinAnswerTimes; ++i) {
+    const std::string id = "known-" + std::to_string(i);
+    REQUIRE(site->Call(0, "POST", "/calls/x", id).status == 200);
+  }
+  site->gateway(0).Terminate();
+  WaitUntil("not ready",
+            [&] { return Send("GET", site->ready_url(0)).status != 200; });
+  site->application(0).Pause();
+}
+
 // Guards against requests that get no answer because the time of a stop is
 // over.
 TEST_CASE("a request that is open when a stop must end gets an answer") {
   WireDeployment site(OneGateway());
-  for (size_t i = 0; i < kMinAnswerTimes; ++i) {
-    const std::string id = "known-" + std::to_string(i);
-    REQUIRE(site.Call(0, "POST", "/calls/x", id).status == 200);
-  }
   RawCaller caller(site.caller_address(0));
-  site.gateway(0).Terminate();
-  WaitUntil("not ready",
-            [&] { return Send("GET", site.ready_url(0)).status != 200; });
-  site.application(0).Pause();
+  StopWithSilentApplication(&site);
   caller.Write(RawRequest("/calls/x", "call-1"));
   CHECK(caller.ReadAnswer().status == 502);
   CHECK(site.gateway(0).WaitExit() == 0);
@@ -192,15 +198,8 @@
 TEST_CASE("pipelined requests get answers when a stop must end") {
   constexpr int kPipelined = 5;
   WireDeployment site(OneGateway());
-  for (size_t i = 0; i < kMinAnswerTimes; ++i) {
-    const std::string id = "known-" + std::to_string(i);
-    REQUIRE(site.Call(0, "POST", "/calls/x", id).status == 200);
-  }
   RawCaller caller(site.caller_address(0));
-  site.gateway(0).Terminate();
-  WaitUntil("not ready",
-            [&] { return Send("GET", site.ready_url(0)).status != 200; });
-  site.application(0).Pause();
+  StopWithSilentApplication(&site);
   for (int i = 0; i < kPipelined; ++i) {
     caller.Write(RawRequest("/calls/x", "call-" + std::to_string(i)));
   }
